--- a/cmd/siskinrun/main.go
+++ b/cmd/siskinrun/main.go
@@ -4,8 +4,11 @@
 	"os"
 
 	"siskinrun/internal/command"
+	"siskinrun/platform"
 )
 
 func main() {
-	os.Exit(command.NewCommand().Run(os.Args[1:]))
+	c := command.NewCommand()
+	c.Dialects[platform.Name] = platform.NewDialect()
+	os.Exit(c.Run(os.Args[1:]))
 }
--- a/internal/batch/result.go
+++ b/internal/batch/result.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"siskinrun/internal/entry"
+	"siskinrun/internal/itemline"
 	"siskinrun/internal/ledger"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
@@ -137,7 +138,7 @@
 
 // render returns the JSON line of an ended item.
 func render(id string, index int, input []byte, r *entry.Result) []byte {
-	i := line{}
+	i := itemline.Line{}
 	_ = json.Unmarshal(input, &i)
 	o := outputLine{
 		ID:       id + "-" + strconv.Itoa(index),
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -146,6 +146,9 @@
 	if q.GetBacklog() != nil {
 		return proto.Marshal(&entry.Found{Backlog: l.Backlog(b.Timer.Now().UnixNano())})
 	}
+	if k := q.GetListing(); k.GetWaitNanoseconds() > 0 && b.lead(q.Group).Leading {
+		b.await(ctx, l, k)
+	}
 	if !q.GetResults().GetEnded() {
 		if err := b.confirm(ctx, q.Group); err != nil {
 			return nil, err
@@ -187,6 +190,8 @@
 		return &entry.Found{Data: d}, err
 	case *entry.Query_Results:
 		return page(l, k.Results)
+	case *entry.Query_Listing, *entry.Query_Input:
+		return findInline(l, q)
 	}
 	return nil, ledger.ErrUnknown
 }
--- a/internal/batch/upload.go
+++ b/internal/batch/upload.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/entry"
+	"siskinrun/internal/itemline"
 	"siskinrun/pkg/refusal"
 )
 
@@ -23,14 +24,6 @@
 	MaxLines = 1_000_000
 )
 
-// line is one line of a batch file.
-type line struct {
-	CustomID string          `json:"custom_id"`
-	Method   string          `json:"method"`
-	URL      string          `json:"url"`
-	Body     json.RawMessage `json:"body"`
-}
-
 // named is the part of a body that leads to an engine.
 type named struct {
 	Model string `json:"model"`
@@ -99,13 +92,16 @@
 }
 
 func (u *upload) check(n int, b []byte) error {
-	i := line{}
+	i := itemline.Line{}
 	if err := json.Unmarshal(b, &i); err != nil {
 		return bad(400, n, "is not a JSON object of an item")
 	}
 	if i.CustomID == "" || i.URL == "" {
 		return bad(400, n, "lacks custom_id or url")
 	}
+	if i.Inline || i.Host != "" || len(i.Headers)+len(i.Raw) > 0 {
+		return bad(400, n, "has fields that only items of inline jobs may have")
+	}
 	if i.Method != "POST" {
 		return bad(400, n, "has a method other than POST")
 	}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"siskinrun/internal/inlineitem"
 	"siskinrun/internal/record"
 	"siskinrun/internal/route"
+	"siskinrun/internal/upstream"
 )
 
 // Call is one request of a caller or of a batch item.
@@ -25,6 +27,8 @@
 	Stream bool
 	// Method is the HTTP method.
 	Method string
+	// Host is the host name that the caller named, empty if it does not matter.
+	Host string
 	// Path is the path and query sent to the upstream.
 	Path string
 	// Headers are the end-to-end headers for the upstream as name and value.
@@ -33,6 +37,10 @@
 	Body []byte
 	// Model is what the upstream must have loaded, empty for a plain service.
 	Model string
+	// Items decodes the items of a job that the body hands in, on routes that take jobs.
+	Items func() ([]inlineitem.Item, error)
+	// Prefix are the chained hashes of the parts of the prompt, if the caller named them.
+	Prefix []uint64
 	// Prompt is the text whose prefix may be cached.
 	Prompt []byte
 	// Tokens is the most tokens that may be generated.
@@ -47,8 +55,12 @@
 	Offset int
 	// Arrived is when the request was read.
 	Arrived time.Time
+	// Patience is how long the caller said it waits, or zero.
+	Patience time.Duration
 	// Deadline is when the answer must be complete.
 	Deadline time.Time
+	// To is the upstream of the attempt under way.
+	To upstream.Upstream
 	// Record is what is known of the call so far.
 	Record record.Record
 }
--- a/internal/caller/batches.go
+++ b/internal/caller/batches.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinrun/internal/ingress"
 	"siskinrun/internal/job"
 	"siskinrun/internal/submission"
 	"siskinrun/pkg/refusal"
@@ -100,10 +101,10 @@
 			q.list(team)
 			return
 		}
-		q.job(q.caller.Batch.GetJob(q.caller.base, team, id))
+		q.job(q.caller.Batch.GetJob(q.caller.ingress.Context(), team, id))
 		return
 	case "POST cancel":
-		q.job(q.caller.Batch.CancelJob(q.caller.base, team, id))
+		q.job(q.caller.Batch.CancelJob(q.caller.ingress.Context(), team, id))
 		return
 	case "GET results":
 		q.results(team, id)
@@ -112,34 +113,34 @@
 		q.errors(team, id)
 		return
 	}
-	q.refuse(noEndpoint())
+	q.Refuse(noEndpoint())
 }
 
 func (q *request) job(j job.Job, err error) {
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	q.reply(newBatchObject(j))
 }
 
 func (q *request) create(team string) {
-	b, err := q.body(int64(q.caller.BodyBytes))
+	b, err := ingress.Body(q.http, int64(q.caller.BodyBytes))
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	r := &batchRequest{}
 	if err := json.Unmarshal(b, r); err != nil {
-		q.refuse(refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-request", "the body is not a JSON object of a batch: "+err.Error()))
+		q.Refuse(refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-request", "the body is not a JSON object of a batch: "+err.Error()))
 		return
 	}
 	w, err := window(r.CompletionWindow)
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
-	q.job(q.caller.Batch.CreateJob(q.caller.base, team, submission.Submission{
+	q.job(q.caller.Batch.CreateJob(q.caller.ingress.Context(), team, submission.Submission{
 		File:     r.InputFileID,
 		Endpoint: r.Endpoint,
 		Key:      string(q.http.Request.Header.Peek("Idempotency-Key")),
@@ -165,14 +166,14 @@
 	if s := string(a.Peek("limit")); s != "" {
 		v, err := strconv.Atoi(s)
 		if err != nil || v < 1 || v > listMost {
-			q.refuse(refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-limit", "the limit must lie between 1 and 100"))
+			q.Refuse(refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-limit", "the limit must lie between 1 and 100"))
 			return
 		}
 		n = v
 	}
-	l, err := q.caller.Batch.ListJobs(q.caller.base, team, string(a.Peek("after")), n+1)
+	l, err := q.caller.Batch.ListJobs(q.caller.ingress.Context(), team, string(a.Peek("after")), n+1)
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	o := batchList{Object: "list", Data: []batchObject{}, HasMore: len(l) > n}
@@ -183,8 +184,8 @@
 }
 
 func (q *request) results(team, id string) {
-	if _, err := q.caller.Batch.GetJob(q.caller.base, team, id); err != nil {
-		q.refuse(err)
+	if _, err := q.caller.Batch.GetJob(q.caller.ingress.Context(), team, id); err != nil {
+		q.Refuse(err)
 		return
 	}
 	q.stream(func(ctx context.Context, w io.Writer) error {
@@ -193,8 +194,8 @@
 }
 
 func (q *request) errors(team, id string) {
-	if _, err := q.caller.Batch.GetJob(q.caller.base, team, id); err != nil {
-		q.refuse(err)
+	if _, err := q.caller.Batch.GetJob(q.caller.ingress.Context(), team, id); err != nil {
+		q.Refuse(err)
 		return
 	}
 	q.stream(func(ctx context.Context, w io.Writer) error {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,23 +5,18 @@
 	"crypto/tls"
 	"net"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
-	"siskinrun/internal/accept"
 	"siskinrun/internal/answer"
 	"siskinrun/internal/call"
-	"siskinrun/internal/group"
+	"siskinrun/internal/ingress"
 	"siskinrun/internal/timer"
 )
 
 const (
-	idleTimeout = 2 * time.Minute
-	idleGrace   = 2 * time.Second
-	drainPoll   = 50 * time.Millisecond
 	pathReady   = "/-/ready"
 	pathHealthy = "/-/healthy"
 	pathModels  = "/v1/models"
@@ -66,77 +61,32 @@
 	// Drain is how long a stopping host goes on answering before it closes idle connections.
 	Drain time.Duration
 
-	accept   *accept.Listener
-	draining atomic.Bool
-	base     context.Context
+	// StopTimeout, if set, bounds how long a stopping host waits for calls to end.
+	StopTimeout time.Duration
+
+	ingress *ingress.Ingress
 }
 
 // Run serves until ctx ends, and then stops without cutting a call.
 func (c *Caller) Run(ctx context.Context) error {
-	w, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	c.base = w
-	g := group.NewGroup(w)
-	l := c.Listener
-	if c.TLS != nil {
-		l = tls.NewListener(l, c.TLS)
-	}
-	c.accept = &accept.Listener{Listener: l, Timer: c.Timer, Group: g}
-	v := c.server()
-	g.Go("serve", func(context.Context) error { return v.Serve(c.accept) })
-	g.Go("drain", func(w context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-w.Done():
-			return w.Err()
-		}
-		c.drain(w)
-		err := v.Shutdown()
-		_ = l.Close()
-		return err
-	})
-	return g.Wait()
-}
-
-// Draining reports whether the host is stopping.
-func (c *Caller) Draining() bool {
-	return c.draining.Load()
-}
-
-func (c *Caller) server() *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:                       c.handle,
-		ErrorHandler:                  c.fail,
-		ReadBufferSize:                c.HeaderBytes,
-		ReadTimeout:                   c.ReadTimeout,
-		IdleTimeout:                   idleTimeout,
-		Concurrency:                   c.Concurrency,
-		StreamRequestBody:             true,
-		DisablePreParseMultipartForm:  true,
-		NoDefaultServerHeader:         true,
-		NoDefaultContentType:          true,
-		SecureErrorLogMessage:         true,
-		Logger:                        quiet{c.Log},
-		DisableHeaderNamesNormalizing: false,
-	}
-}
-
-// drain answers for a while with the connections closing, then waits until all calls have ended.
-func (c *Caller) drain(ctx context.Context) {
-	c.draining.Store(true)
-	_ = c.Timer.Sleep(ctx, c.Drain)
-	for c.accept.Open() > 0 && ctx.Err() == nil {
-		c.accept.CloseIdle(idleGrace)
-		_ = c.Timer.Sleep(ctx, drainPoll)
+	c.ingress = &ingress.Ingress{
+		Listener:    c.Listener,
+		TLS:         c.TLS,
+		Dialect:     c,
+		Timer:       c.Timer,
+		Log:         c.Log,
+		HeaderBytes: c.HeaderBytes,
+		ReadTimeout: c.ReadTimeout,
+		Concurrency: c.Concurrency,
+		Drain:       c.Drain,
+		StopTimeout: c.StopTimeout,
 	}
+	return c.ingress.Run(ctx)
 }
 
-func (c *Caller) handle(x *fasthttp.RequestCtx) {
-	done := c.accept.Busy(x.Conn())
-	if c.draining.Load() {
-		x.SetConnectionClose()
-	}
-	q := &request{caller: c, http: x, id: newID(), release: done}
+// Handle answers a request.
+func (c *Caller) Handle(x *fasthttp.RequestCtx) {
+	q := &request{caller: c, http: x, id: newID()}
 	p := string(x.Path())
 	switch {
 	case p == pathReady:
@@ -154,22 +104,16 @@
 	default:
 		q.plain()
 	}
-	if !q.streams {
-		done()
-	}
+}
+
+// Unreadable answers a request that could not be read.
+func (c *Caller) Unreadable(x *fasthttp.RequestCtx, err error) {
+	q := &request{caller: c, http: x, id: newID()}
+	x.SetConnectionClose()
+	q.Refuse(ingress.Unreadable(err))
 }
 
 func under(path, prefix string) bool {
 	r, ok := strings.CutPrefix(path, prefix)
 	return ok && (r == "" || r[0] == '/')
 }
-
-// quiet passes messages of the HTTP library to the log.
-type quiet struct {
-	log zerolog.Logger
-}
-
-// Printf implements fasthttp.Logger.Printf.
-func (q quiet) Printf(format string, args ...any) {
-	q.log.Debug().Msgf(format, args...)
-}
--- a/internal/caller/files.go
+++ b/internal/caller/files.go
@@ -8,10 +8,10 @@
 	"mime/multipart"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/file"
+	"siskinrun/internal/ingress"
 	"siskinrun/internal/job"
 	"siskinrun/internal/key"
 	"siskinrun/internal/submission"
@@ -87,7 +87,7 @@
 	case id != "" && action == "content" && m == fasthttp.MethodGet:
 		q.content(team, id)
 	default:
-		q.refuse(noEndpoint())
+		q.Refuse(noEndpoint())
 	}
 }
 
@@ -96,7 +96,7 @@
 	k, err := q.caller.Identify.Key([]byte(q.authorization()))
 	if err != nil {
 		q.http.SetConnectionClose()
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	serve(k.Team, rest)
@@ -111,7 +111,7 @@
 	x := q.http
 	if int64(x.Request.Header.ContentLength()) > q.caller.FileBytes {
 		x.SetConnectionClose()
-		q.refuse(tooLarge(q.caller.FileBytes))
+		q.Refuse(ingress.TooLarge(q.caller.FileBytes))
 		return
 	}
 	var r io.Reader = bytes.NewReader(x.Request.Body())
@@ -122,13 +122,13 @@
 	name, purpose, r, err := q.form(r)
 	if err != nil {
 		x.SetConnectionClose()
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
-	f, err := q.caller.Batch.UploadFile(q.caller.base, team, name, purpose, r)
+	f, err := q.caller.Batch.UploadFile(q.caller.ingress.Context(), team, name, purpose, r)
 	if err != nil {
 		x.SetConnectionClose()
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	q.reply(newFileObject(f))
@@ -172,23 +172,23 @@
 	n, err := b.from.Read(p)
 	b.left -= int64(n)
 	if b.left < 0 {
-		return 0, tooLarge(b.limit)
+		return 0, ingress.TooLarge(b.limit)
 	}
 	return n, err
 }
 
 func (q *request) file(team, id string) {
-	f, err := q.caller.Batch.GetFile(q.caller.base, team, id)
+	f, err := q.caller.Batch.GetFile(q.caller.ingress.Context(), team, id)
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	q.reply(newFileObject(f))
 }
 
 func (q *request) deleteFile(team, id string) {
-	if err := q.caller.Batch.DeleteFile(q.caller.base, team, id); err != nil {
-		q.refuse(err)
+	if err := q.caller.Batch.DeleteFile(q.caller.ingress.Context(), team, id); err != nil {
+		q.Refuse(err)
 		return
 	}
 	q.reply(deletedObject{id, "file", true})
@@ -204,8 +204,8 @@
 		q.errors(team, j)
 		return
 	}
-	if _, err := q.caller.Batch.GetFile(q.caller.base, team, id); err != nil {
-		q.refuse(err)
+	if _, err := q.caller.Batch.GetFile(q.caller.ingress.Context(), team, id); err != nil {
+		q.Refuse(err)
 		return
 	}
 	q.stream(func(ctx context.Context, w io.Writer) error {
@@ -218,16 +218,7 @@
 	x := q.http
 	x.SetContentType(jsonLines)
 	x.Response.Header.Set(headerRequestID, q.id)
-	ctx, cancel := context.WithCancel(q.caller.base)
-	r, w := io.Pipe()
-	q.caller.accept.Group.Go("results", func(context.Context) error {
-		err := write(ctx, w)
-		if err != nil && !errors.Is(err, io.ErrClosedPipe) {
-			q.caller.Log.Warn().Err(err).Str("request-id", q.id).Msg("results cut")
-		}
-		_ = w.CloseWithError(err)
-		return nil
+	q.caller.ingress.Stream(x, write, func(err error) {
+		q.caller.Log.Warn().Err(err).Str("request-id", q.id).Msg("results cut")
 	})
-	q.streams = true
-	x.SetBodyStream(&outgoing{body: r, request: q, end: cancel}, -1)
 }
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -4,19 +4,18 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/answer"
 	"siskinrun/internal/call"
 	"siskinrun/internal/completion"
 	"siskinrun/internal/exchange"
+	"siskinrun/internal/ingress"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
@@ -28,15 +27,12 @@
 	maxKeyBytes     = 256
 )
 
-var errGone = errors.New("the caller has gone")
-
 // request is one request of a caller.
 type request struct {
 	caller  *Caller
 	http    *fasthttp.RequestCtx
 	id      string
-	release func()
-	streams bool
+	running *call.Call
 }
 
 func newID() string {
@@ -57,7 +53,7 @@
 
 // ready tells the balancer whether to send calls here.
 func (q *request) ready() {
-	if q.caller.draining.Load() || !q.caller.Ready() {
+	if q.caller.ingress.Draining() || !q.caller.Ready() {
 		q.http.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		q.http.SetBodyString("not ready\n")
 		return
@@ -68,17 +64,17 @@
 // complete serves a completion by a model.
 func (q *request) complete() {
 	if !q.http.IsPost() {
-		q.refuse(refusal.NewNotRun(fasthttp.StatusMethodNotAllowed, "method-not-allowed", "use POST"))
+		q.Refuse(refusal.NewNotRun(fasthttp.StatusMethodNotAllowed, "method-not-allowed", "use POST"))
 		return
 	}
 	c, err := q.call()
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	m, err := completion.Parse(c.Body)
 	if err != nil {
-		q.refuse(refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-request", err.Error()))
+		q.Refuse(refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-request", err.Error()))
 		return
 	}
 	c.Model = m.Model
@@ -92,7 +88,7 @@
 func (q *request) plain() {
 	c, err := q.call()
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	q.online(c)
@@ -101,7 +97,7 @@
 // call reads the request as a call.
 func (q *request) call() (*call.Call, error) {
 	x := q.http
-	b, err := q.body(int64(q.caller.BodyBytes))
+	b, err := ingress.Body(x, int64(q.caller.BodyBytes))
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +113,7 @@
 		IdempotencyKey: k,
 		Arrived:        q.caller.Timer.Now(),
 	}
-	drop := connectionNames(x)
+	drop := ingress.Hops(x)
 	for n, v := range x.Request.Header.All() {
 		s := string(n)
 		if exchange.EndToEnd(s) && !drop[strings.ToLower(s)] {
@@ -127,76 +123,26 @@
 	return c, nil
 }
 
-// connectionNames are the headers that the Connection header declares to be hop-by-hop.
-func connectionNames(x *fasthttp.RequestCtx) map[string]bool {
-	m := map[string]bool{}
-	for _, v := range x.Request.Header.PeekAll(fasthttp.HeaderConnection) {
-		for _, n := range splitList(string(v)) {
-			m[strings.ToLower(n)] = true
-		}
-	}
-	return m
-}
-
-// body reads the request body up to a limit.
-func (q *request) body(limit int64) ([]byte, error) {
-	x := q.http
-	if int64(x.Request.Header.ContentLength()) > limit {
-		x.SetConnectionClose()
-		return nil, tooLarge(limit)
-	}
-	r := x.RequestBodyStream()
-	if r == nil {
-		return append([]byte(nil), x.Request.Body()...), nil
-	}
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		x.SetConnectionClose()
-		return nil, refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-body", "the body did not arrive whole")
-	}
-	if int64(len(b)) > limit {
-		x.SetConnectionClose()
-		return nil, tooLarge(limit)
-	}
-	return b, nil
+// online runs the call and passes its answer on.
+func (q *request) online(c *call.Call) {
+	q.running = c
+	q.caller.ingress.Pass(q.http, q)
 }
 
-func tooLarge(limit int64) error {
-	return refusal.NewNotRun(fasthttp.StatusRequestEntityTooLarge, "body-too-large",
-		"the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+// Run implements exchange.Run of the ingress.
+func (q *request) Run(ctx context.Context) (*answer.Answer, error) {
+	return q.caller.Pipe.Online(ctx, q.authorization(), q.running)
 }
 
-// online runs the call and passes its answer on.
-func (q *request) online(c *call.Call) {
-	ctx, cancel := context.WithCancelCause(q.caller.base)
-	stop := q.caller.accept.Watch(q.http.Conn(), func() { cancel(errGone) })
-	end := func() {
-		stop()
-		cancel(nil)
-	}
-	a, err := q.caller.Pipe.Online(ctx, q.authorization(), c)
-	if err != nil {
-		end()
-		q.refuse(err)
-		return
-	}
-	q.answer(a, end)
+// Head implements exchange.Head of the ingress.
+func (q *request) Head(*answer.Answer) {
+	q.http.Response.Header.Set(headerVerdict, verdict.Ran.String())
+	q.http.Response.Header.Set(headerRequestID, q.id)
 }
 
-func (q *request) answer(a *answer.Answer, end func()) {
-	x := q.http
-	h := &x.Response.Header
-	x.SetStatusCode(a.Status)
-	if a.ContentType != "" {
-		h.SetContentType(a.ContentType)
-	}
-	for _, v := range a.Headers {
-		h.Add(v[0], v[1])
-	}
-	h.Set(headerVerdict, verdict.Ran.String())
-	h.Set(headerRequestID, q.id)
-	q.streams = true
-	x.SetBodyStream(&outgoing{body: a.Body, events: a.Length < 0, request: q, end: end}, a.Length)
+// Broken implements exchange.Broken of the ingress.
+func (q *request) Broken(err error) []byte {
+	return []byte("event: error\ndata: " + string(newProblem(refusal.Of(err), q.id)) + "\n\n")
 }
 
 // problem is the body of a refusal.
@@ -220,8 +166,8 @@
 	return b
 }
 
-// refuse answers with the refusal inside err.
-func (q *request) refuse(err error) {
+// Refuse implements exchange.Refuse of the ingress: it answers with the refusal inside err.
+func (q *request) Refuse(err error) {
 	f := refusal.Of(err)
 	x := q.http
 	x.SetStatusCode(f.Status)
@@ -239,7 +185,7 @@
 func (q *request) reply(v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
-		q.refuse(err)
+		q.Refuse(err)
 		return
 	}
 	q.http.SetContentType("application/json")
--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -11,6 +11,7 @@
 
 	"siskinrun/internal/configuration"
 	"siskinrun/internal/delta"
+	"siskinrun/internal/formation"
 	"siskinrun/internal/key"
 	"siskinrun/internal/model"
 	"siskinrun/internal/problem"
@@ -30,6 +31,9 @@
 	WithdrawKey = "withdraw-key"
 	Replace     = "replace"
 	RollBack    = "roll-back"
+	Install     = "install"
+	Retire      = "retire"
+	Form        = "form"
 )
 
 const (
@@ -59,8 +63,14 @@
 	Model *model.Model `json:"model,omitempty"`
 	// Key is the key to grant, with its hash and never its secret.
 	Key *key.Key `json:"key,omitempty"`
-	// Whole holds the teams, routes and models that replace all others, without a version or keys.
+	// Edition is the operator's number of a whole configuration that is installed.
+	Edition uint64 `json:"edition,omitempty"`
+	// Document is the whole configuration as its operator wrote it, to be read back.
+	Document []byte `json:"document,omitempty"`
+	// Whole holds the teams, routes and models that replace all others, without a version and, unless installed, without keys.
 	Whole *configuration.Configuration `json:"whole,omitempty"`
+	// Ledgers is the first membership of the ledgers, where it is formed.
+	Ledgers *formation.Formation `json:"ledgers,omitempty"`
 	// To is the version whose teams, routes and models come back.
 	To uint64 `json:"to,omitempty"`
 }
@@ -121,6 +131,15 @@
 		n.Teams, n.Routes, n.Models = c.Whole.Teams, c.Whole.Routes, c.Whole.Models
 	case RollBack:
 		p = c.rollBack(&n, version)
+	case Install:
+		return c.install(now, &n)
+	case Retire:
+		n.Retiring = with(now.Retiring, c.Name, true)
+	case Form:
+		if !now.Ledgers.IsZero() {
+			p = []problem.Problem{{Field: "ledgers", Message: "are formed already"}}
+		}
+		n.Ledgers = *c.Ledgers
 	}
 	if len(p) > 0 {
 		return nil, nil, p
@@ -129,6 +148,17 @@
 	return &n, d, problem.Next(&n, d)
 }
 
+// install takes everything, keys and services too, whatever was in force before.
+func (c *Change) install(now, n *configuration.Configuration) (*configuration.Configuration, *delta.Delta, []problem.Problem) {
+	n.Edition = c.Edition
+	n.Teams, n.Routes, n.Models = c.Whole.Teams, c.Whole.Routes, c.Whole.Models
+	n.Keys, n.Services = c.Whole.Keys, c.Whole.Services
+	if p := problem.Find(n); len(p) > 0 {
+		return nil, nil, p
+	}
+	return n, delta.Between(now, n), nil
+}
+
 // rollBack takes teams, routes and models of an earlier version and leaves keys as they are.
 func (c *Change) rollBack(
 	n *configuration.Configuration,
@@ -160,6 +190,9 @@
 		WithdrawKey: c.Name != "",
 		Replace:     c.Whole != nil,
 		RollBack:    c.To != 0,
+		Install:     c.Whole != nil && c.Edition != 0,
+		Retire:      c.Name != "",
+		Form:        c.Ledgers != nil && c.Ledgers.Formed,
 	}
 	ok, known := need[c.Kind]
 	if !known {
@@ -168,7 +201,7 @@
 	if !ok {
 		return errors.Newf("a field that %s needs is missing", c.Kind)
 	}
-	if c.Whole != nil && (c.Whole.Version != 0 || len(c.Whole.Keys) > 0) {
+	if c.Whole != nil && (c.Whole.Version != 0 || len(c.Whole.Keys) > 0 && c.Kind != Install) {
 		return errors.New("whole has a version or keys")
 	}
 	return nil
--- a/internal/changeoutcome/outcome.go
+++ b/internal/changeoutcome/outcome.go
@@ -17,6 +17,8 @@
 	Conflict = "conflict"
 	// Invalid means that the change would leave a configuration with problems.
 	Invalid = "invalid"
+	// Superseded means that a configuration of this or a higher edition is in force and stays.
+	Superseded = "superseded"
 	// Reused means that another change has used the same ID.
 	Reused = "id-reused"
 	// Forgotten means that the change is too old to tell whether it was applied.
--- a/internal/choose/faults_test.go
+++ b/internal/choose/faults_test.go
@@ -138,7 +138,7 @@
 			f.answered++
 			return
 		}
-		if !f.budgets[h].Allow(now, v, t, len(tried)+1) {
+		if !f.budgets[h].Allow(now, v, t, len(tried)+1, 0) {
 			return
 		}
 		if v == verdict.MayHaveRun && !t.Repeatable {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"siskinrun/internal/dialect"
 )
 
 const (
@@ -23,6 +25,8 @@
 	Out io.Writer
 	// Err takes messages to people.
 	Err io.Writer
+	// Dialects are the wire formats that settings may name.
+	Dialects map[string]*dialect.Dialect
 
 	app  *kingpin.Application
 	runs map[string]func(ctx context.Context) error
@@ -31,10 +35,11 @@
 // NewCommand returns a command line that writes to the standard streams.
 func NewCommand() *Command {
 	c := &Command{
-		Out:  os.Stdout,
-		Err:  os.Stderr,
-		app:  kingpin.New("siskinrun", "Serves online and batch inference on one fleet."),
-		runs: map[string]func(context.Context) error{},
+		Out:      os.Stdout,
+		Err:      os.Stderr,
+		app:      kingpin.New("siskinrun", "Serves online and batch inference on one fleet."),
+		Dialects: map[string]*dialect.Dialect{},
+		runs:     map[string]func(context.Context) error{},
 	}
 	c.app.Terminate(nil)
 	c.app.HelpFlag.Short('h')
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"siskinrun/internal/serve"
@@ -33,12 +34,16 @@
 		if err != nil {
 			return err
 		}
-		h := &serve.Serve{Name: name, Settings: s, Log: c.logger(l).With().Str("host", name).Logger()}
+		w, ok := c.Dialects[s.Fleet.Dialect]
+		if s.Fleet.Dialect != "" && !ok {
+			return errors.Newf("the settings name dialect %q, which this program does not know", s.Fleet.Dialect)
+		}
+		h := &serve.Serve{Dialect: w, Name: name, Settings: s, Log: c.logger(l).With().Str("host", name).Logger()}
 		return h.Run(ctx)
 	})
 }
 
 // logger returns a log of JSON lines at the given level.
 func (c *Command) logger(l zerolog.Level) zerolog.Logger {
-	return zerolog.New(zerolog.SyncWriter(c.Err)).Level(l).With().Timestamp().Logger()
+	return zerolog.New(zerolog.SyncWriter(c.Out)).Level(l).With().Timestamp().Logger()
 }
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -1,9 +1,11 @@
 package configuration
 
 import (
+	"siskinrun/internal/formation"
 	"siskinrun/internal/key"
 	"siskinrun/internal/model"
 	"siskinrun/internal/route"
+	"siskinrun/internal/service"
 	"siskinrun/internal/team"
 )
 
@@ -11,6 +13,8 @@
 type Configuration struct {
 	// Version grows by one with each accepted change.
 	Version uint64 `json:"version"`
+	// Edition is the number that the operator gave to the whole configuration, 0 if it was built by single changes.
+	Edition uint64 `json:"edition,omitempty"`
 	// Teams are the teams by name.
 	Teams map[string]team.Team `json:"teams"`
 	// Keys are the granted keys by ID.
@@ -19,4 +23,10 @@
 	Routes map[string]route.Route `json:"routes"`
 	// Models are the models by name.
 	Models map[string]model.Model `json:"models"`
+	// Services are the services by name; where there are none, any name will do.
+	Services map[string]service.Service `json:"services,omitempty"`
+	// Retiring are the hosts that give up the state that they keep.
+	Retiring map[string]bool `json:"retiring,omitempty"`
+	// Ledgers is the first membership of the groups that keep batch ledgers, where it is decided here.
+	Ledgers formation.Formation `json:"ledgers,omitzero"`
 }
--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -181,7 +181,8 @@
 	if l := u.leader().Host; l != "" {
 		return l, nil
 	}
-	return c.Hosts[try%len(c.Hosts)], nil
+	l := c.hosts()
+	return l[try%len(l)], nil
 }
 
 // onChange takes one step of a replacement as the leader and says whether it is in force.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +44,18 @@
 	Folder string
 	// Hosts are the names of the hosts that form the groups together.
 	Hosts []string
+	// Decided, if set, returns the formation that is decided elsewhere, once it is.
+	Decided func() formation.Formation
+	// Retiring, if set, reports whether a host gives up what it keeps.
+	Retiring func(host string) bool
+	// Voters is the number of voters to repair to, zero for as many as formed the groups.
+	Voters int
+	// JoinOnly says that this host joins groups that exist and forms none.
+	JoinOnly bool
+	// Known, if set, returns the control hosts that answer now, with their failure domains.
+	Known func() map[string]string
+	// Repair is how long a voter may be silent before a spare host takes its place; zero repairs nothing unasked.
+	Repair time.Duration
 	// Machines are the state machines by the number of their group.
 	Machines map[uint32]machine.Machine
 	// Link carries messages between control hosts.
@@ -76,6 +90,7 @@
 	c.Link.Handle(methodConfirm, c.onConfirm)
 	c.Link.Handle(methodPropose, c.onPropose)
 	c.Link.Handle(methodChange, c.onChange)
+	c.Link.Handle(MethodMembers, c.onMembers)
 }
 
 // Run forms or joins the groups and keeps them until ctx ends or the disk fails.
@@ -102,6 +117,9 @@
 	}
 	stop := c.Timer.Every(replica.TickInterval, func(time.Time) { c.tick() })
 	defer stop()
+	if c.Repair > 0 {
+		g.Go("repair", c.repair)
+	}
 	return g.Wait()
 }
 
@@ -157,11 +175,13 @@
 func (c *Control) Groups() []uint32 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var n []uint32
-	for g := range uint32(len(c.units)) {
-		n = append(n, g)
-	}
-	return n
+	return slices.Sorted(maps.Keys(c.units))
+}
+
+// Holds reports whether this host has replicas of a group.
+func (c *Control) Holds(group uint32) bool {
+	_, ok := c.Machines[group]
+	return ok
 }
 
 func (c *Control) open() error {
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -22,11 +22,17 @@
 // form waits until this host belongs to a formation, and coordinates it if it is the first of the hosts.
 func (c *Control) form(ctx context.Context) error {
 	for !c.formed() {
+		if err := c.accept(); err != nil {
+			return err
+		}
+		if c.formed() {
+			break
+		}
 		all := c.greetAll(ctx)
 		if err := c.adopt(all); err != nil {
 			return err
 		}
-		if !c.formed() && len(all) == len(c.Hosts) && c.Name == slices.Min(c.Hosts) {
+		if !c.formed() && !c.JoinOnly && c.Decided == nil && len(all) == len(c.Hosts) && c.Name == slices.Min(c.Hosts) {
 			if err := c.coordinate(ctx, all); err != nil {
 				return err
 			}
@@ -51,19 +57,57 @@
 // greetAll returns what the hosts that answer say of themselves.
 func (c *Control) greetAll(ctx context.Context) []*packet.Greeting {
 	var all []*packet.Greeting
-	for _, h := range c.Hosts {
-		b, err := c.Link.Call(ctx, h, methodGreet, nil)
-		if err != nil {
-			continue
-		}
-		g := &packet.Greeting{}
-		if proto.Unmarshal(b, g) == nil && g.GetSelf().GetHost() == h {
+	for _, h := range c.hosts() {
+		if g := c.greet(ctx, h); g != nil {
 			all = append(all, g)
 		}
 	}
 	return all
 }
 
+// greet returns what a host says of itself, or nil if it does not answer.
+func (c *Control) greet(ctx context.Context, host string) *packet.Greeting {
+	b, err := c.Link.Call(ctx, host, methodGreet, nil)
+	if err != nil {
+		return nil
+	}
+	g := &packet.Greeting{}
+	if proto.Unmarshal(b, g) != nil || g.GetSelf().GetHost() != host {
+		return nil
+	}
+	return g
+}
+
+// hosts returns the control hosts that this host has heard of.
+func (c *Control) hosts() []string {
+	l := slices.Clone(c.Hosts)
+	if c.Known != nil {
+		for h := range c.Known() {
+			l = append(l, h)
+		}
+	}
+	slices.Sort(l)
+	return slices.Compact(l)
+}
+
+// accept takes over a formation that was decided elsewhere.
+func (c *Control) accept() error {
+	if c.Decided == nil {
+		return nil
+	}
+	f := c.Decided()
+	if !f.Formed {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := f.Save(c.disk); err != nil {
+		return err
+	}
+	c.formation = f
+	return nil
+}
+
 // adopt takes over a formation that another host knows to be complete.
 func (c *Control) adopt(all []*packet.Greeting) error {
 	for _, g := range all {
@@ -176,3 +220,17 @@
 	}
 	return nil, c.promise(f)
 }
+
+// Disks returns the disks of the hosts given that answer and belong to no formation yet, in the order of the hosts.
+func (c *Control) Disks(ctx context.Context, hosts []string) []identity.Identity {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	var l []identity.Identity
+	for _, h := range hosts {
+		g := c.greet(ctx, h)
+		if g != nil && !g.GetFormation().GetFormed() {
+			l = append(l, decodeIdentity(g.GetSelf()))
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"siskinrun/internal/packet"
+)
+
+// MethodMembers asks the leader of a group for its members.
+const MethodMembers = "control/members"
+
+// Members encodes the question for the members of a group.
+func Members(group uint32) ([]byte, error) {
+	return proto.Marshal(&packet.Question{Group: group})
+}
+
+// MemberHosts decodes the hosts of the members that a leader named.
+func MemberHosts(b []byte) ([]string, error) {
+	f := &packet.Formation{}
+	if err := proto.Unmarshal(b, f); err != nil {
+		return nil, errors.Wrap(err, "decode members")
+	}
+	var l []string
+	for _, i := range f.GetMembers() {
+		l = append(l, i.GetHost())
+	}
+	return l, nil
+}
+
+// onMembers names the members of a group that this host leads.
+func (c *Control) onMembers(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	q := &packet.Question{}
+	if err := proto.Unmarshal(body, q); err != nil {
+		return nil, undecodable(err)
+	}
+	u, err := c.unit(q.GetGroup())
+	if err != nil {
+		return nil, err
+	}
+	if _, err := u.confirm(ctx); err != nil {
+		return nil, err
+	}
+	f := &packet.Formation{}
+	err = u.do(ctx, func(time.Time) error {
+		for _, i := range u.replica.Quorum().Members() {
+			f.Members = append(f.Members, encodeIdentity(i))
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(f)
+}
--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -9,9 +9,11 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/configuration"
+	"siskinrun/internal/formation"
 	"siskinrun/internal/key"
 	"siskinrun/internal/model"
 	"siskinrun/internal/route"
+	"siskinrun/internal/service"
 	"siskinrun/internal/team"
 )
 
@@ -21,6 +23,8 @@
 	From uint64 `json:"from"`
 	// To is the version that the delta leads to.
 	To uint64 `json:"to"`
+	// Edition is the edition of the version that the delta leads to.
+	Edition uint64 `json:"edition,omitempty"`
 	// Teams are the teams that differ.
 	Teams part[team.Team] `json:"teams,omitzero"`
 	// Keys are the keys that differ.
@@ -29,6 +33,12 @@
 	Routes part[route.Route] `json:"routes,omitzero"`
 	// Models are the models that differ.
 	Models part[model.Model] `json:"models,omitzero"`
+	// Services are the services that differ.
+	Services part[service.Service] `json:"services,omitzero"`
+	// Retiring are the retiring hosts that differ.
+	Retiring part[bool] `json:"retiring,omitzero"`
+	// Ledgers is the formation of the ledgers in the version that the delta leads to.
+	Ledgers formation.Formation `json:"ledgers,omitzero"`
 }
 
 // part is what differs in one kind of entry.
@@ -45,12 +55,16 @@
 // Between returns the delta that leads from a to b.
 func Between(a, b *configuration.Configuration) *Delta {
 	return &Delta{
-		From:   a.Version,
-		To:     b.Version,
-		Teams:  compare(a.Teams, b.Teams, equal[team.Team]),
-		Keys:   compare(a.Keys, b.Keys, equal[key.Key]),
-		Routes: compare(a.Routes, b.Routes, equal[route.Route]),
-		Models: compare(a.Models, b.Models, equalModels),
+		From:     a.Version,
+		To:       b.Version,
+		Edition:  b.Edition,
+		Teams:    compare(a.Teams, b.Teams, equal[team.Team]),
+		Keys:     compare(a.Keys, b.Keys, equal[key.Key]),
+		Routes:   compare(a.Routes, b.Routes, equalRoutes),
+		Models:   compare(a.Models, b.Models, equalModels),
+		Services: compare(a.Services, b.Services, equal[service.Service]),
+		Retiring: compare(a.Retiring, b.Retiring, equal[bool]),
+		Ledgers:  b.Ledgers,
 	}
 }
 
@@ -71,12 +85,16 @@
 // Back returns the delta that undoes d, which led away from now.
 func (d *Delta) Back(now *configuration.Configuration) *Delta {
 	return &Delta{
-		From:   d.To,
-		To:     d.From,
-		Teams:  undo(now.Teams, d.Teams),
-		Keys:   undo(now.Keys, d.Keys),
-		Routes: undo(now.Routes, d.Routes),
-		Models: undo(now.Models, d.Models),
+		From:     d.To,
+		To:       d.From,
+		Edition:  now.Edition,
+		Teams:    undo(now.Teams, d.Teams),
+		Keys:     undo(now.Keys, d.Keys),
+		Routes:   undo(now.Routes, d.Routes),
+		Models:   undo(now.Models, d.Models),
+		Services: undo(now.Services, d.Services),
+		Retiring: undo(now.Retiring, d.Retiring),
+		Ledgers:  now.Ledgers,
 	}
 }
 
@@ -92,14 +110,18 @@
 		w.keys = write(&n.Keys, d.Keys, w.keys)
 		w.routes = write(&n.Routes, d.Routes, w.routes)
 		w.models = write(&n.Models, d.Models, w.models)
+		w.services = write(&n.Services, d.Services, w.services)
+		w.retiring = write(&n.Retiring, d.Retiring, w.retiring)
+		n.Ledgers = d.Ledgers
 		n.Version = d.To
+		n.Edition = d.Edition
 	}
 	return &n, nil
 }
 
 // writer remembers which parts are copies already.
 type writer struct {
-	teams, keys, routes, models bool
+	teams, keys, routes, models, services, retiring bool
 }
 
 func write[T any](m *map[string]T, p part[T], own bool) bool {
@@ -171,6 +193,10 @@
 	return a == b
 }
 
+func equalRoutes(a, b route.Route) bool {
+	return reflect.DeepEqual(a, b)
+}
+
 func equalModels(a, b model.Model) bool {
 	return slices.Equal(a.Versions, b.Versions) &&
 		slices.Equal(a.Adapters, b.Adapters) &&
--- /dev/null
+++ b/internal/dialect/dialect.go
@@ -0,0 +1,32 @@
+package dialect
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinrun/internal/call"
+	"siskinrun/internal/callerparts"
+	"siskinrun/internal/controlparts"
+	"siskinrun/internal/reply"
+)
+
+// upstreams writes the heads of requests to upstreams and reads those of their answers.
+type upstreams interface {
+	Fill(h *fasthttp.RequestHeader, c *call.Call, left time.Duration)
+	Read(h *fasthttp.ResponseHeader) reply.Reply
+	Private(name string) bool
+}
+
+// Dialect is a set of wire formats towards callers, upstreams and operators.
+type Dialect struct {
+	// Scheme is the word before a key in a caller's credential.
+	Scheme string
+	// Upstreams writes and reads the heads of calls to upstreams.
+	Upstreams upstreams
+	// Callers serves callers until ctx ends.
+	Callers func(ctx context.Context, p callerparts.Parts) error
+	// Control serves upstreams and operators until ctx ends.
+	Control func(ctx context.Context, p controlparts.Parts) error
+}
--- a/internal/difference/difference.go
+++ b/internal/difference/difference.go
@@ -32,6 +32,7 @@
 	l = entries(l, "teams", a.Teams, d.Teams.Set, d.Teams.Removed)
 	l = entries(l, "models", a.Models, d.Models.Set, d.Models.Removed)
 	l = entries(l, "routes", a.Routes, d.Routes.Set, d.Routes.Removed)
+	l = entries(l, "services", a.Services, d.Services.Set, d.Services.Removed)
 	before := hidden(a.Keys, d.Keys.Set, d.Keys.Removed)
 	after := hidden(d.Keys.Set, d.Keys.Set, nil)
 	return entries(l, "keys", before, after, d.Keys.Removed)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -30,7 +30,7 @@
 	if model != "" {
 		target, r, ok = m.Model(model)
 	} else {
-		target, r, ok = m.Path(endpoint)
+		target, r, ok = m.Path("", endpoint)
 	}
 	return target, r.Repeatable, ok
 }
@@ -39,7 +39,7 @@
 func (d *Directory) Targets(u upstream.Upstream) []string {
 	var l []string
 	for n, r := range d.View().Routes {
-		if r.Service == u.Service && (r.Model == "" || loaded(u, r)) {
+		if slices.Contains(r.Services(), u.Service) && (r.Model == "" || loaded(u, r)) {
 			l = append(l, n)
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,7 +29,7 @@
 type budget interface {
 	Request(now time.Time)
 	Observe(o outcome.Outcome)
-	Allow(now time.Time, v verdict.Verdict, r route.Route, attempts int) bool
+	Allow(now time.Time, v verdict.Verdict, r route.Route, attempts, runs int) bool
 }
 
 // exchanger carries one call to one upstream.
@@ -64,6 +64,8 @@
 	Cancel canceller
 	// Observe hears of each attempt.
 	Observe observer
+	// PlainStreams says that streams end with their bodies and that only calls that may be repeated are resumed.
+	PlainStreams bool
 	// Timer tells the time.
 	Timer *timer.Service
 }
@@ -85,8 +87,14 @@
 // ServeOn sends a call once to the given upstream.
 func (d *Dispatch) ServeOn(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	s := &search{dispatch: d, call: c}
-	a, _, err := s.try(ctx, u)
-	return a, err
+	a, t, err := s.try(ctx, u)
+	if err != nil {
+		return nil, err
+	}
+	if c.Stream && a.ContentType == eventStream {
+		a.Body = &whole{Reader: a.Body, Closer: a.Body, attempt: t}
+	}
+	return a, nil
 }
 
 func (d *Dispatch) demand(c *call.Call) demand.Demand {
@@ -97,6 +105,7 @@
 		Batch:         c.Batch,
 		Repeatable:    c.Rule.Repeatable,
 	}
+	q.Prefix = c.Prefix
 	if len(c.Prompt) > 0 {
 		q.Prefix = affinity.Hash(nil, c.Rule.Model, c.Prompt)
 	}
@@ -109,6 +118,8 @@
 	call     *call.Call
 	demand   demand.Demand
 	verdict  verdict.Verdict
+	// runs is the number of attempts that may have run.
+	runs int
 }
 
 // run sends the call until an attempt succeeds or none is allowed.
@@ -127,8 +138,11 @@
 		f := refusal.Of(err)
 		s.verdict = verdict.Worse(s.verdict, f.Verdict)
 		last = s.honest(f)
+		if f.Verdict != verdict.NotRun {
+			s.runs++
+		}
 		s.demand.Tried = append(s.demand.Tried, u.Name)
-		if ctx.Err() != nil || !d.Retry.Allow(d.Timer.Now(), f.Verdict, s.call.Rule, n) {
+		if ctx.Err() != nil || !d.Retry.Allow(d.Timer.Now(), f.Verdict, s.call.Rule, n, s.runs) {
 			return nil, nil, last
 		}
 	}
@@ -140,6 +154,7 @@
 
 // try sends the call to one upstream.
 func (s *search) try(ctx context.Context, u upstream.Upstream) (*answer.Answer, *attempt, error) {
+	s.call.To = u
 	t := s.dispatch.begin(u, s.call)
 	a, err := s.dispatch.Exchange.Do(ctx, u.Address, s.call)
 	if err != nil {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -31,11 +31,12 @@
 func (d *Dispatch) relay(ctx context.Context, c *call.Call, a *answer.Answer, t *attempt) *answer.Answer {
 	s := &stream{dispatch: d, call: c, attempt: t, last: d.Timer.Now()}
 	r := &relay.Relay{
-		Context: ctx,
-		Answer:  a,
-		Resume:  s.resume,
-		Event:   s.event,
-		Done:    func(err error) { s.attempt.end(ctx, err) },
+		Context:      ctx,
+		Answer:       a,
+		EndsWithBody: d.PlainStreams,
+		Resume:       s.resume,
+		Event:        s.event,
+		Done:         func(err error) { s.attempt.end(ctx, err) },
 	}
 	w := *a
 	w.Length = -1
@@ -67,11 +68,11 @@
 	c.Offset = offset
 	u := s.attempt.upstream
 	s.attempt.end(ctx, refusal.NewMayHaveRun(502, "upstream-lost", "the stream broke"))
-	a, err := s.reopen(ctx, u, &c)
+	a, err := s.again(ctx, u, &c)
 	if err == nil {
 		return a, nil
 	}
-	if !d.Retry.Allow(d.Timer.Now(), verdict.MayHaveRun, c.Rule, 1) {
+	if !d.Retry.Allow(d.Timer.Now(), verdict.MayHaveRun, c.Rule, 1, s.call.Record.Attempts) {
 		return nil, err
 	}
 	q := &search{dispatch: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
@@ -84,6 +85,14 @@
 	return a, nil
 }
 
+// again resumes the stream where its run may still be, if it can be joined there.
+func (s *stream) again(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
+	if s.dispatch.PlainStreams {
+		return nil, refusal.NewMayHaveRun(502, "stream-lost", "the upstream broke the stream off")
+	}
+	return s.reopen(ctx, u, c)
+}
+
 // reopen resumes the stream on the upstream that runs it.
 func (s *stream) reopen(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	q := &search{dispatch: s.dispatch, call: c}
--- a/internal/drive/exchange.go
+++ b/internal/drive/exchange.go
@@ -168,6 +168,8 @@
 		Repeatable: l.Repeatable,
 		Attempt:    int(l.Attempt),
 		Line:       l.Line,
+		Next:       l.Progress.GetNext(),
+		Text:       l.Progress.GetText(),
 	}
 }
 
--- a/internal/drive/judge.go
+++ b/internal/drive/judge.go
@@ -22,7 +22,11 @@
 // judge turns the end of a run into an outcome.
 func judge(fence uint64, a itemanswer.Answer, err error, stopped bool) *entry.Outcome {
 	if err != nil {
-		return judgeError(fence, refusal.Of(err), stopped)
+		o := judgeError(fence, refusal.Of(err), stopped)
+		if a.Next > 0 {
+			o.Progress = &entry.Progress{Next: a.Next, Text: a.Text}
+		}
+		return o
 	}
 	r := &entry.Result{Status: int32(a.Status), Body: a.Body, Verdict: uint32(verdict.Ran)}
 	o := &entry.Outcome{Fence: fence, Kind: entry.Outcome_COMPLETE, Result: r}
--- /dev/null
+++ b/internal/event/doc.go
@@ -0,0 +1,2 @@
+// Package event reads server-sent events whole.
+package event
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,84 @@
+package event
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxBytes is the longest event.
+const maxBytes = 1 << 20
+
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+)
+
+// Event is one server-sent event.
+type Event struct {
+	// Raw is the event as it came, with the empty line that ends it.
+	Raw []byte
+	// ID is the number that the event carries.
+	ID uint64
+	// Numbered says that the event carries a number.
+	Numbered bool
+}
+
+// Read returns the next whole event; the error is io.EOF only if no byte follows the event before.
+func Read(r *bufio.Reader) (Event, error) {
+	var b []byte
+	for {
+		l, err := r.ReadSlice('\n')
+		b = append(b, l...)
+		if len(b) > maxBytes {
+			return Event{}, errors.New("an event is too long")
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err == io.EOF && len(b) > 0 {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		if len(bytes.TrimRight(l, "\r\n")) == 0 && len(bytes.TrimSpace(b)) > 0 {
+			return parse(b), nil
+		}
+	}
+}
+
+// Data returns the data of the event, its lines separated by line feeds.
+func (e Event) Data() []byte {
+	var d []byte
+	first := true
+	for l := range bytes.Lines(e.Raw) {
+		v, ok := bytes.CutPrefix(bytes.TrimRight(l, "\r\n"), dataField)
+		if !ok {
+			continue
+		}
+		if !first {
+			d = append(d, '\n')
+		}
+		first = false
+		d = append(d, bytes.TrimPrefix(v, []byte(" "))...)
+	}
+	return d
+}
+
+func parse(b []byte) Event {
+	e := Event{Raw: b}
+	for l := range bytes.Lines(b) {
+		v, ok := bytes.CutPrefix(l, idField)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(v)), 10, 63)
+		e.ID, e.Numbered = n, err == nil
+		break
+	}
+	return e
+}
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,64 @@
+package event_test
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/event"
+)
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		name, in string
+		data     []string
+		ids      []uint64
+		end      error
+	}{
+		{"numbered", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"a", "b"}, []uint64{1, 2}, io.EOF},
+		{"lines", "data: a\ndata:b\r\n\r\n", []string{"a\nb"}, []uint64{0}, io.EOF},
+		{"another first line", "x-version:3\nid: 7\ndata: a\n\n", []string{"a"}, []uint64{7}, io.EOF},
+		{"cut within an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"a"}, []uint64{1}, io.ErrUnexpectedEOF},
+		{"cut between line and end", "id: 1\ndata: a\n", nil, nil, io.ErrUnexpectedEOF},
+		{"empty", "", nil, nil, io.EOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := bufio.NewReader(strings.NewReader(c.in))
+			var data []string
+			var ids []uint64
+			for {
+				e, err := event.Read(r)
+				if err != nil {
+					is.Equal(err, c.end)
+					break
+				}
+				data = append(data, string(e.Data()))
+				ids = append(ids, e.ID)
+			}
+			is.Equal(data, c.data)
+			is.Equal(ids, c.ids)
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Fuzz(func(t *testing.T, s string) {
+		r := bufio.NewReader(strings.NewReader(s))
+		n := 0
+		for {
+			e, err := event.Read(r)
+			if err != nil {
+				break
+			}
+			n += len(e.Raw)
+		}
+		if n > len(s) {
+			t.Fatalf("%d bytes of events from %d", n, len(s))
+		}
+	})
+}
--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -26,7 +26,7 @@
 	if b.deadline.Before(d) {
 		d = b.deadline
 	}
-	_ = b.conn.SetReadDeadline(d)
+	_ = b.conn.SetReadDeadline(b.exchange.Timer.Deadline(d))
 	n, err := b.reader.Read(p)
 	if err != nil {
 		b.finish(err)
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -20,8 +20,10 @@
 	out     *bufio.Writer
 	sent    atomic.Int64
 	reused  bool
-	since   time.Time
-	stop    func() bool
+	// life is how long the connection may be idle, zero for the usual time.
+	life  time.Duration
+	since time.Time
+	stop  func() bool
 }
 
 func newConn(c net.Conn, address string) *conn {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"io"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,19 +14,20 @@
 
 	"siskinrun/internal/answer"
 	"siskinrun/internal/call"
+	"siskinrun/internal/reply"
+	"siskinrun/internal/report"
 	"siskinrun/internal/timer"
 	"siskinrun/pkg/refusal"
 )
 
 const (
-	// RequestID is the header that carries the ID of a call to an upstream and back.
-	RequestID = "Siskin-Request-Id"
-	// LastEventID is the header that names the last event received of a stream.
-	LastEventID = "Last-Event-Id"
-
 	dialTimeout    = time.Second
 	maxIdle        = 64
 	readBufferSize = 16 << 10
+	// idleShare divides the time for which an upstream keeps an idle connection.
+	idleShare = 2
+	// refusalBytes is the longest body of a refusal that is read to keep its connection.
+	refusalBytes = 4 << 10
 )
 
 // Exchange carries one call at a time on each connection to an upstream.
@@ -38,6 +38,10 @@
 	TLS *tls.Config
 	// IdleAge is the longest that a connection is kept without a call.
 	IdleAge time.Duration
+	// Dialect writes and reads the heads of messages, nil for the product's own way.
+	Dialect dialect
+	// Report, if set, takes the loads that upstreams tell with their answers.
+	Report func(r report.Report, at time.Time)
 	// Silence is the longest wait for the next byte of an answer that has begun.
 	Silence time.Duration
 	// Dial, if set, replaces the dialer of the standard library.
@@ -55,6 +59,10 @@
 	}
 	k.stop = context.AfterFunc(ctx, k.abort)
 	a, err := e.exchange(k, c)
+	var f *refusal.Refusal
+	if errors.As(err, &f) {
+		return nil, f
+	}
 	if err != nil {
 		k.close()
 		return nil, k.verdict(ctx, err)
@@ -75,10 +83,15 @@
 }
 
 func (e *Exchange) exchange(k *conn, c *call.Call) (*answer.Answer, error) {
-	_ = k.SetDeadline(c.Deadline)
+	_ = k.SetDeadline(e.Timer.Deadline(c.Deadline))
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
-	fill(q, k.address, c)
+	q.Header.SetMethod(c.Method)
+	q.SetRequestURI(c.Path)
+	q.Header.SetHost(k.address)
+	q.Header.SetNoDefaultContentType(true)
+	e.dialect().Fill(&q.Header, c, c.Deadline.Sub(e.Timer.Now()))
+	q.SetBodyRaw(c.Body)
 	if err := q.Write(k.out); err != nil {
 		return nil, err
 	}
@@ -92,15 +105,50 @@
 		fasthttp.ReleaseResponse(p)
 		return nil, err
 	}
-	if id := p.Header.Peek(RequestID); len(id) > 0 && string(id) != c.ID {
+	r := e.dialect().Read(&p.Header)
+	if r.CallID != "" && r.CallID != c.ID {
 		fasthttp.ReleaseResponse(p)
 		return nil, errors.New("the upstream sent the answer of another request")
 	}
+	k.life = r.Idle
+	e.report(c, r)
 	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && !p.SkipBody {
 		fasthttp.ReleaseResponse(p)
 		return nil, errors.New("the upstream sent a body without a length")
 	}
-	return e.answer(k, c, p), nil
+	a := e.answer(k, c, p)
+	if r.NotRun {
+		return nil, e.untouched(a, r)
+	}
+	return a, nil
+}
+
+// untouched drops the answer to a call that the upstream did not run, and keeps the connection if it can.
+func (e *Exchange) untouched(a *answer.Answer, r reply.Reply) error {
+	_, err := io.CopyN(io.Discard, a.Body, refusalBytes)
+	if err == nil || err != io.EOF {
+		_ = a.Body.Close()
+	}
+	if r.Moved {
+		return refusal.NewNotRun(503, "upstream-gone", "another upstream has the address")
+	}
+	return refusal.NewNotRun(503, "upstream-busy", "the upstream did not take the call")
+}
+
+func (e *Exchange) report(c *call.Call, r reply.Reply) {
+	if e.Report == nil || !r.Loaded {
+		return
+	}
+	r.Load.Upstream = c.To.Name
+	r.Load.Incarnation = c.To.Incarnation
+	e.Report(r.Load, e.Timer.Now())
+}
+
+func (e *Exchange) dialect() dialect {
+	if e.Dialect == nil {
+		return own{}
+	}
+	return e.Dialect
 }
 
 // lengthIdentity is fasthttp's content length of a body that ends with its connection.
@@ -113,7 +161,7 @@
 		Length:      max(p.Header.ContentLength(), -1),
 	}
 	for n, v := range p.Header.All() {
-		if s := string(n); EndToEnd(s) && !strings.EqualFold(s, "content-type") && !strings.EqualFold(s, RequestID) {
+		if s := string(n); EndToEnd(s) && !strings.EqualFold(s, "content-type") && !e.dialect().Private(s) {
 			a.Headers = append(a.Headers, [2]string{s, string(v)})
 		}
 	}
@@ -126,91 +174,6 @@
 	return a
 }
 
-func fill(q *fasthttp.Request, address string, c *call.Call) {
-	q.Header.SetMethod(c.Method)
-	q.SetRequestURI(c.Path)
-	q.Header.SetHost(address)
-	q.Header.SetNoDefaultContentType(true)
-	for _, h := range c.Headers {
-		q.Header.Add(h[0], h[1])
-	}
-	q.Header.Set(RequestID, c.ID)
-	if c.Offset > 0 {
-		q.Header.Set(LastEventID, strconv.Itoa(c.Offset-1))
-	}
-	q.SetBodyRaw(c.Body)
-}
-
-// connection returns an idle connection for calls that may be repeated, or else a new one.
-func (e *Exchange) connection(ctx context.Context, address string, repeatable bool) (*conn, error) {
-	if repeatable {
-		if k := e.take(address); k != nil {
-			return k, nil
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	c, err := e.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	if e.TLS != nil {
-		t := tls.Client(c, e.TLS)
-		if err := t.HandshakeContext(ctx); err != nil {
-			_ = c.Close()
-			return nil, err
-		}
-		c = t
-	}
-	return newConn(c, address), nil
-}
-
-func (e *Exchange) dial(ctx context.Context, address string) (net.Conn, error) {
-	if e.Dial != nil {
-		return e.Dial(ctx, address)
-	}
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
-func (e *Exchange) take(address string) *conn {
-	n := e.Timer.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	l := e.idle[address]
-	for len(l) > 0 {
-		k := l[len(l)-1]
-		l = l[:len(l)-1]
-		e.idle[address] = l
-		if n.Sub(k.since) < e.IdleAge {
-			k.reused = true
-			return k
-		}
-		k.close()
-	}
-	delete(e.idle, address)
-	return nil
-}
-
-func (e *Exchange) put(k *conn) {
-	if k.in.Buffered() > 0 || !k.stop() {
-		k.close()
-		return
-	}
-	k.since = e.Timer.Now()
-	k.sent.Store(0)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.idle[k.address]) >= maxIdle {
-		k.close()
-		return
-	}
-	if e.idle == nil {
-		e.idle = map[string][]*conn{}
-	}
-	e.idle[k.address] = append(e.idle[k.address], k)
-}
-
 type emptyReader struct{}
 
 // Read implements io.Reader.Read.
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -44,6 +44,8 @@
 	Name string
 	// Boot distinguishes the runs of this host and grows with each.
 	Boot uint64
+	// Hosts, if set, returns the hosts that are known now, in place of the names of the link.
+	Hosts func() []string
 	// Groups is the number of groups that own teams.
 	Groups int
 	// Timer tells the time.
@@ -56,6 +58,7 @@
 	Metrics metrics.Registry
 
 	once    sync.Once
+	started time.Time
 	mu      sync.RWMutex
 	wallets map[string]*wallet
 	// members are the wallets of each group.
@@ -162,9 +165,10 @@
 		if g.Metrics == nil {
 			g.Metrics = metrics.NewRegistry()
 		}
+		g.started = g.Timer.Now()
 		g.wallets = map[string]*wallet{}
 		for i := range max(g.Groups, 1) {
-			g.owners = append(g.owners, newOwner(uint64(i)+1, g.Link.Names(), g.Name))
+			g.owners = append(g.owners, newOwner(uint64(i)+1, g.hosts(), g.Name))
 			g.terms = append(g.terms, 0)
 			g.members = append(g.members, map[*wallet]struct{}{})
 			g.kicks = append(g.kicks, make(chan struct{}, 1))
@@ -172,6 +176,21 @@
 	})
 }
 
+// hosts returns the names of all hosts, this one among them.
+func (g *Grant) hosts() []string {
+	names := g.Link.Names
+	if g.Hosts != nil {
+		names = g.Hosts
+	}
+	l := []string{g.Name}
+	for _, n := range names() {
+		if n != g.Name {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // kick wakes the goroutine that asks the owner of a group.
 func (g *Grant) kick(group uint64) {
 	select {
--- a/internal/grant/owner.go
+++ b/internal/grant/owner.go
@@ -32,7 +32,9 @@
 
 	mu      sync.Mutex
 	leading bool
-	term    uint64
+	// stranger says that this host may not know yet of all hosts that hold grants.
+	stranger bool
+	term     uint64
 	// since is when this host knew that it leads; no former leader grants after that.
 	since time.Time
 	// start is when the buckets begin to accrue, once opened.
@@ -84,7 +86,7 @@
 		return nil, refusal.NewNotRun(400, "malformed-ask", "the ask names an unknown group or another host")
 	}
 	o := g.owners[q.Group-1]
-	if !slices.Contains(o.hosts, from) {
+	if g.Hosts == nil && !slices.Contains(o.hosts, from) {
 		return nil, refusal.NewNotRun(403, "unknown-host", "the settings name no host "+from)
 	}
 	o.mu.Lock()
@@ -118,6 +120,10 @@
 		return l, now
 	}
 	if o.buckets == nil || o.term != l.Term {
+		if g.Hosts != nil {
+			o.hosts = g.hosts()
+			o.stranger = g.stranger()
+		}
 		o.elect(now, l.Term)
 		g.Log.Info().Uint64("group", o.group).Uint64("term", o.term).Msg("owns the rates of a group")
 	}
--- a/internal/grant/succession.go
+++ b/internal/grant/succession.go
@@ -58,6 +58,11 @@
 	o.open(g.Timer.Now(), term)
 }
 
+// stranger reports whether this host may not know yet of hosts that hold grants.
+func (g *Grant) stranger() bool {
+	return g.Hosts != nil && g.Timer.Now().Sub(g.started) < Life
+}
+
 // fence answers the new owner of a group.
 func (g *Grant) fence(_ context.Context, _ string, body []byte) ([]byte, error) {
 	q := &refill.Fence{}
@@ -106,6 +111,10 @@
 		// A host that did not answer holds no more than its part once larger grants have ended.
 		o.start = later(now, rate.Settled(o.since, NeedLife))
 	}
+	if o.stranger {
+		// Hosts that are not known yet may hold grants of any size.
+		o.start = later(now, rate.Settled(o.since, Life))
+	}
 	o.configuration = nil
 }
 
--- a/internal/identify/identify.go
+++ b/internal/identify/identify.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,7 @@
 )
 
 const (
-	scheme         = "bearer "
+	bearer         = "bearer "
 	maxSecretBytes = 512
 	retryNotFresh  = 2 * time.Second
 )
@@ -33,6 +34,8 @@
 type Identify struct {
 	// Spread tells the configuration in force and whether it may be trusted.
 	Spread spread
+	// Scheme is the word before the secret in the header, empty for bearer.
+	Scheme string
 
 	index   atomic.Pointer[index]
 	mu      sync.Mutex
@@ -70,7 +73,7 @@
 
 // Key returns the granted key of an Authorization header, or a refusal.
 func (i *Identify) Key(authorization []byte) (key.Key, error) {
-	s := secretOf(authorization)
+	s := secretOf(i.scheme(), authorization)
 	if len(s) == 0 {
 		return key.Key{}, missingKey
 	}
@@ -171,12 +174,19 @@
 	return h, err == nil
 }
 
-// secretOf returns the secret of a header that shows one as a bearer.
-func secretOf(authorization []byte) []byte {
+func (i *Identify) scheme() string {
+	if i.Scheme == "" {
+		return bearer
+	}
+	return i.Scheme + " "
+}
+
+// secretOf returns the secret of a header that shows one under a scheme.
+func secretOf(scheme string, authorization []byte) []byte {
 	if len(authorization) <= len(scheme) || len(authorization) > maxSecretBytes {
 		return nil
 	}
-	if !bytes.EqualFold(authorization[:len(scheme)], []byte(scheme)) {
+	if !strings.EqualFold(string(authorization[:len(scheme)]), scheme) {
 		return nil
 	}
 	return bytes.TrimSpace(authorization[len(scheme):])
--- /dev/null
+++ b/internal/inlinejob/doc.go
@@ -0,0 +1,2 @@
+// Package inlinejob describes a batch job that comes with its items.
+package inlinejob
--- a/internal/itemanswer/answer.go
+++ b/internal/itemanswer/answer.go
@@ -6,4 +6,8 @@
 	Status int
 	// Body is the whole body.
 	Body []byte
+	// Next is the number of the first event that is missing where a run ended early, or zero.
+	Next uint64
+	// Text is the output up to that event.
+	Text []byte
 }
--- /dev/null
+++ b/internal/itemline/doc.go
@@ -0,0 +1,2 @@
+// Package itemline describes one line of a job's input.
+package itemline
--- /dev/null
+++ b/internal/itemline/line.go
@@ -0,0 +1,23 @@
+package itemline
+
+import "encoding/json"
+
+// Line is the input of one batch item as it is stored.
+type Line struct {
+	// CustomID is the owner's name for the item.
+	CustomID string `json:"custom_id"`
+	// Method is the HTTP method.
+	Method string `json:"method"`
+	// URL is the path that the item calls.
+	URL string `json:"url"`
+	// Body is the body of an item that sends JSON.
+	Body json.RawMessage `json:"body,omitempty"`
+	// Host is the host name that the item names, or empty.
+	Host string `json:"host,omitempty"`
+	// Headers are the headers of an inline item as name and value.
+	Headers [][2]string `json:"headers,omitempty"`
+	// Raw is the body of an inline item.
+	Raw []byte `json:"raw,omitempty"`
+	// Inline says that the item came with its job, so that its owner's name names its runs.
+	Inline bool `json:"inline,omitempty"`
+}
--- /dev/null
+++ b/internal/joblisting/doc.go
@@ -0,0 +1,2 @@
+// Package joblisting describes the results of an inline job as they grow.
+package joblisting
--- a/internal/joined/calls_test.go
+++ b/internal/joined/calls_test.go
@@ -151,7 +151,7 @@
 		return
 	}
 	c.verdict = verdict.Worse(c.verdict, v)
-	again := h.retry.Allow(h.now(), v, c.route, c.attempts)
+	again := h.retry.Allow(h.now(), v, c.route, c.attempts, 0)
 	if h.w.wrong == repeatAnything && v == verdict.MayHaveRun && c.attempts < 3 {
 		again = true
 	}
--- a/internal/ledger/cancel.go
+++ b/internal/ledger/cancel.go
@@ -25,6 +25,7 @@
 		return
 	}
 	w.facts.State = jobCancelling
+	l.uncount(w)
 	w.facts.Expired = expired
 	l.settle(w)
 }
--- a/internal/ledger/finish.go
+++ b/internal/ledger/finish.go
@@ -31,6 +31,7 @@
 		r = &entry.Result{}
 	}
 	l.drop(e)
+	w.inline.advance(e.index, o.Progress)
 	switch o.Kind {
 	case entry.Outcome_COMPLETE:
 		l.record(w, e.index, completed, r)
@@ -60,6 +61,11 @@
 		l.giveBack(w, e.index)
 		return
 	}
+	if w.inline != nil && r.Status == 0 {
+		// Only an upstream's own answer counts as a failed attempt.
+		l.deferItem(w, e.index, lostPause)
+		return
+	}
 	if s.attempts < math.MaxUint8 {
 		s.attempts++
 	}
@@ -67,7 +73,7 @@
 		l.record(w, e.index, failed, r)
 		return
 	}
-	l.deferred = append(l.deferred, deferral{work: w, index: e.index, at: l.now + int64(retryPause)})
+	l.deferItem(w, e.index, retryPause)
 }
 
 // onceState is the end of an item that was sent and may not be sent again.
@@ -96,6 +102,7 @@
 	w.facts.ResultBytes += int64(len(b))
 	l.use(w.facts.Team, int64(len(b)))
 	w.count(state)
+	l.list(w, i)
 	l.settle(w)
 }
 
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -209,7 +209,9 @@
 	w := e.work
 	o := &w.slots[e.index]
 	l.drop(e)
-	o.lapses++
+	if o.lapses < maxLapses {
+		o.lapses++
+	}
 	if w.facts.Repeatable || e.intended {
 		o.sent = 1
 	}
@@ -220,7 +222,7 @@
 		l.record(w, e.index, cancelled, stopped(verdict.MayHaveRun))
 	case w.facts.State != jobRunning:
 		l.record(w, e.index, cancelled, stopped(verdict.NotRun))
-	case o.lapses >= maxLapses:
+	case o.lapses >= maxLapses && w.inline == nil:
 		l.record(w, e.index, failed, lost("every host that ran the item was lost"))
 	default:
 		l.giveBack(w, e.index)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -57,6 +57,8 @@
 	deferred []deferral
 	keys     map[owner]*entry.Key
 	records  *idempotency.Table
+	// tokens are those of the open inline items of each team and target.
+	tokens map[owner]int64
 	// soonest is a lower bound of the deadlines of all sessions.
 	soonest int64
 }
@@ -84,6 +86,7 @@
 	l.deferred = nil
 	l.keys = map[owner]*entry.Key{}
 	l.records = idempotency.NewTable()
+	l.tokens = map[owner]int64{}
 }
 
 // Apply implements machine.Machine.Apply.
@@ -145,6 +148,8 @@
 		return l.open(k.Open)
 	case *entry.Command_Close:
 		return l.close(k.Close)
+	case *entry.Command_Submit:
+		return l.submit(k.Submit)
 	}
 	return refused(400, "unknown-command", "the command is of an unknown kind")
 }
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -208,6 +208,9 @@
 	for i := range w.slots {
 		w.slots[i] = loadSlot(j.Slots[slotBytes*i:])
 	}
+	if err := l.loadInline(w); err != nil {
+		return err
+	}
 	j.Slots = nil
 	j.Returned = nil
 	j.Leased = 0
--- a/internal/ledger/queue.go
+++ b/internal/ledger/queue.go
@@ -1,12 +1,18 @@
 package ledger
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// turn is how many items a team gets before the next team's turn.
 	turn = 8
 	// retryPause is the time between a failed attempt and the next.
 	retryPause = time.Second
+	// lostPause is the time between an attempt that got no answer and the next.
+	lostPause = 100 * time.Millisecond
 )
 
 // queue holds the jobs of one target, teams taking turns.
@@ -82,6 +88,13 @@
 	q.lines = append(q.lines[1:], q.lines[0])
 }
 
+// deferItem makes an item ready after a pause.
+func (l *Ledger) deferItem(w *work, i uint32, pause time.Duration) {
+	d := deferral{work: w, index: i, at: l.now + int64(pause)}
+	n, _ := slices.BinarySearchFunc(l.deferred, d.at+1, func(o deferral, at int64) int { return cmp.Compare(o.at, at) })
+	l.deferred = slices.Insert(l.deferred, n, d)
+}
+
 // release makes the deferred items ready whose time has come.
 func (l *Ledger) release() {
 	n := 0
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -89,6 +89,7 @@
 			return nil
 		}
 		e.Line = b
+		e.Progress = w.inline.progressOf(e.Index)
 	}
 	return nil
 }
--- a/internal/ledger/save.go
+++ b/internal/ledger/save.go
@@ -162,6 +162,7 @@
 func (w *work) saved() *entry.Job {
 	j := w.view()
 	j.Returned = w.returned
+	w.inline.save(j)
 	j.Slots = make([]byte, 0, slotBytes*len(w.slots))
 	for _, s := range w.slots {
 		j.Slots = binary.LittleEndian.AppendUint64(j.Slots, uint64(s.offset))
--- a/internal/ledger/work.go
+++ b/internal/ledger/work.go
@@ -56,6 +56,8 @@
 	returned []uint32
 	// queued says that the job stands in the queue of its target.
 	queued bool
+	// inline is set where the items came with the job.
+	inline *inline
 }
 
 func (w *work) name() string {
@@ -174,6 +176,9 @@
 	default:
 		return
 	}
+	if w.inline != nil && j.State == jobExpired {
+		l.giveUp(w)
+	}
 	j.Cancelled = j.Total - j.Completed - j.Failed - j.MayHaveRun
 	j.Finished = l.now
 	w.returned = nil
@@ -184,6 +189,7 @@
 	j := w.facts
 	must(l.Storage.Remove(w.name()))
 	delete(l.jobs, j.Id)
+	l.uncount(w)
 	l.disown(j.Team, j.Id)
 	l.use(j.Team, -j.ResultBytes)
 	w.file.facts.Uses--
--- a/internal/link/exchange.go
+++ b/internal/link/exchange.go
@@ -35,7 +35,7 @@
 
 func (l *Link) tell(s *yamux.Stream, method string, body []byte) error {
 	defer func() { _ = s.Close() }()
-	_ = s.SetWriteDeadline(l.Timer.Now().Add(heartbeatTimeout))
+	_ = s.SetWriteDeadline(time.Now().Add(heartbeatTimeout))
 	_, err := protodelim.MarshalTo(s, &frame.Frame{Method: method, Body: body, OneWay: true})
 	return err
 }
@@ -62,7 +62,7 @@
 	if err != nil {
 		p = &frame.Reply{Refusal: sent(refusal.Of(err))}
 	}
-	_ = s.SetWriteDeadline(l.Timer.Now().Add(callTimeout))
+	_ = s.SetWriteDeadline(time.Now().Add(callTimeout))
 	_, _ = protodelim.MarshalTo(s, p)
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -37,8 +37,10 @@
 	Name string
 	// Listener accepts the sessions of peers.
 	Listener net.Listener
-	// Peers are the addresses of all hosts by name.
+	// Peers are the addresses of hosts by name.
 	Peers map[string]string
+	// Port, if set, is the port of the hosts that Peers does not name; their names are IP addresses.
+	Port string
 	// Secret is shared by all hosts of the fleet.
 	Secret []byte
 	// ClientTLS, if set, secures the sessions that this host opens.
@@ -137,6 +139,14 @@
 	return n
 }
 
+// address returns where a peer takes sessions.
+func (l *Link) address(name string) (string, bool) {
+	if a, ok := l.Peers[name]; ok {
+		return a, true
+	}
+	return net.JoinHostPort(name, l.Port), l.Port != "" && net.ParseIP(name) != nil
+}
+
 func lane(method string) string {
 	if strings.HasPrefix(method, bulkPrefix) {
 		return laneBulk
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -38,7 +38,7 @@
 
 // connect dials a peer and proves the shared secret both ways.
 func (l *Link) connect(ctx context.Context, to, lane string) (*yamux.Session, error) {
-	a, ok := l.Peers[to]
+	a, ok := l.address(to)
 	if !ok {
 		return nil, errors.Newf("no host is named %s", to)
 	}
@@ -67,7 +67,7 @@
 }
 
 func (l *Link) greet(c net.Conn, to, lane string) error {
-	_ = c.SetDeadline(l.Timer.Now().Add(handshakeTimeout))
+	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
 	r := reader{c}
 	q, err := readHello(r)
 	if err != nil {
@@ -93,7 +93,7 @@
 
 // welcome is the server's half of greet.
 func (l *Link) welcome(c net.Conn) (*frame.Hello, error) {
-	_ = c.SetDeadline(l.Timer.Now().Add(handshakeTimeout))
+	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
 	q := &frame.Hello{From: l.Name, Nonce: nonce()}
 	if _, err := protodelim.MarshalTo(c, q); err != nil {
 		return nil, err
--- a/internal/match/match.go
+++ b/internal/match/match.go
@@ -10,7 +10,8 @@
 
 // Match is the routes of one configuration, indexed by prefix and model.
 type Match struct {
-	prefixes []entry
+	// prefixes are the prefix routes of each host name, the longest first.
+	prefixes map[string][]entry
 	models   map[string]entry
 }
 
@@ -21,27 +22,38 @@
 
 // NewMatch returns an index of the routes of a configuration.
 func NewMatch(c *configuration.Configuration) *Match {
-	m := &Match{models: map[string]entry{}}
+	m := &Match{prefixes: map[string][]entry{}, models: map[string]entry{}}
 	for n, r := range c.Routes {
 		if r.Model != "" {
 			m.models[r.Model] = entry{n, r}
 		}
 		if r.Prefix != "" {
-			m.prefixes = append(m.prefixes, entry{n, r})
+			m.prefixes[r.Host] = append(m.prefixes[r.Host], entry{n, r})
 		}
 	}
-	slices.SortFunc(m.prefixes, func(a, b entry) int {
-		if d := len(b.route.Prefix) - len(a.route.Prefix); d != 0 {
-			return d
-		}
-		return strings.Compare(a.name, b.name)
-	})
+	for _, l := range m.prefixes {
+		slices.SortFunc(l, func(a, b entry) int {
+			if d := len(b.route.Prefix) - len(a.route.Prefix); d != 0 {
+				return d
+			}
+			return strings.Compare(a.name, b.name)
+		})
+	}
 	return m
 }
 
-// Path returns the route with the longest prefix of a path.
-func (m *Match) Path(path string) (name string, r route.Route, ok bool) {
-	for _, e := range m.prefixes {
+// Path returns the route with the longest prefix of a path, of those of the host name before those of any.
+func (m *Match) Path(host, path string) (name string, r route.Route, ok bool) {
+	if host != "" {
+		if n, r, ok := longest(m.prefixes[host], path); ok {
+			return n, r, true
+		}
+	}
+	return longest(m.prefixes[""], path)
+}
+
+func longest(l []entry, path string) (name string, r route.Route, ok bool) {
+	for _, e := range l {
 		if under(path, e.route.Prefix) {
 			return e.name, e.route, true
 		}
--- a/internal/match/match_test.go
+++ b/internal/match/match_test.go
@@ -27,7 +27,7 @@
 	} {
 		t.Run(c.path, func(t *testing.T) {
 			is := is.New(t)
-			n, _, ok := m.Path(c.path)
+			n, _, ok := m.Path("", c.path)
 			is.Equal(n, c.want)
 			is.Equal(ok, c.want != "")
 		})
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -17,6 +17,8 @@
 
 // Question returns what this host knows, for a peer to answer with what it lacks.
 func (m *Membership) Question() news.News {
+	h := m.hosts[m.name]
+	h.Label, h.Control, h.Ledgers = m.Self.Label, m.Self.Control, m.Self.Ledgers
 	return news.News{From: m.name, Hosts: m.known()}
 }
 
@@ -75,6 +77,7 @@
 
 // Prune forgets what is too old to matter and renews the counts of this host.
 func (m *Membership) Prune(now time.Time) {
+	m.forget(now)
 	for n, a := range m.announcements {
 		if now.Sub(a.born) > Memory {
 			delete(m.announcements, n)
@@ -168,7 +171,7 @@
 func (m *Membership) addAnnouncements(now time.Time, a *news.News, lacks, former func(news.Origin) bool) {
 	for _, r := range m.announcements {
 		unsure := r.upstream.Leaving && former(r.origin)
-		if (lacks(r.origin) || unsure) && (r.upstream.Leaving || now.Sub(r.born) <= Expiry) {
+		if (lacks(r.origin) || unsure) && (r.upstream.Leaving || now.Sub(r.born) <= m.expiry()) {
 			a.Announcements = append(a.Announcements, r.news(now))
 		}
 	}
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -136,6 +137,9 @@
 			continue
 		}
 		h := m.hosts[n.Name]
+		if h == nil && m.Open && !n.Dead && n.Name != "" {
+			h = m.admit(n.Name)
+		}
 		if h == nil {
 			continue
 		}
@@ -146,12 +150,47 @@
 	}
 }
 
+// admit adds a host that was not named at the start.
+func (m *Membership) admit(name string) *host {
+	h := &host{Host: news.Host{Name: name}}
+	m.hosts[name] = h
+	m.order = append(m.order, name)
+	return h
+}
+
+// forget drops the hosts that have been dead for long from an open membership.
+func (m *Membership) forget(now time.Time) {
+	if !m.Open {
+		return
+	}
+	for n, h := range m.hosts {
+		switch {
+		case !h.Dead:
+			h.died = time.Time{}
+		case h.died.IsZero():
+			h.died = now
+		case now.Sub(h.died) > deadKeep:
+			delete(m.hosts, n)
+			m.order = slices.DeleteFunc(m.order, func(o string) bool { return o == n })
+			m.next = 0
+		}
+	}
+}
+
 func (m *Membership) merge(h *host, n news.Host) {
 	if n.Boot < h.Boot || n.Boot == h.Boot && n.Refutation < h.Refutation {
 		return
 	}
 	if n.Boot > h.Boot {
-		h.Host = news.Host{Name: h.Name, FailureDomain: n.FailureDomain, Boot: n.Boot, Refutation: n.Refutation}
+		h.Host = news.Host{
+			Name:          h.Name,
+			FailureDomain: n.FailureDomain,
+			Boot:          n.Boot,
+			Refutation:    n.Refutation,
+			Label:         n.Label,
+			Control:       n.Control,
+			Ledgers:       n.Ledgers,
+		}
 		h.suspect = false
 	}
 	if n.Refutation > h.Refutation {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -25,15 +25,26 @@
 	mostUpstreams = 1 << 14
 
 	countRenewal = time.Second
-	// doubtfulExpiry is the age limit while this host doubts its own view.
-	doubtfulExpiry = 3 * Expiry
+	// doubtfulFactor stretches the age limit while this host doubts its own view.
+	doubtfulFactor = 3
+	// deadKeep is how long an open membership remembers a dead host.
+	deadKeep = 30 * time.Second
 	// sameAge is the difference of ages below which two relays tell the same.
 	sameAge = 100 * time.Millisecond
 	seedMix = 0x9e3779b97f4a7c15
+	// mostWitnesses is the number of peers that are told of a leave where there are fewer control hosts.
+	mostWitnesses = 4
 )
 
 // Membership is one host's view of the hosts and upstreams of the fleet.
 type Membership struct {
+	// Open takes in hosts that were not named at the start, and forgets dead ones.
+	Open bool
+	// Self is what this host tells of itself besides its name, domain and run.
+	Self news.Host
+	// Expiry is the age at which an announcement no longer counts; zero means the constant.
+	Expiry time.Duration
+
 	name    string
 	random  *rand.Rand
 	period  uint64
@@ -56,6 +67,8 @@
 type host struct {
 	news.Host
 	suspect bool
+	// died is when an open membership first took the host for dead.
+	died time.Time
 }
 
 type announcement struct {
@@ -165,11 +178,41 @@
 	m.changed[name] = struct{}{}
 }
 
+// Incarnation returns the known incarnation of an upstream, or zero.
+func (m *Membership) Incarnation(name string) uint64 {
+	if a := m.announcements[name]; a != nil {
+		return a.upstream.Incarnation
+	}
+	return 0
+}
+
+// News returns what is known of one upstream for a peer that is told of it.
+func (m *Membership) News(now time.Time, name string) (news.News, bool) {
+	a := m.announcements[name]
+	if a == nil {
+		return news.News{}, false
+	}
+	return news.News{From: m.name, Announcements: []news.Announcement{a.news(now)}}, true
+}
+
+// Witnesses returns live peers that may confirm news, control hosts first and not more than needed.
+func (m *Membership) Witnesses() []string {
+	var l, others []string
+	for _, p := range m.Fan(len(m.order), "") {
+		if m.hosts[p].Control {
+			l = append(l, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	return append(l, others...)[:min(len(l)+len(others), max(len(l), mostWitnesses))]
+}
+
 // Upstreams returns the upstreams that count now, the leaving ones among them marked, ordered by name.
 func (m *Membership) Upstreams(now time.Time) []upstream.Upstream {
-	e := Expiry
+	e := m.expiry()
 	if m.Doubtful() {
-		e = doubtfulExpiry
+		e *= doubtfulFactor
 	}
 	claims := map[string]*announcement{}
 	for _, a := range m.announcements {
@@ -183,6 +226,13 @@
 	return sorted(now, claims)
 }
 
+func (m *Membership) expiry() time.Duration {
+	if m.Expiry > 0 {
+		return m.Expiry
+	}
+	return Expiry
+}
+
 // Load returns the newest load known of an upstream and when it was measured.
 func (m *Membership) Load(name string) (report.Report, time.Time, bool) {
 	l := m.reports[name]
--- a/internal/membership/precedence.go
+++ b/internal/membership/precedence.go
@@ -21,6 +21,9 @@
 	if x.Leaving != y.Leaving {
 		return x.Leaving
 	}
+	if x.Beat != y.Beat && x.Beat > 0 && y.Beat > 0 {
+		return x.Beat > y.Beat
+	}
 	if x.Address != y.Address {
 		return x.Address != "" && (y.Address == "" || x.Address < y.Address)
 	}
--- /dev/null
+++ b/internal/metricspage/doc.go
@@ -0,0 +1,2 @@
+// Package metricspage shows the metrics of a host as text.
+package metricspage
--- /dev/null
+++ b/internal/metricspage/page.go
@@ -0,0 +1,77 @@
+package metricspage
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"siskinrun/internal/web"
+)
+
+const stopTimeout = time.Second
+
+// shown are the quantiles of each distribution, in parts of one.
+var shown = []float64{0.5, 0.9, 0.99}
+
+// Page serves one line a figure: its name, a space and its value; times are in nanoseconds.
+type Page struct {
+	// Listener takes connections.
+	Listener net.Listener
+	// Metrics holds the figures.
+	Metrics metrics.Registry
+}
+
+// Run serves until ctx ends.
+func (p *Page) Run(ctx context.Context) error {
+	s := &fasthttp.Server{
+		Handler:               func(x *fasthttp.RequestCtx) { x.SetBody(p.Text()) },
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	return (&web.Web{Server: s, Listener: p.Listener, StopTimeout: stopTimeout}).Run(ctx)
+}
+
+// Text returns all figures in order of their names.
+func (p *Page) Text() []byte {
+	var l []string
+	p.Metrics.Each(func(n string, m any) { l = append(l, lines(n, m)...) })
+	slices.Sort(l)
+	var b bytes.Buffer
+	for _, s := range l {
+		b.WriteString(s)
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
+
+func lines(n string, m any) []string {
+	switch v := m.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d", n, v.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", n, v.Value())}
+	case metrics.GaugeFloat64:
+		return []string{fmt.Sprintf("%s %g", n, v.Value())}
+	case metrics.Meter:
+		return []string{fmt.Sprintf("%s.count %d", n, v.Count()), fmt.Sprintf("%s.rate %g", n, v.Rate1())}
+	case metrics.Timer:
+		return distribution(n, v.Count(), v.Percentiles(shown), v.Max())
+	case metrics.Histogram:
+		return distribution(n, v.Count(), v.Percentiles(shown), v.Max())
+	}
+	return nil
+}
+
+func distribution(n string, count int64, q []float64, most int64) []string {
+	l := []string{fmt.Sprintf("%s.count %d", n, count), fmt.Sprintf("%s.max %d", n, most)}
+	for i, v := range q {
+		l = append(l, fmt.Sprintf("%s.p%g %.0f", n, shown[i]*100, v))
+	}
+	return l
+}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -41,6 +41,12 @@
 	Boot uint64
 	// Refutation grows each time a run of the host finds itself declared dead.
 	Refutation uint64
+	// Label is the name under which operators know the host, empty if it is no other.
+	Label string
+	// Control says that the host keeps the replicated configuration.
+	Control bool
+	// Ledgers says that the host keeps batch ledgers.
+	Ledgers bool
 	// Dead says that no peer could reach the host.
 	Dead bool
 	// Sequence is the highest sequence known of the host's run.
--- a/internal/pipe/match.go
+++ b/internal/pipe/match.go
@@ -1,8 +1,10 @@
 package pipe
 
 import (
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"siskinrun/internal/call"
 	"siskinrun/internal/configuration"
@@ -42,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	r.Service = r.Pick(rand.Uint64())
 	c.Route = n
 	c.Rule = r
 	c.Record.Route = n
@@ -50,6 +53,12 @@
 	if d <= 0 {
 		d = p.TimeoutDefault
 	}
+	if c.Batch && r.JobWindow > 0 {
+		d = r.JobWindow.Duration()
+	}
+	if c.Patience > 0 {
+		d = min(d, c.Patience)
+	}
 	c.Deadline = c.Arrived.Add(d)
 	if r.Model != "" {
 		c.Model = p.loaded(r)
@@ -58,7 +67,11 @@
 }
 
 func (p *Pipe) find(c *call.Call) (string, route.Route, error) {
-	m := p.routes.index(p.View())
+	v := p.View()
+	if len(v.Routes) == 0 {
+		return "", route.Route{}, unconfigured
+	}
+	m := p.routes.index(v)
 	if c.Model != "" {
 		n, r, ok := m.Model(c.Model)
 		if !ok {
@@ -67,13 +80,16 @@
 		return n, r, nil
 	}
 	path, _, _ := strings.Cut(c.Path, "?")
-	n, r, ok := m.Path(path)
+	n, r, ok := m.Path(c.Host, path)
 	if !ok {
 		return "", r, refusal.NewNotRun(404, "unknown-route", "no route leads to this path")
 	}
 	return n, r, nil
 }
 
+// unconfigured refuses calls on a host that has not heard of any configuration yet.
+var unconfigured = refusal.NewNotRun(503, "no-configuration", "this host knows no configuration yet").WithRetryAfter(time.Second)
+
 // loaded returns what an engine must have loaded for a route.
 func (p *Pipe) loaded(r route.Route) string {
 	s := r.Model
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"io"
+	"strings"
 	"time"
 
 	"siskinrun/internal/answer"
 	"siskinrun/internal/call"
 	"siskinrun/internal/configuration"
+	"siskinrun/internal/inlinejob"
 	"siskinrun/internal/key"
 	"siskinrun/internal/record"
 	"siskinrun/internal/route"
 	"siskinrun/internal/timer"
 	"siskinrun/internal/upstream"
+	"siskinrun/pkg/refusal"
 )
 
 // identifier finds the team of a credential.
@@ -46,6 +50,11 @@
 	Serve(ctx context.Context, c *call.Call, next func(context.Context, *call.Call) (*answer.Answer, error)) (*answer.Answer, error)
 }
 
+// jobs accepts batch jobs that come with their items.
+type jobs interface {
+	Submit(ctx context.Context, j inlinejob.Job) error
+}
+
 // accountant takes what became of a call.
 type accountant interface {
 	Finish(r record.Record)
@@ -65,6 +74,8 @@
 	Queue queuer
 	// Keeper holds the answers of calls with an idempotency key.
 	Keeper keeper
+	// Jobs accepts the jobs that calls hand in.
+	Jobs jobs
 	// Dispatch sends the call.
 	Dispatch dispatcher
 	// Account takes the record of each call.
@@ -100,6 +111,9 @@
 	if err := p.identify(authorization, c, t); err != nil {
 		return nil, err
 	}
+	if c.Rule.Jobs {
+		return p.submit(ctx, c)
+	}
 	if err := p.admit(ctx, c); err != nil {
 		return nil, err
 	}
@@ -108,10 +122,33 @@
 	})
 }
 
+// submit hands the items of a call in as a job, whose ID is that of the call.
+func (p *Pipe) submit(ctx context.Context, c *call.Call) (*answer.Answer, error) {
+	if c.Items == nil || c.Team == "" {
+		return nil, refusal.NewNotRun(404, "no-jobs", "jobs cannot be handed in here")
+	}
+	items, err := c.Items()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(p.Timer.Now()))
+	defer cancel()
+	j := inlinejob.Job{ID: c.ID, Team: c.Team, Route: c.Route, Rule: c.Rule, Items: items}
+	if err := p.Jobs.Submit(ctx, j); err != nil {
+		return nil, err
+	}
+	return &answer.Answer{Status: statusAccepted, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+const statusAccepted = 202
+
 func (p *Pipe) batch(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	if err := p.match(c); err != nil {
 		return nil, err
 	}
+	if c.Rule.Unmetered {
+		return p.Dispatch.ServeOn(ctx, u, c)
+	}
 	if err := p.admit(ctx, c); err != nil {
 		return nil, err
 	}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -24,6 +24,9 @@
 	maxKeys    = 50_000
 	maxRoutes  = 5_000
 	maxModels  = 5_000
+	maxShares  = 64
+	maxRank    = 1 << 16
+	maxSent    = 64
 	hashDigits = 64
 	nameBytes  = 64
 	edges      = "abcdefghijklmnopqrstuvwxyz0123456789"
@@ -66,7 +69,7 @@
 	for _, n := range sorted(d.Models.Set) {
 		f.model(n, next.Models[n])
 	}
-	if !d.Models.IsZero() || !d.Routes.IsZero() {
+	if !d.Models.IsZero() || !d.Routes.IsZero() || !d.Services.IsZero() {
 		f.routes(next)
 	}
 	for _, n := range sorted(d.Keys.Set) {
@@ -201,7 +204,10 @@
 func (f *finder) route(c *configuration.Configuration, n string, r route.Route) {
 	p := "routes." + n
 	f.name(p, n)
-	f.name(p+".service", r.Service)
+	f.services(c, p, r)
+	f.bound(p+".attempts", int64(r.Attempts), 0, maxSent)
+	f.bound(p+".rank", int64(r.Rank), 0, maxRank)
+	f.bound(p+".job-tokens", r.JobTokens, 0, maxUnits)
 	f.bound(p+".price", r.Price, 1, maxPrice)
 	f.bound(p+".token-price", r.TokenPrice, 0, maxPrice)
 	if r.Timeout <= 0 {
@@ -222,6 +228,32 @@
 	}
 }
 
+// services checks where a route leads to.
+func (f *finder) services(c *configuration.Configuration, p string, r route.Route) {
+	if len(r.Shares) == 0 {
+		f.service(c, p+".service", r.Service)
+		return
+	}
+	f.bound(p+".shares", int64(len(r.Shares)), 1, maxShares)
+	var sum int64
+	for _, n := range sorted(r.Shares) {
+		f.service(c, p+".shares."+n, n)
+		f.bound(p+".shares."+n, r.Shares[n], 0, maxUnits)
+		sum += r.Shares[n]
+	}
+	if sum == 0 {
+		f.add(p+".shares", "must add up to more than 0")
+	}
+}
+
+// service checks a name, and that the service is known where services are listed.
+func (f *finder) service(c *configuration.Configuration, field, n string) {
+	f.name(field, n)
+	if _, ok := c.Services[n]; !ok && len(c.Services) > 0 {
+		f.add(field, "no service is named %q", n)
+	}
+}
+
 func (f *finder) modelRoute(c *configuration.Configuration, p string, r route.Route) {
 	m, ok := c.Models[r.Model]
 	if !ok {
@@ -240,7 +272,7 @@
 	if r.Prefix[0] != '/' || strings.ContainsAny(r.Prefix, " ?#%\\") || strings.Contains(r.Prefix, "//") {
 		f.add(p+".prefix", "must be a plain path such as /orders/")
 	}
-	if strings.HasPrefix(r.Prefix, "/v1/") || r.Prefix == "/v1" || r.Prefix == "/" {
+	if r.Host == "" && ownPath(r.Prefix) {
 		f.add(p+".prefix", "%q belongs to the callers' interface", r.Prefix)
 	}
 	if r.Version != "" {
@@ -251,6 +283,11 @@
 	}
 }
 
+// ownPath reports whether a path belongs to the product's own interface.
+func ownPath(p string) bool {
+	return strings.HasPrefix(p, "/v1/") || p == "/v1" || p == "/"
+}
+
 // clashes finds routes that one request would match alike.
 func (f *finder) clashes(c *configuration.Configuration) {
 	seen := map[string]string{}
@@ -260,10 +297,10 @@
 		if r.Model != "" {
 			field, v = "model", r.Model
 		}
-		if v == "" {
+		if v == "" && r.Host == "" {
 			continue
 		}
-		k := field + " " + v
+		k := r.Host + " " + field + " " + v
 		if o, ok := seen[k]; ok {
 			f.add("routes."+n+"."+field, "%q is that of route %s", v, o)
 			continue
--- a/internal/proposal/client.go
+++ b/internal/proposal/client.go
@@ -40,6 +40,8 @@
 	Control control
 	// Hosts are the names of the control hosts.
 	Hosts []string
+	// Known, if set, returns the names of the control hosts of a group that answer now, in place of Hosts.
+	Known func(group uint32) []string
 	// Timer tells the time.
 	Timer *timer.Service
 
@@ -53,6 +55,7 @@
 	Propose(ctx context.Context, group uint32, command []byte) ([]byte, error)
 	Confirm(ctx context.Context, group uint32) (time.Time, error)
 	Lead(group uint32) lead.Lead
+	Holds(group uint32) bool
 }
 
 // Propose has a command applied and returns its outcome; the error is a refusal with a true verdict.
@@ -109,7 +112,7 @@
 }
 
 func (c *Client) confirm(ctx context.Context, group uint32) (time.Time, error) {
-	if c.Control != nil {
+	if c.Control != nil && c.Control.Holds(group) {
 		return c.Control.Confirm(ctx, group)
 	}
 	b, err := proto.Marshal(&packet.Question{Group: group})
@@ -138,11 +141,15 @@
 	if l := c.leaders[group]; l != "" {
 		return l
 	}
-	if len(c.Hosts) == 0 {
+	l := c.Hosts
+	if c.Known != nil {
+		l = c.Known(group)
+	}
+	if len(l) == 0 {
 		return ""
 	}
 	c.next++
-	return c.Hosts[c.next%len(c.Hosts)]
+	return l[c.next%len(l)]
 }
 
 // follow forgets a host that refused and reports whether it named the leader.
--- a/internal/register/bench_test.go
+++ b/internal/register/bench_test.go
@@ -29,7 +29,7 @@
 		c.Keys[id] = key.Key{ID: id, Team: fmt.Sprint("team-", i%teams), Hash: key.Hash(id)}
 	}
 	r := NewRegister()
-	r.replace(c, newMemory(), history{})
+	r.replace(&image{Configuration: c}, newMemory(), history{})
 	if err := r.Check(); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -31,6 +31,7 @@
 	view atomic.Pointer[configuration.Configuration]
 
 	mu          sync.Mutex
+	document    []byte
 	memory      memory
 	history     history
 	subscribers []func(*configuration.Configuration)
@@ -48,6 +49,13 @@
 	return r.view.Load()
 }
 
+// Document returns the version that was applied last as its operator wrote it, or nothing.
+func (r *Register) Document() (version uint64, document []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.View().Version, r.document
+}
+
 // Subscribe calls f after each new version, and must be called before the first command.
 func (r *Register) Subscribe(f func(*configuration.Configuration)) {
 	r.mu.Lock()
@@ -102,6 +110,9 @@
 	if err != nil {
 		return encode(r.refuse(&change.Change{}, changeoutcome.Invalid, err.Error()))
 	}
+	if c.Kind == change.Install {
+		return encode(r.install(c))
+	}
 	d, err := c.Digest()
 	if err != nil {
 		return encode(r.refuse(c, changeoutcome.Invalid, err.Error()))
@@ -117,6 +128,29 @@
 	return b
 }
 
+// install puts a whole configuration in force if its edition is the highest; the first content of an edition stays.
+func (r *Register) install(c *change.Change) *changeoutcome.Outcome {
+	now := r.View()
+	n, d, p := c.Apply(now, r.version)
+	if len(p) > 0 {
+		o := r.refuse(c, changeoutcome.Invalid, p[0].Field+" "+p[0].Message)
+		o.Problems = p[:min(len(p), maxProblems)]
+		return o
+	}
+	if c.Edition <= now.Edition {
+		return r.refuse(c, changeoutcome.Superseded, fmt.Sprintf("edition %d is in force", now.Edition))
+	}
+	r.advance(c, now, n, d)
+	r.document = c.Document
+	return &changeoutcome.Outcome{
+		Status:   changeoutcome.Applied,
+		ChangeID: c.ID,
+		Version:  n.Version,
+		By:       c.By,
+		Message:  fmt.Sprintf("made version %d", n.Version),
+	}
+}
+
 // resent answers an ID that was seen before.
 func (r *Register) resent(c *change.Change, digest [32]byte, p past) []byte {
 	if string(p.Digest) == string(digest[:]) {
@@ -133,6 +167,10 @@
 // decide compares the version and applies the change.
 func (r *Register) decide(c *change.Change) *changeoutcome.Outcome {
 	now := r.View()
+	if c.Kind == change.Retire || c.Kind == change.Form {
+		// These do not depend on what else is in force.
+		c.Base = now.Version
+	}
 	if c.Base > now.Version {
 		return r.refuse(c, changeoutcome.Invalid, fmt.Sprintf("the base is newer than version %d", now.Version))
 	}
--- a/internal/register/snapshot.go
+++ b/internal/register/snapshot.go
@@ -22,6 +22,7 @@
 	Outcomes      []past                       `json:"outcomes"`
 	Marks         []wornMark                   `json:"marks"`
 	Horizon       uint64                       `json:"horizon"`
+	Document      []byte                       `json:"document,omitempty"`
 }
 
 type wornMark struct {
@@ -60,14 +61,16 @@
 	if err := check(i.Configuration, &m, &h); err != nil {
 		return err
 	}
-	r.replace(i.Configuration, m, h)
+	r.replace(i, m, h)
 	return nil
 }
 
-func (r *Register) replace(c *configuration.Configuration, m memory, h history) {
+func (r *Register) replace(i *image, m memory, h history) {
+	c := i.Configuration
 	r.mu.Lock()
 	r.memory = m
 	r.history = h
+	r.document = i.Document
 	r.view.Store(c)
 	s := r.subscribers
 	r.mu.Unlock()
@@ -84,6 +87,7 @@
 		Configuration: r.View(),
 		Events:        append([]event{}, r.history.events...),
 		Horizon:       r.memory.horizon,
+		Document:      r.document,
 	}
 	for _, id := range r.memory.order {
 		i.Outcomes = append(i.Outcomes, r.memory.outcomes[id])
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,19 +5,16 @@
 	"bytes"
 	"context"
 	"io"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/answer"
+	"siskinrun/internal/event"
 )
 
 const maxEventBytes = 1 << 20
 
-var (
-	lastData = []byte("data: [DONE]")
-	idPrefix = []byte("id:")
-)
+var lastData = []byte("data: [DONE]")
 
 // Relay is a reader of whole events that resumes a broken stream where it ended.
 type Relay struct {
@@ -27,6 +24,8 @@
 	Answer *answer.Answer
 	// Resume opens the stream again at the given event, or fails for good.
 	Resume func(ctx context.Context, offset int) (*answer.Answer, error)
+	// EndsWithBody says that the end of the body ends the stream, and that its events may be numbered from any number.
+	EndsWithBody bool
 	// Event, if set, is called when an event is passed on.
 	Event func(offset int)
 	// Done, if set, is called once with the failure or nil when the stream has ended.
@@ -36,6 +35,7 @@
 	next int
 	// numbered says that the upstream numbers its events, so that a resumed stream can be checked.
 	numbered bool
+	passed   bool
 	ready    []byte
 	err      error
 	closed   bool
@@ -67,12 +67,19 @@
 	if r.in == nil {
 		r.in = bufio.NewReader(r.Answer.Body)
 	}
-	e, err := readEvent(r.in)
+	e, err := event.Read(r.in)
+	if err == io.EOF && r.EndsWithBody {
+		r.finish(nil)
+		return
+	}
 	if err != nil {
 		r.resume(err)
 		return
 	}
-	n, ok := offset(e)
+	n, ok := int(e.ID), e.Numbered
+	if ok && !r.numbered && r.EndsWithBody {
+		r.next = n
+	}
 	if ok && n < r.next {
 		return
 	}
@@ -81,12 +88,13 @@
 		return
 	}
 	r.numbered = r.numbered || ok
+	r.passed = true
 	r.next++
-	r.ready = e
+	r.ready = e.Raw
 	if r.Event != nil {
 		r.Event(r.next - 1)
 	}
-	if bytes.Contains(e, lastData) {
+	if !r.EndsWithBody && bytes.Contains(e.Raw, lastData) {
 		r.drain()
 		r.finish(nil)
 	}
@@ -103,7 +111,7 @@
 		r.finish(r.Context.Err())
 		return
 	}
-	if r.next > 0 && !r.numbered {
+	if r.passed && !r.numbered {
 		r.finish(cause)
 		return
 	}
@@ -130,37 +138,3 @@
 		r.Done(err)
 	}
 }
-
-// readEvent returns one event with the empty line that ends it.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var e []byte
-	for {
-		l, err := r.ReadSlice('\n')
-		e = append(e, l...)
-		if len(e) > maxEventBytes {
-			return nil, errors.New("an event is too long")
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		if len(bytes.TrimRight(l, "\r\n")) == 0 && len(bytes.TrimSpace(e)) > 0 {
-			return e, nil
-		}
-	}
-}
-
-// offset returns the number of an event, if it carries one.
-func offset(e []byte) (int, bool) {
-	for l := range bytes.Lines(e) {
-		v, ok := bytes.CutPrefix(l, idPrefix)
-		if !ok {
-			continue
-		}
-		n, err := strconv.Atoi(string(bytes.TrimSpace(v)))
-		return n, err == nil
-	}
-	return 0, false
-}
--- /dev/null
+++ b/internal/repair/repair.go
@@ -0,0 +1,178 @@
+package repair
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"siskinrun/internal/identity"
+	"siskinrun/internal/standing"
+)
+
+// kind is one change of a group's members.
+type kind int
+
+const (
+	none kind = iota
+	// learn adds a learner.
+	learn
+	// promote gives a learner its vote.
+	promote
+	// remove ends a membership.
+	remove
+)
+
+// Repair plans the changes of one group, one at a time, so that any leader can go on where another stopped.
+//
+// A voter is lost when its host shows another disk, or when it was silent for too long. It is
+// replaced by a control host that is present: learner, caught up, voter; only then the lost one goes.
+type Repair struct {
+	// Voters is the number of voters that the group should have.
+	Voters int
+	// Silence is how long a voter may be silent, or zero if only changed disks count.
+	Silence time.Duration
+	// CaughtUp is the number of entries that a learner may lack when it is promoted.
+	CaughtUp uint64
+	// Retiring, if set, reports whether a host gives up its place as soon as another has taken it.
+	Retiring func(host string) bool
+	// Domain returns the failure domain of a host, empty if unknown.
+	Domain func(host string) string
+}
+
+// Step is the next change.
+type Step struct {
+	kind   kind
+	member identity.Identity
+}
+
+// Learn returns the member that becomes a learner, if that is the step.
+func (s Step) Learn() (identity.Identity, bool) { return s.member, s.kind == learn }
+
+// Promote returns the learner that becomes a voter, if that is the step.
+func (s Step) Promote() (identity.Identity, bool) { return s.member, s.kind == promote }
+
+// Remove returns the member that leaves, if that is the step.
+func (s Step) Remove() (identity.Identity, bool) { return s.member, s.kind == remove }
+
+// IsZero reports whether there is nothing to do.
+func (s Step) IsZero() bool { return s.kind == none }
+
+// Next returns the next step for a group as its leader sees it, given the disks of the control hosts that answer.
+func (r *Repair) Next(s standing.Standing, present []identity.Identity) Step {
+	lost := r.lost(s, present)
+	for _, m := range s.Members {
+		if !m.Voter && replaced(m.Identity, present) {
+			return Step{remove, m.Identity}
+		}
+	}
+	if voters(s) > r.Voters && len(lost) > 0 {
+		return Step{remove, lost[0]}
+	}
+	if voters(s) < r.Voters {
+		return r.add(s, present, identity.Identity{})
+	}
+	if len(lost) == 0 || voters(s) > r.Voters {
+		return Step{}
+	}
+	return r.add(s, present, lost[0])
+}
+
+// add brings the best spare one step nearer to its vote.
+func (r *Repair) add(s standing.Standing, present []identity.Identity, lost identity.Identity) Step {
+	l := r.spares(s, present, lost)
+	if len(l) == 0 {
+		return Step{}
+	}
+	best := l[0]
+	for _, m := range s.Members {
+		if m.Identity != best {
+			continue
+		}
+		if m.Lag > r.CaughtUp {
+			return Step{}
+		}
+		return Step{promote, best}
+	}
+	return Step{learn, best}
+}
+
+// lost returns the voters that must be replaced, those with changed disks first.
+func (r *Repair) lost(s standing.Standing, present []identity.Identity) []identity.Identity {
+	var changed, silent []identity.Identity
+	for _, m := range s.Members {
+		switch {
+		case !m.Voter:
+		case r.retires(m.Identity.Host):
+			changed = append(changed, m.Identity)
+		case m.Identity == s.Self:
+		case replaced(m.Identity, present):
+			changed = append(changed, m.Identity)
+		case r.Silence > 0 && m.Silence >= r.Silence && !slices.Contains(present, m.Identity):
+			silent = append(silent, m.Identity)
+		}
+	}
+	return append(changed, silent...)
+}
+
+// spares returns the present disks without a vote, the one that fits the lost voter best first.
+func (r *Repair) spares(s standing.Standing, present []identity.Identity, lost identity.Identity) []identity.Identity {
+	taken := map[string]int{}
+	for _, m := range s.Members {
+		if m.Voter && m.Identity != lost {
+			taken[r.domain(m.Identity.Host)]++
+		}
+	}
+	var l []identity.Identity
+	for _, p := range present {
+		if r.retires(p.Host) {
+			continue
+		}
+		if !slices.ContainsFunc(s.Members, func(m standing.Member) bool { return m.Voter && m.Identity == p }) {
+			l = append(l, p)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b identity.Identity) int {
+		if a.Host == lost.Host || b.Host == lost.Host {
+			return rank(a.Host == lost.Host) - rank(b.Host == lost.Host)
+		}
+		if d := taken[r.domain(a.Host)] - taken[r.domain(b.Host)]; d != 0 {
+			return d
+		}
+		return strings.Compare(a.String(), b.String())
+	})
+	return l
+}
+
+func (r *Repair) retires(host string) bool {
+	return r.Retiring != nil && r.Retiring(host)
+}
+
+func (r *Repair) domain(host string) string {
+	if r.Domain == nil {
+		return ""
+	}
+	return r.Domain(host)
+}
+
+// rank sorts what is preferred first.
+func rank(preferred bool) int {
+	if preferred {
+		return 0
+	}
+	return 1
+}
+
+// replaced reports whether the host of a member shows another disk.
+func replaced(i identity.Identity, present []identity.Identity) bool {
+	return slices.ContainsFunc(present, func(p identity.Identity) bool { return p.Host == i.Host && p.Disk != i.Disk })
+}
+
+func voters(s standing.Standing) int {
+	n := 0
+	for _, m := range s.Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -105,11 +105,13 @@
 }
 
 // Allow reports whether a request may have another attempt after those it had, and spends the budget if so.
-func (r *Retry) Allow(now time.Time, v verdict.Verdict, t route.Route, attempts int) bool {
+//
+// A route's own number of attempts bounds those that may have run.
+func (r *Retry) Allow(now time.Time, v verdict.Verdict, t route.Route, attempts, runs int) bool {
 	if v == verdict.Ran || v == verdict.MayHaveRun && !t.Repeatable {
 		return false
 	}
-	if attempts >= r.Attempts {
+	if attempts >= r.Attempts || t.Attempts > 0 && runs >= t.Attempts {
 		return false
 	}
 	r.mu.Lock()
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -34,7 +34,7 @@
 		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			is := is.New(t)
 			r := retry.NewRetry()
-			is.Equal(r.Allow(start, c.verdict, route.Route{Repeatable: c.repeatable}, c.attempts), c.want)
+			is.Equal(r.Allow(start, c.verdict, route.Route{Repeatable: c.repeatable}, c.attempts, 0), c.want)
 		})
 	}
 }
@@ -59,7 +59,7 @@
 		r.Request(at)
 		r.Observe(outcome.Succeeded)
 		r.Observe(outcome.Succeeded)
-		if r.Allow(at, verdict.NotRun, route.Route{}, 1) {
+		if r.Allow(at, verdict.NotRun, route.Route{}, 1, 0) {
 			allowed++
 		}
 	}
@@ -74,26 +74,26 @@
 		r.Observe(outcome.TimedOut)
 	}
 	is.True(r.Out())
-	is.True(!r.Allow(start, verdict.NotRun, route.Route{}, 1))
+	is.True(!r.Allow(start, verdict.NotRun, route.Route{}, 1, 0))
 	for range 20 {
 		r.Observe(outcome.Succeeded)
 	}
-	is.True(r.Allow(start, verdict.NotRun, route.Route{}, 1))
+	is.True(r.Allow(start, verdict.NotRun, route.Route{}, 1, 0))
 }
 
 func TestPeersTightenTheBudget(t *testing.T) {
 	is := is.New(t)
 	r := retry.NewRetry()
 	r.Peer("b", 100, 200, start)
-	is.True(!r.Allow(start, verdict.NotRun, route.Route{}, 1))
+	is.True(!r.Allow(start, verdict.NotRun, route.Route{}, 1, 0))
 	r.Peer("b", 1000, 50, start)
-	is.True(r.Allow(start, verdict.NotRun, route.Route{}, 1))
+	is.True(r.Allow(start, verdict.NotRun, route.Route{}, 1, 0))
 	requests, repeats := r.Counts(start)
 	is.Equal(requests, 0.0)
 	is.Equal(repeats, 1.0)
 	r.Peer("b", 0, 1000, start)
-	is.True(!r.Allow(start, verdict.NotRun, route.Route{}, 1))
-	is.True(r.Allow(start.Add(time.Minute), verdict.NotRun, route.Route{}, 1)) // an old count is dropped
+	is.True(!r.Allow(start, verdict.NotRun, route.Route{}, 1, 0))
+	is.True(r.Allow(start.Add(time.Minute), verdict.NotRun, route.Route{}, 1, 0)) // an old count is dropped
 }
 
 func BenchmarkAllow(b *testing.B) {
@@ -104,6 +104,6 @@
 		at = at.Add(time.Microsecond)
 		r.Request(at)
 		r.Observe(outcome.Succeeded)
-		r.Allow(at, verdict.NotRun, route.Route{}, 1)
+		r.Allow(at, verdict.NotRun, route.Route{}, 1, 0)
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -48,6 +48,12 @@
 	FailureDomain string
 	// Boot distinguishes the runs of this host and grows with each; zero means the time of the start.
 	Boot uint64
+	// Open takes in hosts that the link did not name at the start.
+	Open bool
+	// Self is what this host tells of itself besides its name, domain and run.
+	Self news.Host
+	// Expiry is the age at which an announcement no longer counts; zero means the usual one.
+	Expiry time.Duration
 	// Seed starts the random choice of peers.
 	Seed uint64
 	// Timer tells the time.
@@ -209,6 +215,9 @@
 	}
 	r.asking = map[string]bool{}
 	r.membership = membership.NewMembership(r.Name, r.FailureDomain, r.Boot, r.Link.Names(), r.Seed)
+	r.membership.Open = r.Open
+	r.membership.Self = r.Self
+	r.membership.Expiry = r.Expiry
 }
 
 // sample publishes the loads and counts that have changed, for readers that take no lock.
--- a/internal/roster/wire.go
+++ b/internal/roster/wire.go
@@ -57,6 +57,9 @@
 			Refutation:    h.Refutation,
 			Dead:          h.Dead,
 			Sequence:      h.Sequence,
+			Label:         h.Label,
+			Control:       h.Control,
+			Ledgers:       h.Ledgers,
 		})
 	}
 	for _, a := range m.Announcements {
@@ -92,6 +95,9 @@
 		Refutation:    h.Refutation,
 		Dead:          h.Dead,
 		Sequence:      h.Sequence,
+		Label:         h.Label,
+		Control:       h.Control,
+		Ledgers:       h.Ledgers,
 	}
 }
 
@@ -111,6 +117,7 @@
 		Fencing:        u.Fencing,
 		Incarnation:    u.Incarnation,
 		Leaving:        u.Leaving,
+		Beat:           u.Beat,
 	}
 }
 
@@ -130,6 +137,7 @@
 			Fencing:       a.Fencing,
 			Incarnation:   a.Incarnation,
 			Leaving:       a.Leaving,
+			Beat:          a.Beat,
 		},
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -13,6 +13,7 @@
 	"siskinrun/internal/completion"
 	"siskinrun/internal/item"
 	"siskinrun/internal/itemanswer"
+	"siskinrun/internal/itemline"
 	"siskinrun/internal/timer"
 	"siskinrun/internal/upstream"
 	"siskinrun/pkg/refusal"
@@ -21,6 +22,8 @@
 
 const (
 	maxAnswerBytes = 4 << 20
+	eventStream    = "text/event-stream"
+	statusRefused  = 400
 	restLeast      = 100 * time.Millisecond
 	restMost       = time.Second
 )
@@ -40,29 +43,26 @@
 	Timer *timer.Service
 }
 
-// line is one line of a job's input.
-type line struct {
-	Method string          `json:"method"`
-	URL    string          `json:"url"`
-	Body   json.RawMessage `json:"body"`
-}
-
 // Run sends an item to the named upstream; the error is a refusal with a true verdict.
 func (r *Runner) Run(ctx context.Context, name string, i item.Item) (itemanswer.Answer, error) {
 	u, ok := r.upstream(name)
 	if !ok {
 		return itemanswer.Answer{}, refusal.NewNotRun(503, "no-upstream", "the upstream has left")
 	}
-	c, err := r.call(i)
-	if err != nil {
-		return itemanswer.Answer{}, err
+	l := itemline.Line{}
+	if err := json.Unmarshal(i.Line, &l); err != nil {
+		return itemanswer.Answer{}, refusal.NewNotRun(400, "bad-item", err.Error())
 	}
+	c := r.call(i, l)
 	a, err := r.Pipe.Batch(ctx, u, c)
 	if err != nil {
 		r.rest(ctx, err)
 		return itemanswer.Answer{}, err
 	}
 	defer func() { _ = a.Body.Close() }()
+	if l.Inline && a.ContentType == eventStream && a.Status < statusRefused {
+		return r.stream(i, a)
+	}
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
 	if err != nil {
 		return itemanswer.Answer{}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
@@ -73,6 +73,15 @@
 	return itemanswer.Answer{Status: a.Status, Body: b}, nil
 }
 
+// stream collects the output of an inline item, and keeps what there is of it when the run ends early.
+func (r *Runner) stream(i item.Item, a *answer.Answer) (itemanswer.Answer, error) {
+	o := newOutput(i)
+	if err := o.read(a.Body); err != nil {
+		return itemanswer.Answer{Next: o.next, Text: o.text}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
+	}
+	return itemanswer.Answer{Status: a.Status, Body: o.text}, nil
+}
+
 // rest waits after a refusal of an item that was not sent, so that it is not tried again at once.
 func (r *Runner) rest(ctx context.Context, err error) {
 	f := refusal.Of(err)
@@ -91,10 +100,9 @@
 }
 
 // call builds the call of an item.
-func (r *Runner) call(i item.Item) (*call.Call, error) {
-	l := line{}
-	if err := json.Unmarshal(i.Line, &l); err != nil {
-		return nil, refusal.NewNotRun(400, "bad-item", err.Error())
+func (r *Runner) call(i item.Item, l itemline.Line) *call.Call {
+	if l.Inline {
+		return r.inline(i, l)
 	}
 	c := &call.Call{
 		ID:      i.Job + "-" + strconv.Itoa(i.Index) + "-" + strconv.FormatUint(i.Fence, 36),
@@ -113,5 +121,24 @@
 		c.Prompt = q.Prompt
 		c.Tokens = q.Tokens
 	}
-	return c, nil
+	return c
+}
+
+// inline builds the call of an item that came with its job, which goes on where its last run ended.
+func (r *Runner) inline(i item.Item, l itemline.Line) *call.Call {
+	c := &call.Call{
+		ID:      l.CustomID,
+		Team:    i.Team,
+		Batch:   true,
+		Stream:  true,
+		Method:  l.Method,
+		Host:    l.Host,
+		Path:    l.URL,
+		Headers: l.Headers,
+		Body:    l.Raw,
+		Offset:  int(i.Next),
+		Arrived: r.Timer.Now(),
+	}
+	c.Record.Team = i.Team
+	return c
 }
--- a/internal/serve/adapters.go
+++ b/internal/serve/adapters.go
@@ -99,6 +99,9 @@
 // Hosts returns the hosts that are alive, this one among them.
 func (f fleet) Hosts() []host.Host {
 	s := f.parts.serveHost
+	if s.Settings.Joining() {
+		return f.parts.drivers()
+	}
 	l := []host.Host{}
 	for n, d := range s.Settings.Domains() {
 		if n == s.Name || f.parts.roster.Alive(n) {
--- /dev/null
+++ b/internal/serve/joining.go
@@ -0,0 +1,117 @@
+package serve
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"siskinrun/internal/host"
+	"siskinrun/internal/link"
+)
+
+// hostsInterval is how often a host that joined through seeds looks who is there.
+const hostsInterval = 500 * time.Millisecond
+
+// join lets the link reach the hosts that no settings list.
+func (p *parts) join(l *link.Link) {
+	s := p.serveHost.Settings
+	if !s.Joining() {
+		return
+	}
+	_, port, err := net.SplitHostPort(p.host.Peers)
+	if err != nil {
+		return // the settings were checked
+	}
+	l.Port = port
+	for _, n := range s.Control() {
+		if _, ok := l.Peers[n]; !ok {
+			l.Peers[n] = net.JoinHostPort(n, port)
+		}
+	}
+}
+
+// controlHosts returns the control hosts that answer, with their failure domains.
+func (p *parts) controlHosts() map[string]string {
+	m := map[string]string{}
+	for _, h := range p.roster.Hosts() {
+		if h.Control && !h.Dead {
+			m[h.Name] = h.FailureDomain
+		}
+	}
+	return m
+}
+
+// ledgerHosts returns the hosts that keep ledgers and answer, with their failure domains.
+func (p *parts) ledgerHosts() map[string]string {
+	m := map[string]string{}
+	for _, h := range p.roster.Hosts() {
+		if h.Ledgers && !h.Dead {
+			m[h.Name] = h.FailureDomain
+		}
+	}
+	return m
+}
+
+// keepers returns the names of the hosts that keep a group, the settings' ones among those of the configuration.
+func (p *parts) keepers(group uint32) []string {
+	if group != configurationGroup {
+		return slices.Sorted(maps.Keys(p.ledgerHosts()))
+	}
+	l := append(p.serveHost.Settings.Control(), slices.Sorted(maps.Keys(p.controlHosts()))...)
+	slices.Sort(l)
+	return slices.Compact(l)
+}
+
+// knownHosts returns the names of all hosts that answer.
+func (p *parts) knownHosts() []string {
+	var l []string
+	for _, h := range p.roster.Hosts() {
+		if !h.Dead {
+			l = append(l, h.Name)
+		}
+	}
+	return l
+}
+
+// drivers returns the hosts that drive batch work: those without a disk, or all if there are no others.
+func (p *parts) drivers() []host.Host {
+	var entry, all []host.Host
+	for _, h := range p.roster.Hosts() {
+		if h.Name != p.serveHost.Name && !p.roster.Alive(h.Name) {
+			continue
+		}
+		d := host.Host{Name: h.Name, FailureDomain: h.FailureDomain}
+		all = append(all, d)
+		if !h.Control && !h.Ledgers {
+			entry = append(entry, d)
+		}
+	}
+	if len(entry) == 0 {
+		return all
+	}
+	return entry
+}
+
+// follow keeps those who need the hosts of the fleet up to date until ctx ends.
+func (p *parts) follow(ctx context.Context) error {
+	for {
+		if err := p.serveHost.timer.Sleep(ctx, hostsInterval); err != nil {
+			return err
+		}
+		domains := map[string]string{}
+		control := p.serveHost.Settings.Control()
+		for _, h := range p.roster.Hosts() {
+			if h.Dead {
+				continue
+			}
+			domains[h.Name] = h.FailureDomain
+			if h.Control {
+				control = append(control, h.Name)
+			}
+		}
+		slices.Sort(control)
+		p.spread.SetHosts(domains, slices.Compact(control))
+	}
+}
--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	mathrand "math/rand/v2"
+	"net"
 	"path/filepath"
 	"strconv"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	"siskinrun/internal/ledger"
 	"siskinrun/internal/link"
 	"siskinrun/internal/machine"
+	"siskinrun/internal/metricspage"
+	"siskinrun/internal/news"
 	"siskinrun/internal/occupancy"
 	"siskinrun/internal/once"
 	"siskinrun/internal/operator"
@@ -44,6 +47,7 @@
 	"siskinrun/internal/proposal"
 	"siskinrun/internal/record"
 	"siskinrun/internal/register"
+	"siskinrun/internal/report"
 	"siskinrun/internal/retry"
 	"siskinrun/internal/rollout"
 	"siskinrun/internal/roster"
@@ -56,7 +60,6 @@
 
 const (
 	idleAge         = 5 * time.Second
-	streamSilence   = 2 * time.Second
 	callTimeout     = time.Minute
 	refreshInterval = 50 * time.Millisecond
 	incarnationSize = 8
@@ -93,6 +96,11 @@
 	caller    *caller.Caller
 	announce  *announce.Announce
 	operator  *operator.Operator
+	// callers, readiness and orders are the listeners of a dialect, nil where the host has no such address.
+	callers   net.Listener
+	readiness net.Listener
+	orders    net.Listener
+	metrics   *metricspage.Page
 	observed  *observations
 }
 
@@ -109,7 +117,11 @@
 		}
 	}
 	p.buildPipe(g)
-	for _, f := range []func() error{p.buildCaller, p.buildAnnounce, p.buildOperator} {
+	doors := []func() error{p.buildCaller, p.buildAnnounce, p.buildOperator, p.buildMetrics}
+	if s.Dialect != nil {
+		doors = []func() error{p.listenAll, p.buildOperator, p.buildMetrics}
+	}
+	for _, f := range doors {
 		if err := f(); err != nil {
 			return nil, err
 		}
@@ -148,6 +160,7 @@
 		Timer:     s.timer,
 		Log:       s.Log,
 	}
+	p.join(p.link)
 	return nil
 }
 
@@ -166,6 +179,9 @@
 func (p *parts) buildState() error {
 	s := p.serveHost
 	p.client = &proposal.Client{Link: p.link, Hosts: s.Settings.Control(), Timer: s.timer}
+	if s.Settings.Joining() {
+		p.client.Known = p.keepers
+	}
 	if d := p.dataFolder(); d != "" {
 		if err := p.buildControl(d); err != nil {
 			return err
@@ -186,6 +202,9 @@
 	}
 	p.spread.Bind()
 	p.identify = &identify.Identify{Spread: p.spread}
+	if s.Dialect != nil {
+		p.identify.Scheme = s.Dialect.Scheme
+	}
 	p.identify.Start()
 	p.directory = &directory.Directory{View: p.spread.View}
 	return nil
@@ -194,10 +213,13 @@
 // buildControl makes the state machines of a control host and the groups that replicate them.
 func (p *parts) buildControl(data string) error {
 	s := p.serveHost
-	p.register = register.NewRegister()
 	p.ledgers = map[uint32]*ledger.Ledger{}
-	m := map[uint32]machine.Machine{0: p.register}
-	for g := uint32(1); g <= p.groups(); g++ {
+	m := map[uint32]machine.Machine{}
+	if p.host.Holds(settings.KeepsConfiguration) {
+		p.register = register.NewRegister()
+		m[configurationGroup] = p.register
+	}
+	for g := uint32(1); g <= p.groups() && p.host.Holds(settings.KeepsLedgers); g++ {
 		f, err := folder.NewFolder(filepath.Join(data, "ledger-"+strconv.Itoa(int(g))))
 		if err != nil {
 			return err
@@ -216,6 +238,9 @@
 		Metrics:  p.child("control"),
 		Seed:     p.seed,
 	}
+	if s.Settings.Joining() {
+		p.joinControl()
+	}
 	p.control.Register()
 	p.client.Control = p.control
 	return nil
@@ -227,6 +252,22 @@
 
 func (p *parts) buildLimits() error {
 	s := p.serveHost
+	p.roster = &roster.Roster{
+		Link:          p.link,
+		Name:          s.Name,
+		FailureDomain: p.host.FailureDomain,
+		Seed:          p.seed,
+		Timer:         s.timer,
+		Log:           s.Log,
+		Metrics:       p.child("roster"),
+		Open:          s.Settings.Joining(),
+		Self: news.Host{
+			Label:   p.host.Label,
+			Control: p.host.Holds(settings.KeepsConfiguration),
+			Ledgers: p.host.Holds(settings.KeepsLedgers),
+		},
+	}
+	p.roster.Register()
 	p.grant = &grant.Grant{
 		Link:          p.link,
 		Client:        groupCalls{p.client},
@@ -239,17 +280,10 @@
 		Log:           s.Log,
 		Metrics:       p.child("grant"),
 	}
-	p.grant.Register()
-	p.roster = &roster.Roster{
-		Link:          p.link,
-		Name:          s.Name,
-		FailureDomain: p.host.FailureDomain,
-		Seed:          p.seed,
-		Timer:         s.timer,
-		Log:           s.Log,
-		Metrics:       p.child("roster"),
+	if s.Settings.Joining() {
+		p.grant.Hosts = p.knownHosts
 	}
-	p.roster.Register()
+	p.grant.Register()
 	p.capacity = &capacity.Capacity{Timer: s.timer, Metrics: s.metrics}
 	return nil
 }
@@ -314,7 +348,7 @@
 func (p *parts) buildPipe(g *group.Group) {
 	s := p.serveHost
 	p.observed = p.observations()
-	x := &exchange.Exchange{Timer: s.timer, IdleAge: idleAge, Silence: streamSilence}
+	x := &exchange.Exchange{Timer: s.timer, IdleAge: idleAge, Silence: s.Settings.Limits.StreamSilence.Duration()}
 	p.pipe = &pipe.Pipe{
 		Identify: &keys{identify: p.identify, group: g},
 		View:     p.spread.View,
@@ -332,9 +366,17 @@
 			Timer:         s.timer,
 		},
 		Account:        &account.Account{Log: s.Log, Metrics: s.metrics, Sinks: []func(record.Record){p.observed.add}},
+		Jobs:           p.batch,
 		Timer:          s.timer,
 		TimeoutDefault: callTimeout,
 	}
+	if s.Dialect != nil {
+		x.Dialect = s.Dialect.Upstreams
+		x.Report = p.reported
+		d := p.pipe.Dispatch.(*dispatch.Dispatch)
+		d.PlainStreams = true
+		d.Cancel = closing{}
+	}
 	p.planner = planner.NewPlanner()
 	p.planner.Lead = func() lead.Lead { return p.lead(0) }
 	p.planner.Upstreams = p.roster.Upstreams
@@ -356,6 +398,21 @@
 	}
 }
 
+// reported takes the load that an upstream told with an answer.
+func (p *parts) reported(r report.Report, at time.Time) {
+	p.choose.Report(r, at)
+	p.yield.Report(r, at)
+}
+
+func (p *parts) buildMetrics() error {
+	if p.host.Metrics == "" {
+		return nil
+	}
+	l, err := p.serveHost.listen(p.host.Metrics)
+	p.metrics = &metricspage.Page{Listener: l, Metrics: p.serveHost.metrics}
+	return err
+}
+
 // refresh takes the counts and reports of the fleet in until ctx ends.
 func (p *parts) refresh(ctx context.Context) error {
 	for {
--- /dev/null
+++ b/internal/serve/retire.go
@@ -0,0 +1,94 @@
+package serve
+
+import (
+	"context"
+	"slices"
+
+	"siskinrun/internal/change"
+	"siskinrun/internal/changeoutcome"
+	"siskinrun/internal/control"
+	"siskinrun/pkg/refusal"
+)
+
+var (
+	unknownKeeper = refusal.NewNotRun(404, "unknown-host", "no host of this name keeps ledgers")
+	tooFew        = refusal.NewNotRun(409, "too-few-hosts", "too few hosts would be left to keep the ledgers")
+)
+
+// retire has a host give up the ledgers that it keeps, if enough others are there.
+func (p *parts) retire(ctx context.Context, label string) error {
+	h, ok := p.keeper(label)
+	if !ok {
+		return unknownKeeper
+	}
+	r := p.register.View().Retiring
+	if r[h] {
+		return nil
+	}
+	left := 0
+	for n := range p.ledgerHosts() {
+		if n != h && !r[n] {
+			left++
+		}
+	}
+	if left < p.voters() {
+		return tooFew
+	}
+	c := &change.Change{ID: "retire-" + h, By: "operator", Kind: change.Retire, Name: h, At: p.serveHost.timer.Now()}
+	b, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	a, err := p.client.Propose(ctx, configurationGroup, b)
+	if err != nil {
+		return err
+	}
+	o, err := changeoutcome.Decode(a)
+	if err != nil {
+		return err
+	}
+	p.serveHost.Log.Info().Str("retiring", h).Str("status", o.Status).Msg("host retires")
+	if o.Status != changeoutcome.Applied {
+		return refusal.NewNotRun(409, o.Status, o.Message)
+	}
+	return nil
+}
+
+// retired reports whether a host that was told to has given up all that it kept.
+func (p *parts) retired(ctx context.Context, label string) (bool, error) {
+	h, ok := p.keeper(label)
+	if !ok {
+		return false, unknownKeeper
+	}
+	if !p.register.View().Retiring[h] {
+		return false, nil
+	}
+	for g := uint32(1); g <= p.groups(); g++ {
+		q, err := control.Members(g)
+		if err != nil {
+			return false, err
+		}
+		b, err := p.client.CallLeader(ctx, g, control.MethodMembers, q)
+		if err != nil {
+			return false, err
+		}
+		l, err := control.MemberHosts(b)
+		if err != nil || slices.Contains(l, h) {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// keeper finds a host that keeps ledgers by its name or label.
+func (p *parts) keeper(label string) (string, bool) {
+	if p.register == nil {
+		return "", false
+	}
+	for _, h := range p.roster.Hosts() {
+		if h.Ledgers && (h.Label == label || h.Name == label) {
+			return h.Name, true
+		}
+	}
+	return "", false
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"siskinrun/internal/dialect"
 	"siskinrun/internal/group"
 	"siskinrun/internal/settings"
 	"siskinrun/internal/timer"
@@ -31,6 +33,8 @@
 	Listeners map[string]net.Listener
 	// Dial, if set, replaces the dialer between hosts.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Dialect, if set, replaces the product's own wire formats.
+	Dialect *dialect.Dialect
 	// Log takes JSON lines.
 	Log zerolog.Logger
 
@@ -44,6 +48,9 @@
 	defer cancel()
 	s.timer = timer.NewService()
 	s.metrics = metrics.NewRegistry()
+	if m := s.Settings.Limits.MemoryBytes; m > 0 {
+		debug.SetMemoryLimit(m)
+	}
 	g := group.NewGroup(base)
 	p, err := s.build(g)
 	if err != nil {
@@ -75,13 +82,26 @@
 	g.Go("link", p.link.Run)
 	if p.control != nil {
 		g.Go("control", p.control.Run)
+	}
+	if p.control != nil && p.serveHost.Dialect == nil {
 		g.Go("planner", p.planner.Run)
 	}
+	if p.serveHost.Settings.Joining() {
+		g.Go("follow", p.follow)
+		g.Go("form-ledgers", p.formLedgers)
+	}
+	if p.metrics != nil {
+		g.Go("metrics", p.metrics.Run)
+	}
 	g.Go("spread", p.spread.Run)
 	g.Go("roster", p.roster.Run)
 	g.Go("grant", p.grant.Run)
 	g.Go("batch", p.batch.Run)
-	g.Go("announce", p.announce.Run)
+	if p.serveHost.Dialect == nil {
+		g.Go("announce", p.announce.Run)
+	} else {
+		g.Go("control-address", p.serveControl)
+	}
 	g.Go("operator", p.operator.Run)
 	g.Go("refresh", p.refresh)
 }
@@ -94,11 +114,14 @@
 	defer stop()
 	g := group.NewGroup(base)
 	g.Go("http", func(base context.Context) error {
-		err := p.caller.Run(w)
+		err := p.answerCallers(w)
 		p.handBack(base)
 		return err
 	})
 	g.Go("drive", func(context.Context) error {
+		if p.serveHost.Dialect != nil && p.callers == nil {
+			return nil
+		}
 		err := p.drive.Run(w)
 		if errors.Is(err, context.Canceled) {
 			return nil
@@ -113,6 +136,14 @@
 	return g.Wait()
 }
 
+// answerCallers serves callers until ctx ends, without cutting a call.
+func (p *parts) answerCallers(ctx context.Context) error {
+	if p.serveHost.Dialect != nil {
+		return p.serveCallers(ctx)
+	}
+	return p.caller.Run(ctx)
+}
+
 // handBack returns unspent units of the teams' rates once nothing more is admitted.
 func (p *parts) handBack(ctx context.Context) {
 	c, cancel := context.WithTimeout(ctx, handBackTimeout)
--- /dev/null
+++ b/internal/service/doc.go
@@ -0,0 +1,2 @@
+// Package service describes what all upstreams of one name have in common.
+package service
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,11 +15,15 @@
 	minFreshnessLease = 3 * time.Second
 	maxFreshnessLease = time.Minute
 	maxDrain          = time.Hour
+	maxRepair         = time.Hour
+	maxLosses         = 3
+	maxHeartbeat      = time.Minute
 	minHeaderBytes    = 1 << 10
 	maxHeaderBytes    = 1 << 20
 	maxBodyBytes      = 1 << 30
 	maxStoredFile     = 1 << 40
 	maxConcurrency    = 1 << 20
+	maxMemory         = 1 << 42
 	maxReadTimeout    = time.Hour
 	maxPort           = 1<<16 - 1
 )
@@ -67,17 +71,57 @@
 		p := "fleet.hosts." + n
 		s.name(f, p, n)
 		s.name(f, p+".failure-domain", h.FailureDomain)
-		s.address(f, p+".callers", h.Callers, addresses)
-		s.address(f, p+".upstreams", h.Upstreams, addresses)
-		s.address(f, p+".operators", h.Operators, addresses)
-		s.address(f, p+".peers", h.Peers, addresses)
+		s.checkAddresses(f, p, h, addresses)
+		for _, k := range h.Keeps {
+			if k != KeepsConfiguration && k != KeepsLedgers {
+				s.add(f, p+".keeps", "%q is neither %s nor %s", k, KeepsConfiguration, KeepsLedgers)
+			}
+		}
 		s.folder(f, p+".data-folder", h.DataFolder, folders)
 	}
-	if len(folders) == 0 {
+	s.checkSeeds(f)
+	if len(folders) == 0 && !s.Joining() {
 		s.add(f, "fleet.hosts", "at least one host needs a data-folder")
 	}
 }
 
+// checkAddresses checks the addresses of one host; in a dialect a host may serve callers or control alone.
+func (s *Settings) checkAddresses(f *fault.List, p string, h Host, seen map[string]string) {
+	for _, a := range []struct {
+		field, address string
+		optional       bool
+	}{
+		{"callers", h.Callers, s.Fleet.Dialect != ""},
+		{"upstreams", h.Upstreams, s.Fleet.Dialect != ""},
+		{"operators", h.Operators, false},
+		{"peers", h.Peers, false},
+		{"readiness", h.Readiness, true},
+		{"control", h.Control, true},
+		{"metrics", h.Metrics, true},
+	} {
+		if a.address != "" || !a.optional {
+			s.address(f, p+"."+a.field, a.address, seen)
+		}
+	}
+}
+
+// checkSeeds checks how hosts find each other that the settings do not list.
+func (s *Settings) checkSeeds(f *fault.List) {
+	for _, a := range s.Fleet.Seeds {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			s.add(f, "fleet.seeds", "%q is not an address with a port, such as 10.1.0.9:7301", a)
+		}
+	}
+	if !s.Joining() {
+		return
+	}
+	for n, h := range s.Fleet.Hosts {
+		if ip, _, err := net.SplitHostPort(h.Peers); err == nil && ip != n {
+			s.add(f, "fleet.hosts."+n, "must be named by its peers' address, %s, where there are seeds", ip)
+		}
+	}
+}
+
 func (s *Settings) address(f *fault.List, field, a string, seen map[string]string) {
 	if a == "" {
 		s.add(f, field, "is missing")
@@ -114,13 +158,17 @@
 		{"fleet.upstream-secret-file", s.Fleet.UpstreamSecretFile},
 		{"fleet.operator-secret-file", s.Fleet.OperatorSecretFile},
 	} {
-		if e.path == "" {
+		if e.path == "" && !s.Fleet.TrustedNetwork {
 			s.add(f, e.field, "is missing")
 		}
 	}
 	s.bound(f, "fleet.ledger-groups", int64(s.Fleet.LedgerGroups), 1, maxLedgerGroups)
 	s.span(f, "fleet.freshness-lease", s.Fleet.FreshnessLease.Duration(), minFreshnessLease, maxFreshnessLease)
+	s.bound(f, "fleet.losses", int64(s.Fleet.Losses), 0, maxLosses)
 	s.span(f, "fleet.drain", s.Fleet.Drain.Duration(), 0, maxDrain)
+	s.span(f, "fleet.repair", s.Fleet.Repair.Duration(), 0, maxRepair)
+	s.span(f, "fleet.heartbeat", s.Fleet.Heartbeat.Duration(), 0, maxHeartbeat)
+	s.span(f, "fleet.stop-timeout", s.Fleet.StopTimeout.Duration(), 0, maxDrain)
 	s.weight(f, "fleet.weights.batch-throughput", s.Fleet.Weights.BatchThroughput)
 	s.weight(f, "fleet.weights.online-tail", s.Fleet.Weights.OnlineTail)
 	s.weight(f, "fleet.weights.worst-team", s.Fleet.Weights.WorstTeam)
@@ -148,7 +196,9 @@
 	s.bound(f, "limits.header-bytes", int64(l.HeaderBytes), minHeaderBytes, maxHeaderBytes)
 	s.bound(f, "limits.body-bytes", int64(l.BodyBytes), 1, maxBodyBytes)
 	s.bound(f, "limits.file-bytes", l.FileBytes, 1, maxStoredFile)
+	s.bound(f, "limits.memory-bytes", l.MemoryBytes, 0, maxMemory)
 	s.bound(f, "limits.concurrency", int64(l.Concurrency), 1, maxConcurrency)
+	s.span(f, "limits.stream-silence", l.StreamSilence.Duration(), time.Millisecond, maxReadTimeout)
 	s.span(f, "limits.read-timeout", l.ReadTimeout.Duration(), time.Millisecond, maxReadTimeout)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -30,6 +31,7 @@
 	defaultFileBytes      = 256 << 20
 	defaultConcurrency    = 4096
 	defaultReadTimeout    = 30 * time.Second
+	defaultStreamSilence  = 2 * time.Second
 )
 
 // Settings are the facts of a fleet and the configuration to start from.
@@ -60,8 +62,27 @@
 
 // Fleet describes the hosts and what they share.
 type Fleet struct {
-	// Hosts are the hosts by name.
+	// Hosts are the hosts by name; where there are seeds, this host alone.
 	Hosts map[string]Host `json:"hosts"`
+	// Seeds are addresses of control hosts through which a host joins a fleet that no settings list.
+	//
+	// Hosts of such a fleet are named by the IP address of their peers' address and share its port;
+	// the ports of the seeds do not matter.
+	Seeds []string `json:"seeds,omitempty"`
+	// Forming says that the control hosts among the seeds may form the replica groups, as at the first start.
+	Forming bool `json:"forming,omitempty"`
+	// TrustedNetwork does without the shared secrets, where nobody else can reach the hosts' addresses.
+	TrustedNetwork bool `json:"trusted-network,omitempty"`
+	// Dialect names the wire formats of callers, upstreams and operators, empty for the product's own.
+	Dialect string `json:"dialect,omitempty"`
+	// Losses is the number of disks that may be lost at once, 0 for as many as the first control hosts bear.
+	Losses int `json:"losses,omitempty"`
+	// Repair is how long a voter may be silent before a spare control host takes its place, 0s for never.
+	Repair span.Span `json:"repair,omitempty"`
+	// Heartbeat is how often upstreams announce themselves, 0s if unknown.
+	Heartbeat span.Span `json:"heartbeat,omitempty"`
+	// StopTimeout bounds how long a stopping host goes on, 0s for as long as calls take.
+	StopTimeout span.Span `json:"stop-timeout,omitempty"`
 	// PeerSecretFile holds the secret that hosts prove to each other.
 	PeerSecretFile string `json:"peer-secret-file"`
 	// UpstreamSecretFile holds the secret that upstreams show.
@@ -90,10 +111,20 @@
 	Upstreams string `json:"upstreams"`
 	// Operators is the address that takes requests of operators.
 	Operators string `json:"operators"`
+	// Readiness is an address of its own for the balancer's question, or empty.
+	Readiness string `json:"readiness,omitempty"`
+	// Control is the address that takes heartbeats and orders in a dialect, or empty.
+	Control string `json:"control,omitempty"`
+	// Metrics is an address that shows the metrics as text, or empty.
+	Metrics string `json:"metrics,omitempty"`
 	// Peers is the address that takes sessions of other hosts.
 	Peers string `json:"peers"`
 	// DataFolder is where a control host keeps the replicated state, or empty.
 	DataFolder string `json:"data-folder,omitempty"`
+	// Keeps names the state that a control host keeps, "configuration" or "ledgers"; empty means both.
+	Keeps []string `json:"keeps,omitempty"`
+	// Label is another name under which operators know the host, or empty.
+	Label string `json:"label,omitempty"`
 }
 
 // TLS holds the certificates of each side, of which any may be absent.
@@ -142,6 +173,10 @@
 	Concurrency int `json:"concurrency"`
 	// ReadTimeout is the longest that a caller may take to send a request.
 	ReadTimeout span.Span `json:"read-timeout"`
+	// StreamSilence is the longest wait for the next byte of an answer that has begun.
+	StreamSilence span.Span `json:"stream-silence"`
+	// MemoryBytes is the memory that the process aims to stay under, 0 for no aim.
+	MemoryBytes int64 `json:"memory-bytes,omitempty"`
 }
 
 // Load reads a base file and, unless its name is empty, the overlay of a site.
@@ -165,8 +200,28 @@
 	return s, f.Err()
 }
 
-// ReadSecrets reads the shared secrets from their files.
+const (
+	// KeepsConfiguration names the replicated configuration among what a host keeps.
+	KeepsConfiguration = "configuration"
+	// KeepsLedgers names the batch ledgers among what a host keeps.
+	KeepsLedgers = "ledgers"
+)
+
+// Holds reports whether the host keeps a kind of state.
+func (h Host) Holds(kind string) bool {
+	return h.DataFolder != "" && (len(h.Keeps) == 0 || slices.Contains(h.Keeps, kind))
+}
+
+// Joining reports whether the hosts find each other through seeds.
+func (s *Settings) Joining() bool {
+	return len(s.Fleet.Seeds) > 0
+}
+
+// ReadSecrets reads the shared secrets from their files; a trusted network has none.
 func (s *Settings) ReadSecrets() error {
+	if s.Fleet.TrustedNetwork {
+		return nil
+	}
 	f := &fault.List{}
 	for _, e := range []struct {
 		field string
@@ -209,9 +264,18 @@
 	return json.MarshalIndent(s, "", "  ")
 }
 
-// Control returns the sorted names of the hosts that keep the replicated state.
+// Control returns the sorted names of the hosts that keep the replicated state, as far as settings tell.
 func (s *Settings) Control() []string {
 	var n []string
+	if s.Joining() {
+		for _, a := range s.Fleet.Seeds {
+			if h, _, err := net.SplitHostPort(a); err == nil {
+				n = append(n, h)
+			}
+		}
+		slices.Sort(n)
+		return slices.Compact(n)
+	}
 	for h, v := range s.Fleet.Hosts {
 		if v.DataFolder != "" {
 			n = append(n, h)
@@ -262,6 +326,8 @@
 			FileBytes:   defaultFileBytes,
 			Concurrency: defaultConcurrency,
 			ReadTimeout: span.Span(defaultReadTimeout),
+
+			StreamSilence: span.Span(defaultStreamSilence),
 		},
 		Teams:  map[string]team.Team{},
 		Routes: map[string]route.Route{},
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -23,11 +23,17 @@
 // NewSource returns the ranking for a host, given the failure domain of each host and the control hosts.
 func NewSource(name string, domains map[string]string, control []string) *Source {
 	s := &Source{until: map[string]time.Time{}}
+	s.Set(name, domains, control)
+	return s
+}
+
+// Set ranks the peers anew and keeps what is known of those that did not help.
+func (s *Source) Set(name string, domains map[string]string, control []string) {
+	s.relays = nil
 	if !slices.Contains(control, name) {
 		s.relays = relays(name, domains, control)
 	}
 	s.control = sortedControl(name, domains, control)
-	return s
 }
 
 // Next returns the peers to ask now, in order.
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,6 +126,16 @@
 	f(s.published.Load())
 }
 
+// SetHosts replaces the hosts that the settings did not name, as they come and go.
+func (s *Spread) SetHosts(domains map[string]string, control []string) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Domains = domains
+	s.Control = control
+	s.source.Set(s.Name, domains, control)
+}
+
 // Run keeps the configuration fresh until ctx ends.
 func (s *Spread) Run(ctx context.Context) error {
 	s.init()
@@ -270,5 +279,5 @@
 
 // isControl reports whether the own replica confirms freshness by itself.
 func (s *Spread) isControl() bool {
-	return s.Register != nil && slices.Contains(s.Control, s.Name)
+	return s.Register != nil
 }
--- a/internal/spread/standing.go
+++ b/internal/spread/standing.go
@@ -22,8 +22,11 @@
 
 // Hosts asks every host how it stands and returns the answers in order of the hosts' names.
 func (s *Spread) Hosts(ctx context.Context) []status.Status {
+	s.mu.Lock()
+	domains, control := s.Domains, s.Control
+	s.mu.Unlock()
 	var names []string
-	for n := range s.Domains {
+	for n := range domains {
 		names = append(names, n)
 	}
 	slices.Sort(names)
@@ -32,7 +35,11 @@
 	for w := range min(statusWorkers, len(names)) {
 		g.Go("status", func(ctx context.Context) error {
 			for i := w; i < len(names); i += statusWorkers {
-				l[i] = s.host(ctx, names[i])
+				l[i] = s.host(ctx, status.Status{
+					Host:          names[i],
+					FailureDomain: domains[names[i]],
+					Control:       slices.Contains(control, names[i]),
+				})
 			}
 			return nil
 		})
@@ -42,15 +49,10 @@
 }
 
 // host asks one host how it stands.
-func (s *Spread) host(ctx context.Context, name string) status.Status {
+func (s *Spread) host(ctx context.Context, t status.Status) status.Status {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	t := status.Status{
-		Host:          name,
-		FailureDomain: s.Domains[name],
-		Control:       slices.Contains(s.Control, name),
-	}
-	b, err := s.Link.Call(ctx, name, methodStatus, nil)
+	b, err := s.Link.Call(ctx, t.Host, methodStatus, nil)
 	if err != nil {
 		return t
 	}
--- a/internal/timer/service.go
+++ b/internal/timer/service.go
@@ -10,6 +10,7 @@
 // Service tells the time and runs subscriptions, on the machine's clock or by hand.
 type Service struct {
 	mu     sync.Mutex
+	steady *steady
 	manual bool
 	now    time.Time
 	seq    uint64
@@ -17,9 +18,9 @@
 	wake   chan struct{}
 }
 
-// NewService returns a service on the machine's monotonic clock.
+// NewService returns a service on the machine's clock, which no step moves and which counts suspended time.
 func NewService() *Service {
-	return &Service{wake: make(chan struct{}, 1)}
+	return &Service{steady: newSteady(), wake: make(chan struct{}, 1)}
 }
 
 // NewManual returns a service whose time moves only by Advance.
@@ -30,13 +31,18 @@
 // Now returns the current time.
 func (s *Service) Now() time.Time {
 	if !s.manual {
-		return time.Now()
+		return s.steady.now()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.now
 }
 
+// Deadline returns a time of this service as the standard library's clock tells it, for deadlines of connections.
+func (s *Service) Deadline(t time.Time) time.Time {
+	return time.Now().Add(t.Sub(s.Now()))
+}
+
 // After calls f once when d has passed and returns a function that cancels it.
 func (s *Service) After(d time.Duration, f func(now time.Time)) (cancel func()) {
 	return s.add(d, 0, f)
@@ -65,7 +71,7 @@
 	t := time.NewTimer(time.Hour)
 	defer t.Stop()
 	for {
-		d := s.fire(time.Now())
+		d := s.fire(s.Now())
 		t.Reset(d)
 		select {
 		case <-ctx.Done():
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -31,6 +31,8 @@
 	Fencing bool `json:"fencing,omitempty"`
 	// Incarnation grows each time the upstream restarts.
 	Incarnation uint64 `json:"incarnation"`
+	// Beat numbers the announcements of an incarnation, so that a late one is known, or is zero.
+	Beat uint64 `json:"beat,omitempty"`
 	// Leaving says that the upstream takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// Age is the time since the upstream sent the announcement.
