--- a/internal/pipe/identify.go
+++ b/internal/pipe/identify.go
@@ -19,6 +19,9 @@
 	c.Team = k.Team
 	c.KeyID = k.ID
 	c.Record.Team = k.Team
+	if p.FinishWithdrawn {
+		return nil
+	}
 	t.onEnd(p.Identify.Watch(k, func() {
 		t.cancel(withdrawn)
 	}))
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -64,6 +64,8 @@
 type Pipe struct {
 	// Identify finds the team of a credential.
 	Identify identifier
+	// FinishWithdrawn lets the calls that run when their key is withdrawn come to their end.
+	FinishWithdrawn bool
 	// View returns the configuration in force.
 	View func() *configuration.Configuration
 	// Rollout moves routes to new versions once engines hold them.
--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -352,10 +352,13 @@
 	p.pipe = &pipe.Pipe{
 		Identify: &keys{identify: p.identify, group: g},
 		View:     p.spread.View,
-		Rollout:  p.rollout,
-		Admit:    &admit.Admit{Grants: p.grant, Metrics: p.child("admit")},
-		Queue:    p.capacity,
-		Keeper:   &once.Once{Store: p.batch},
+
+		FinishWithdrawn: s.Settings.Fleet.FinishWithdrawn,
+
+		Rollout: p.rollout,
+		Admit:   &admit.Admit{Grants: p.grant, Metrics: p.child("admit")},
+		Queue:   p.capacity,
+		Keeper:  &once.Once{Store: p.batch},
 		Dispatch: &dispatch.Dispatch{
 			FailureDomain: p.host.FailureDomain,
 			Choose:        p.choose,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,8 @@
 	Dialect string `json:"dialect,omitempty"`
 	// Losses is the number of disks that may be lost at once, 0 for as many as the first control hosts bear.
 	Losses int `json:"losses,omitempty"`
+	// FinishWithdrawn lets the calls that run when their key is withdrawn come to their end.
+	FinishWithdrawn bool `json:"finish-withdrawn,omitempty"`
 	// Repair is how long a voter may be silent before a spare control host takes its place, 0s for never.
 	Repair span.Span `json:"repair,omitempty"`
 	// Heartbeat is how often upstreams announce themselves, 0s if unknown.
