Keep batch and rates going over a change of leader

Change: a holder keeps its claim under a new leader; a leader that steps down ends what waits; rates use a part of the overrun that the platform allows; connects time out early.

--- a/internal/batch/ask.go
+++ b/internal/batch/ask.go
@@ -39,9 +39,9 @@
 	return a, nil
 }
 
-// Claim leases a name to a holder, and returns the fencing number of term and sequence.
-func (b *Batch) Claim(ctx context.Context, name, holder string, length time.Duration) (term, sequence uint64, err error) {
-	c := &entry.Claim{Group: b.GroupOf(name), Name: name, Holder: holder, LengthNanoseconds: int64(length)}
+// Claim leases a name to a holder, and returns the fencing number of term and sequence; held says that the holder has it now.
+func (b *Batch) Claim(ctx context.Context, name, holder string, length time.Duration, held bool) (term, sequence uint64, err error) {
+	c := &entry.Claim{Group: b.GroupOf(name), Name: name, Holder: holder, LengthNanoseconds: int64(length), Held: held}
 	a := &entry.Claimed{}
 	err = b.claim(ctx, c, a)
 	return a.Term, a.Sequence, err
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -127,7 +127,7 @@
 		t.Release(c.Name, c.Holder)
 		return nil, nil
 	}
-	term, seq, err := t.Grant(n, c.Name, c.Holder, time.Duration(c.LengthNanoseconds))
+	term, seq, err := t.Grant(n, c.Name, c.Holder, time.Duration(c.LengthNanoseconds), c.Held)
 	if err != nil {
 		return nil, refusal.NewNotRun(409, "claim-refused", err.Error())
 	}
--- a/internal/control/unit.go
+++ b/internal/control/unit.go
@@ -53,6 +53,7 @@
 	awaits  []await
 
 	// These belong to the goroutine of the replica.
+	led     bool
 	backlog []logentry.Entry
 	compact uint64
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -23,6 +23,10 @@
 	l.Leading = r.Leading() && now.Before(l.Until) && u.reached() >= r.Began()
 	old := u.view.Load().lead
 	u.publish(l)
+	if u.led && !r.Leading() {
+		u.abandon()
+	}
+	u.led = r.Leading()
 	if old.Leading == l.Leading && old.Leader == l.Leader && old.Term == l.Term {
 		return
 	}
--- a/internal/control/wait.go
+++ b/internal/control/wait.go
@@ -109,6 +109,16 @@
 	u.release()
 }
 
+// abandon ends the wait for proposals of a leader that lost its place, as another leader may never commit them.
+func (u *unit) abandon() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, w := range u.waiters {
+		delete(u.waiters, i)
+		w.done <- answer{err: unknown("this host no longer leads the group")}
+	}
+}
+
 // skip tells that a snapshot up to index replaced the machine.
 func (u *unit) skip(index uint64) {
 	u.mu.Lock()
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -48,7 +48,7 @@
 type ledgers interface {
 	Command(ctx context.Context, group uint32, c *entry.Command) (*entry.Answer, error)
 	Backlog(ctx context.Context, group uint32) ([]string, error)
-	Claim(ctx context.Context, name, holder string, length time.Duration) (term, sequence uint64, err error)
+	Claim(ctx context.Context, name, holder string, length time.Duration, held bool) (term, sequence uint64, err error)
 	Unclaim(ctx context.Context, name, holder string) error
 }
 
--- a/internal/drive/exchange.go
+++ b/internal/drive/exchange.go
@@ -235,7 +235,10 @@
 
 func (d *Drive) claimOne(ctx context.Context, u upstream.Upstream) {
 	sent := d.Timer.Now()
-	_, _, err := d.Ledgers.Claim(ctx, claimPrefix+u.Name, d.holder(), claimLength)
+	d.mu.Lock()
+	held := sent.Before(d.claims[u.Name])
+	d.mu.Unlock()
+	_, _, err := d.Ledgers.Claim(ctx, claimPrefix+u.Name, d.holder(), claimLength, held)
 	if err != nil {
 		return
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -21,6 +21,7 @@
 )
 
 const (
+	// dialTimeout is the usual longest wait for a connection.
 	dialTimeout    = time.Second
 	maxIdle        = 64
 	readBufferSize = 16 << 10
@@ -42,6 +43,8 @@
 	Dialect dialect
 	// Report, if set, takes the loads that upstreams tell with their answers.
 	Report func(r report.Report, at time.Time)
+	// ConnectTimeout is the longest wait for a connection, zero for the usual one.
+	ConnectTimeout time.Duration
 	// Silence is the longest wait for the next byte of an answer that has begun.
 	Silence time.Duration
 	// Dial, if set, replaces the dialer of the standard library.
--- a/internal/exchange/idle.go
+++ b/internal/exchange/idle.go
@@ -14,7 +14,11 @@
 			return k, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	d := e.ConnectTimeout
+	if d == 0 {
+		d = dialTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	c, err := e.dial(ctx, address)
 	if err != nil {
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -15,6 +15,7 @@
 	"siskinrun/internal/group"
 	"siskinrun/internal/lead"
 	"siskinrun/internal/link"
+	"siskinrun/internal/team"
 	"siskinrun/internal/timer"
 )
 
@@ -46,6 +47,10 @@
 	Boot uint64
 	// Hosts, if set, returns the hosts that are known now, in place of the names of the link.
 	Hosts func() []string
+	// Overrun is the share by which teams may pass their rate and burst.
+	Overrun float64
+	// Slack is the number of units that teams may pass their burst by besides.
+	Slack int64
 	// Groups is the number of groups that own teams.
 	Groups int
 	// Timer tells the time.
@@ -176,6 +181,11 @@
 	})
 }
 
+// limits returns the rate and burst by which a team's bucket grants.
+func (g *Grant) limits(t team.Team) (units, burst int64) {
+	return int64(float64(t.Rate) * (1 + g.Overrun)), int64(float64(t.Burst)*(1+g.Overrun)) + g.Slack
+}
+
 // hosts returns the names of all hosts, this one among them.
 func (g *Grant) hosts() []string {
 	names := g.Link.Names
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -193,7 +193,7 @@
 				o.adopt(now, 1, h, &refill.Fenced{})
 			}
 			o.open(now, 1)
-			o.configure(now, &configuration.Configuration{Teams: map[string]team.Team{"kea": {Rate: 1000, Burst: 1000}}}, 1)
+			o.configure(now, &configuration.Configuration{Teams: map[string]team.Team{"kea": {Rate: 1000, Burst: 1000}}}, &Grant{Groups: 1})
 			q := ask.Ask{Team: "kea", Host: "h3", Sequence: 1, Need: 1}
 			if c.wait > 0 {
 				is.Equal(o.take(now.Add(c.wait), q).Units, int64(0))
--- a/internal/grant/owner.go
+++ b/internal/grant/owner.go
@@ -128,7 +128,7 @@
 		g.Log.Info().Uint64("group", o.group).Uint64("term", o.term).Msg("owns the rates of a group")
 	}
 	if c := g.Configuration.View(); o.opened && c != o.configuration && c != nil {
-		o.configure(now, c, g.Groups)
+		o.configure(now, c, g)
 	}
 	if o.opened && now.Sub(o.pruned) > pruneInterval {
 		if err := o.prune(now); err != nil {
@@ -139,7 +139,7 @@
 }
 
 // configure puts the rates of a configuration in force.
-func (o *owner) configure(now time.Time, c *configuration.Configuration, groups int) {
+func (o *owner) configure(now time.Time, c *configuration.Configuration, g *Grant) {
 	o.configuration = c
 	for n, b := range o.buckets {
 		if _, ok := c.Teams[n]; !ok {
@@ -147,17 +147,18 @@
 		}
 	}
 	for n, t := range c.Teams {
-		if Owner(n, groups) != o.group {
+		if Owner(n, g.Groups) != o.group {
 			continue
 		}
+		units, burst := g.limits(t)
 		if b := o.buckets[n]; b != nil {
-			b.Limit(now, t.Rate, t.Burst)
+			b.Limit(now, units, burst)
 			continue
 		}
-		b := rate.NewBucket(o.term, t.Rate, t.Burst, o.start)
+		b := rate.NewBucket(o.term, units, burst, o.start)
 		b.Life = Life
 		b.NeedLife = NeedLife
-		o.inherit(n, t.Burst, b)
+		o.inherit(n, burst, b)
 		o.buckets[n] = b
 	}
 }
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -52,14 +52,17 @@
 }
 
 // Grant gives or renews the lease on name and returns its fencing number of term and sequence.
-func (t *Table) Grant(now time.Time, name, holder string, length time.Duration) (term, sequence uint64, err error) {
+//
+// While leases of a former leader may still run, only their holders get theirs anew: held says that the
+// asker has the lease at this moment, which no two can say.
+func (t *Table) Grant(now time.Time, name, holder string, length time.Duration, held bool) (term, sequence uint64, err error) {
 	if length > t.Longest {
 		return 0, 0, ErrTooLong
 	}
-	if now.Before(t.since.Add(t.Longest + t.Drift)) {
+	g, ok := t.grants[name]
+	if now.Before(t.since.Add(t.Longest+t.Drift)) && !held && !ok {
 		return 0, 0, ErrWaiting
 	}
-	g, ok := t.grants[name]
 	live := ok && now.Before(g.until)
 	if live && g.holder != holder {
 		return 0, 0, ErrHeld
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -47,6 +47,8 @@
 	ClientTLS *tls.Config
 	// ServerTLS, if set, secures the sessions that peers open.
 	ServerTLS *tls.Config
+	// ConnectTimeout is the longest wait for a session, zero for the usual one.
+	ConnectTimeout time.Duration
 	// Dial, if set, replaces the dialer of the standard library.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Timer tells the time.
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -42,7 +42,11 @@
 	if !ok {
 		return nil, errors.Newf("no host is named %s", to)
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	d := l.ConnectTimeout
+	if d == 0 {
+		d = dialTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	c, err := l.dial(ctx, a)
 	if err != nil {
--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -157,8 +157,11 @@
 		ServerTLS: server,
 		ClientTLS: client,
 		Dial:      s.Dial,
-		Timer:     s.timer,
-		Log:       s.Log,
+
+		ConnectTimeout: s.Settings.Limits.ConnectTimeout.Duration(),
+
+		Timer: s.timer,
+		Log:   s.Log,
 	}
 	p.join(p.link)
 	return nil
@@ -275,6 +278,8 @@
 		Name:          s.Name,
 		Boot:          uint64(s.timer.Now().UnixNano()),
 		Groups:        int(p.groups()),
+		Overrun:       s.Settings.Fleet.RateOverrun,
+		Slack:         s.Settings.Fleet.RateSlack,
 		Timer:         s.timer,
 		Configuration: p.spread,
 		Log:           s.Log,
@@ -348,7 +353,13 @@
 func (p *parts) buildPipe(g *group.Group) {
 	s := p.serveHost
 	p.observed = p.observations()
-	x := &exchange.Exchange{Timer: s.timer, IdleAge: idleAge, Silence: s.Settings.Limits.StreamSilence.Duration()}
+	m := s.Settings.Limits
+	x := &exchange.Exchange{
+		Timer:          s.timer,
+		IdleAge:        idleAge,
+		Silence:        m.StreamSilence.Duration(),
+		ConnectTimeout: m.ConnectTimeout.Duration(),
+	}
 	p.pipe = &pipe.Pipe{
 		Identify: &keys{identify: p.identify, group: g},
 		View:     p.spread.View,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -17,6 +17,7 @@
 	maxDrain          = time.Hour
 	maxRepair         = time.Hour
 	maxLosses         = 3
+	maxSlack          = 1 << 20
 	maxHeartbeat      = time.Minute
 	minHeaderBytes    = 1 << 10
 	maxHeaderBytes    = 1 << 20
@@ -169,6 +170,8 @@
 	s.span(f, "fleet.repair", s.Fleet.Repair.Duration(), 0, maxRepair)
 	s.span(f, "fleet.heartbeat", s.Fleet.Heartbeat.Duration(), 0, maxHeartbeat)
 	s.span(f, "fleet.stop-timeout", s.Fleet.StopTimeout.Duration(), 0, maxDrain)
+	s.weight(f, "fleet.rate-overrun", s.Fleet.RateOverrun)
+	s.bound(f, "fleet.rate-slack", s.Fleet.RateSlack, 0, maxSlack)
 	s.weight(f, "fleet.weights.batch-throughput", s.Fleet.Weights.BatchThroughput)
 	s.weight(f, "fleet.weights.online-tail", s.Fleet.Weights.OnlineTail)
 	s.weight(f, "fleet.weights.worst-team", s.Fleet.Weights.WorstTeam)
@@ -198,6 +201,7 @@
 	s.bound(f, "limits.file-bytes", l.FileBytes, 1, maxStoredFile)
 	s.bound(f, "limits.memory-bytes", l.MemoryBytes, 0, maxMemory)
 	s.bound(f, "limits.concurrency", int64(l.Concurrency), 1, maxConcurrency)
+	s.span(f, "limits.connect-timeout", l.ConnectTimeout.Duration(), time.Millisecond, maxReadTimeout)
 	s.span(f, "limits.stream-silence", l.StreamSilence.Duration(), time.Millisecond, maxReadTimeout)
 	s.span(f, "limits.read-timeout", l.ReadTimeout.Duration(), time.Millisecond, maxReadTimeout)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	defaultConcurrency    = 4096
 	defaultReadTimeout    = 30 * time.Second
 	defaultStreamSilence  = 2 * time.Second
+	defaultConnectTimeout = time.Second
 )
 
 // Settings are the facts of a fleet and the configuration to start from.
@@ -79,6 +80,10 @@
 	Losses int `json:"losses,omitempty"`
 	// FinishWithdrawn lets the calls that run when their key is withdrawn come to their end.
 	FinishWithdrawn bool `json:"finish-withdrawn,omitempty"`
+	// RateOverrun is the share by which teams may pass their rate and burst.
+	RateOverrun float64 `json:"rate-overrun,omitempty"`
+	// RateSlack is the number of units that teams may pass their burst by besides.
+	RateSlack int64 `json:"rate-slack,omitempty"`
 	// Repair is how long a voter may be silent before a spare control host takes its place, 0s for never.
 	Repair span.Span `json:"repair,omitempty"`
 	// Heartbeat is how often upstreams announce themselves, 0s if unknown.
@@ -175,6 +180,8 @@
 	Concurrency int `json:"concurrency"`
 	// ReadTimeout is the longest that a caller may take to send a request.
 	ReadTimeout span.Span `json:"read-timeout"`
+	// ConnectTimeout is the longest wait for a connection to an upstream or another host.
+	ConnectTimeout span.Span `json:"connect-timeout"`
 	// StreamSilence is the longest wait for the next byte of an answer that has begun.
 	StreamSilence span.Span `json:"stream-silence"`
 	// MemoryBytes is the memory that the process aims to stay under, 0 for no aim.
@@ -329,7 +336,8 @@
 			Concurrency: defaultConcurrency,
 			ReadTimeout: span.Span(defaultReadTimeout),
 
-			StreamSilence: span.Span(defaultStreamSilence),
+			ConnectTimeout: span.Span(defaultConnectTimeout),
+			StreamSilence:  span.Span(defaultStreamSilence),
 		},
 		Teams:  map[string]team.Team{},
 		Routes: map[string]route.Route{},
