Leave unreachable upstreams alone, and put the overrun into bursts

Change: an upstream to which no connection came about gets no work until one does; what earlier owners can have granted is bounded by one stock; the overrun that teams are allowed lets hosts hold units for longer than a change of owner takes.

--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -194,6 +194,24 @@
 	return 0
 }
 
+// Unreachable returns the upstreams to which no connection came about; they get no work until Reached is called.
+func (c *Choose) Unreachable() []upstream.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var l []upstream.Upstream
+	for _, n := range c.Eject.Unreachable() {
+		l = append(l, c.members[n].upstream)
+	}
+	return l
+}
+
+// Reached notes that a connection to an upstream came about.
+func (c *Choose) Reached(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Eject.Reached(name)
+}
+
 // see keeps the latest time that any call told.
 func (c *Choose) see(now time.Time) {
 	if now.After(c.latest) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -18,6 +18,8 @@
 	// settledBytes is the length up to which a body is read before it is passed on.
 	settledBytes = 1 << 20
 	statusCut    = 502
+	// codeUnreachable is the code of an attempt for which no connection came about.
+	codeUnreachable = "upstream-unreachable"
 )
 
 // attempt is one sending of a call to one upstream.
@@ -65,6 +67,8 @@
 		return outcome.Succeeded
 	case ctx.Err() != nil:
 		return outcome.Cancelled
+	case refusal.Of(err).Code == codeUnreachable:
+		return outcome.Unreachable
 	case refusal.Of(err).Code == "upstream-timeout":
 		return outcome.TimedOut
 	default:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,11 @@
 	"siskinrun/pkg/verdict"
 )
 
-const retryAfter = time.Second
+const (
+	retryAfter = time.Second
+	// mostConnects is how many upstreams a call may find unreachable, which costs these nothing.
+	mostConnects = 6
+)
 
 // chooser picks upstreams and learns how the calls on them ended.
 type chooser interface {
@@ -142,6 +146,9 @@
 			s.runs++
 		}
 		s.demand.Tried = append(s.demand.Tried, u.Name)
+		if ctx.Err() == nil && f.Code == codeUnreachable && n < mostConnects {
+			continue
+		}
 		if ctx.Err() != nil || !d.Retry.Allow(d.Timer.Now(), f.Verdict, s.call.Rule, n, s.runs) {
 			return nil, nil, last
 		}
--- a/internal/eject/eject.go
+++ b/internal/eject/eject.go
@@ -43,11 +43,13 @@
 	latency  float64
 	heard    time.Time
 	ejected  bool
-	slow     bool
-	until    time.Time
-	hold     time.Duration
-	proven   int
-	probed   time.Time
+	// unreachable says that no connection came about since the last sign of life.
+	unreachable bool
+	slow        bool
+	until       time.Time
+	hold        time.Duration
+	proven      int
+	probed      time.Time
 }
 
 type service struct {
@@ -138,6 +140,11 @@
 	if o == outcome.Cancelled {
 		return
 	}
+	if o == outcome.Unreachable {
+		m.unreachable = true
+		return
+	}
+	m.unreachable = false
 	if o == outcome.Succeeded {
 		e.succeed(m, latency, at)
 		return
@@ -157,7 +164,26 @@
 // Allowed reports whether an upstream may get work like any other.
 func (e *Eject) Allowed(name string) bool {
 	m, ok := e.members[name]
-	return ok && (!m.ejected || m.group.doubted)
+	return ok && !m.unreachable && (!m.ejected || m.group.doubted)
+}
+
+// Unreachable returns the upstreams to which no connection came about; they get no work until one does.
+func (e *Eject) Unreachable() []string {
+	var l []string
+	for n, m := range e.members {
+		if m.unreachable {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Reached notes that a connection to an upstream came about.
+func (e *Eject) Reached(name string) {
+	if m, ok := e.members[name]; ok {
+		m.unreachable = false
+	}
 }
 
 // Ejected reports whether an upstream is out, whether or not the observer is doubted.
@@ -177,7 +203,7 @@
 // A request that may not be repeated is lent only to an upstream that has been out for long.
 func (e *Eject) Probe(name string, repeatable bool, now time.Time) bool {
 	m, ok := e.members[name]
-	if !ok || !m.ejected || now.Before(m.until) {
+	if !ok || !m.ejected || m.unreachable || now.Before(m.until) {
 		return false
 	}
 	if !repeatable && now.Before(m.until.Add(unjudgedFactor*m.hold)) {
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -29,6 +29,8 @@
 	interval    = 20 * time.Millisecond
 	callTimeout = 300 * time.Millisecond
 	maxWaiters  = 256
+	// overrunUsed is the part of what teams may pass their limits by that is used.
+	overrunUsed = 0.7
 	methodAsk   = "grant/ask"
 	methodFence = "grant/fence"
 )
@@ -47,9 +49,11 @@
 	Boot uint64
 	// Hosts, if set, returns the hosts that are known now, in place of the names of the link.
 	Hosts func() []string
-	// Overrun is the share by which teams may pass their rate and burst.
+	// Overrun is the share by which teams may pass their rate and burst in a window.
 	Overrun float64
-	// Slack is the number of units that teams may pass their burst by besides.
+	// Window is that window.
+	Window time.Duration
+	// Slack is the number of units that teams may pass them by besides.
 	Slack int64
 	// Groups is the number of groups that own teams.
 	Groups int
@@ -182,8 +186,12 @@
 }
 
 // limits returns the rate and burst by which a team's bucket grants.
+//
+// All that teams may pass their limits by goes into the burst, from which hosts hold stocks that outlast
+// the change of an owner, but for a part that covers the time between admission and upstream.
 func (g *Grant) limits(t team.Team) (units, burst int64) {
-	return int64(float64(t.Rate) * (1 + g.Overrun)), int64(float64(t.Burst)*(1+g.Overrun)) + g.Slack
+	over := g.Overrun*(float64(t.Rate)*g.Window.Seconds()+float64(t.Burst)) + float64(g.Slack)
+	return t.Rate, t.Burst + int64(overrunUsed*over)
 }
 
 // hosts returns the names of all hosts, this one among them.
--- a/internal/grant/succession.go
+++ b/internal/grant/succession.go
@@ -111,10 +111,6 @@
 		// A host that did not answer holds no more than its part once larger grants have ended.
 		o.start = later(now, rate.Settled(o.since, NeedLife))
 	}
-	if o.stranger {
-		// Hosts that are not known yet may hold grants of any size.
-		o.start = later(now, rate.Settled(o.since, Life))
-	}
 	o.configuration = nil
 }
 
@@ -123,11 +119,23 @@
 	for _, r := range o.remainders[team] {
 		b.Adopt(r.host, r.left, r.ends)
 	}
+	// An owner never lets hosts hold more than a stock of the burst for long.
+	left := rate.Stock(burst)
+	ends := rate.Settled(o.since, Life)
+	if o.stranger {
+		b.Adopt(unknownHosts, left, ends)
+		return
+	}
 	for h := range o.missing {
-		b.Adopt(h, rate.Part(burst), rate.Settled(o.since, Life))
+		n := min(rate.Part(burst), left)
+		b.Adopt(h, n, ends)
+		left -= n
 	}
 }
 
+// unknownHosts stands for the hosts that a stranger does not know.
+const unknownHosts = ""
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -10,11 +10,13 @@
 	Failed
 	// TimedOut means that the upstream stayed silent beyond the bound.
 	TimedOut
+	// Unreachable means that no connection came about, so that nothing was sent.
+	Unreachable
 	// Cancelled means that this side ended the exchange, which says nothing about the upstream.
 	Cancelled
 )
 
-var names = [...]string{"succeeded", "failed", "timed-out", "cancelled"}
+var names = [...]string{"succeeded", "failed", "timed-out", "unreachable", "cancelled"}
 
 // String returns the name that logs and metrics carry.
 func (o Outcome) String() string {
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -71,6 +71,11 @@
 	return (clamp(burst, MaxBurst) + holdParts - 1) / holdParts
 }
 
+// Stock returns the most units of a burst that all hosts together hold for a whole life.
+func Stock(burst int64) int64 {
+	return clamp(burst, MaxBurst) * stockParts / stockWhole
+}
+
 // Adopt counts units as outstanding that a host may still spend from grants of earlier terms.
 func (b *Bucket) Adopt(host string, units int64, ends time.Time) {
 	if units <= 0 {
--- a/internal/serve/joining.go
+++ b/internal/serve/joining.go
@@ -64,11 +64,11 @@
 	return slices.Compact(l)
 }
 
-// knownHosts returns the names of all hosts that answer.
-func (p *parts) knownHosts() []string {
+// spenders returns the names of the hosts that may hold units of the teams' rates: those that take calls.
+func (p *parts) spenders() []string {
 	var l []string
 	for _, h := range p.roster.Hosts() {
-		if !h.Dead {
+		if !h.Dead && !h.Control && !h.Ledgers {
 			l = append(l, h.Name)
 		}
 	}
--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -279,6 +279,7 @@
 		Boot:          uint64(s.timer.Now().UnixNano()),
 		Groups:        int(p.groups()),
 		Overrun:       s.Settings.Fleet.RateOverrun,
+		Window:        s.Settings.Fleet.RateWindow.Duration(),
 		Slack:         s.Settings.Fleet.RateSlack,
 		Timer:         s.timer,
 		Configuration: p.spread,
@@ -286,7 +287,7 @@
 		Metrics:       p.child("grant"),
 	}
 	if s.Settings.Joining() {
-		p.grant.Hosts = p.knownHosts
+		p.grant.Hosts = p.spenders
 	}
 	p.grant.Register()
 	p.capacity = &capacity.Capacity{Timer: s.timer, Metrics: s.metrics}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -104,6 +104,7 @@
 	}
 	g.Go("operator", p.operator.Run)
 	g.Go("refresh", p.refresh)
+	g.Go("reach", p.reach)
 }
 
 // serve runs callers and batch work until ctx or base ends, then hands over what this host leads.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -171,6 +171,7 @@
 	s.span(f, "fleet.heartbeat", s.Fleet.Heartbeat.Duration(), 0, maxHeartbeat)
 	s.span(f, "fleet.stop-timeout", s.Fleet.StopTimeout.Duration(), 0, maxDrain)
 	s.weight(f, "fleet.rate-overrun", s.Fleet.RateOverrun)
+	s.span(f, "fleet.rate-window", s.Fleet.RateWindow.Duration(), 0, time.Minute)
 	s.bound(f, "fleet.rate-slack", s.Fleet.RateSlack, 0, maxSlack)
 	s.weight(f, "fleet.weights.batch-throughput", s.Fleet.Weights.BatchThroughput)
 	s.weight(f, "fleet.weights.online-tail", s.Fleet.Weights.OnlineTail)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,9 +80,11 @@
 	Losses int `json:"losses,omitempty"`
 	// FinishWithdrawn lets the calls that run when their key is withdrawn come to their end.
 	FinishWithdrawn bool `json:"finish-withdrawn,omitempty"`
-	// RateOverrun is the share by which teams may pass their rate and burst.
+	// RateOverrun is the share by which teams may pass their rate and burst in a window.
 	RateOverrun float64 `json:"rate-overrun,omitempty"`
-	// RateSlack is the number of units that teams may pass their burst by besides.
+	// RateWindow is that window.
+	RateWindow span.Span `json:"rate-window,omitempty"`
+	// RateSlack is the number of units that teams may pass them by besides.
 	RateSlack int64 `json:"rate-slack,omitempty"`
 	// Repair is how long a voter may be silent before a spare control host takes its place, 0s for never.
 	Repair span.Span `json:"repair,omitempty"`
