--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -205,6 +205,13 @@
 	return l
 }
 
+// Allowed reports whether an upstream may get work, as far as this host knows.
+func (c *Choose) Allowed(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Eject.Allowed(name)
+}
+
 // Reached notes that a connection to an upstream came about.
 func (c *Choose) Reached(name string) {
 	c.mu.Lock()
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -56,7 +56,7 @@
 	if k.sent.Load() == 0 {
 		return refusal.NewNotRun(503, "upstream-unreachable", err.Error())
 	}
-	var n net.Error
+	var n interface{ Timeout() bool }
 	switch {
 	case ctx.Err() != nil:
 		return refusal.NewMayHaveRun(504, "cancelled", "the call was cancelled while it ran")
--- /dev/null
+++ b/internal/register/install_test.go
@@ -0,0 +1,73 @@
+package register
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/change"
+	"siskinrun/internal/changeoutcome"
+	"siskinrun/internal/configuration"
+	"siskinrun/internal/formation"
+	"siskinrun/internal/identity"
+	"siskinrun/internal/route"
+	"siskinrun/internal/span"
+	"siskinrun/internal/team"
+)
+
+func edition(n uint64, text string) change.Change {
+	return change.Change{ID: "e-" + text, Kind: change.Install, Edition: n, Document: []byte(text), Whole: &configuration.Configuration{
+		Teams: map[string]team.Team{"t-" + text: {Rate: 1, Burst: 1, Weight: 1}},
+		Routes: map[string]route.Route{"r": {
+			Host: "h", Prefix: "/", Service: "s", Price: 1, Timeout: span.Span(1),
+		}},
+	}}
+}
+
+func TestHighestEditionWins(t *testing.T) {
+	is := is.New(t)
+	r := NewRegister()
+	is.Equal(send(t, r, edition(5, "five")).Status, changeoutcome.Applied)
+	is.Equal(send(t, r, edition(3, "three")).Status, changeoutcome.Superseded)
+	is.Equal(send(t, r, edition(5, "other")).Status, changeoutcome.Superseded) // the first content stays
+	is.Equal(send(t, r, edition(5, "five")).Status, changeoutcome.Superseded)
+	for _, x := range []*Register{r, again(t, r)} {
+		v, d := x.Document()
+		is.Equal(v, uint64(1))
+		is.Equal(string(d), "five")
+		_, ok := x.View().Teams["t-five"]
+		is.True(ok)
+		is.NoErr(x.Check())
+	}
+	is.Equal(send(t, r, edition(9, "nine")).Status, changeoutcome.Applied)
+	_, d := r.Document()
+	is.Equal(string(d), "nine")
+	is.Equal(r.View().Edition, uint64(9))
+}
+
+func TestInvalidEditionIsRefusedWhateverItsNumber(t *testing.T) {
+	is := is.New(t)
+	r := NewRegister()
+	is.Equal(send(t, r, edition(5, "five")).Status, changeoutcome.Applied)
+	for _, n := range []uint64{3, 5, 9} {
+		c := edition(n, "bad")
+		c.Whole.Routes["r"] = route.Route{Host: "h", Prefix: "/", Service: "s", Price: 1}
+		is.Equal(send(t, r, c).Status, changeoutcome.Invalid)
+	}
+	_, d := r.Document()
+	is.Equal(string(d), "five")
+}
+
+func TestEditionsLeaveRetiringHostsAndLedgersAlone(t *testing.T) {
+	is := is.New(t)
+	r := NewRegister()
+	f := formation.Formation{Cluster: "c", Members: []identity.Identity{{Host: "a", Disk: "1"}}, Formed: true}
+	is.Equal(send(t, r, change.Change{ID: "f", Kind: change.Form, Ledgers: &f}).Status, changeoutcome.Applied)
+	g := f
+	g.Cluster = "d"
+	is.Equal(send(t, r, change.Change{ID: "g", Kind: change.Form, Ledgers: &g}).Status, changeoutcome.Invalid) // formed once
+	is.Equal(send(t, r, change.Change{ID: "x", Kind: change.Retire, Name: "a"}).Status, changeoutcome.Applied)
+	is.Equal(send(t, r, edition(5, "five")).Status, changeoutcome.Applied)
+	is.True(r.View().Retiring["a"])
+	is.Equal(r.View().Ledgers.Cluster, "c")
+}
--- a/internal/serve/adapters.go
+++ b/internal/serve/adapters.go
@@ -134,6 +134,9 @@
 
 // Window returns how many batch items may run on an upstream now.
 func (w windows) Window(name string) int {
+	if !w.parts.choose.Allowed(name) {
+		return 0
+	}
 	return w.parts.yield.Window(name, w.parts.serveHost.timer.Now())
 }
 
