--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -205,11 +205,18 @@
 	return l
 }
 
-// Allowed reports whether an upstream may get work, as far as this host knows.
-func (c *Choose) Allowed(name string) bool {
+// Reachable reports whether connections to an upstream come about, as far as this host knows.
+func (c *Choose) Reachable(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Eject.Allowed(name)
+	return c.Eject.Reachable(name)
+}
+
+// Heard notes a sign of life of an upstream, such as an announcement.
+func (c *Choose) Heard(name string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Eject.Heard(name, at)
 }
 
 // Reached notes that a connection to an upstream came about.
--- a/internal/drive/exchange.go
+++ b/internal/drive/exchange.go
@@ -195,8 +195,12 @@
 	r := &entry.Renew{Holder: d.session(g), LeaseNanoseconds: int64(sessionLength)}
 	a, err := d.Ledgers.Command(ctx, g, &entry.Command{Kind: &entry.Command_Renew{Renew: r}})
 	if err != nil {
+		d.Log.Warn().Err(err).Uint32("group", g).Msg("session not renewed")
 		return
 	}
+	if a.GetRenewed().GetLapsed() {
+		d.Log.Warn().Uint32("group", g).Uint64("session", session).Msg("session lapsed")
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.halt(d.plan.renewed(d.Timer.Now(), g, session, a.Renewed, sent.Add(sessionUse)))
@@ -240,6 +244,7 @@
 	d.mu.Unlock()
 	_, _, err := d.Ledgers.Claim(ctx, claimPrefix+u.Name, d.holder(), claimLength, held)
 	if err != nil {
+		d.Log.Warn().Err(err).Str("upstream", u.Name).Bool("held", held).Msg("upstream not claimed")
 		return
 	}
 	d.mu.Lock()
--- a/internal/eject/eject.go
+++ b/internal/eject/eject.go
@@ -179,6 +179,12 @@
 	return l
 }
 
+// Reachable reports whether connections to an upstream come about, as far as known.
+func (e *Eject) Reachable(name string) bool {
+	m, ok := e.members[name]
+	return ok && !m.unreachable
+}
+
 // Reached notes that a connection to an upstream came about.
 func (e *Eject) Reached(name string) {
 	if m, ok := e.members[name]; ok {
--- a/internal/link/exchange.go
+++ b/internal/link/exchange.go
@@ -1,42 +1,59 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"siskinrun/internal/frame"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
 
-func exchange(ctx context.Context, s *yamux.Stream, method string, body []byte) ([]byte, error) {
+// exchange makes one call on a stream and reports whether the stream can carry another one.
+func exchange(ctx context.Context, s *yamux.Stream, method string, body []byte) (answer []byte, whole bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	defer func() { _ = s.Close() }()
-	if d, ok := ctx.Deadline(); ok {
-		_ = s.SetDeadline(d)
-	}
-	if _, err := protodelim.MarshalTo(s, &frame.Frame{Method: method, Body: body}); err != nil {
-		return nil, lost(err)
+	defer func() {
+		if whole = stop() && whole; !whole {
+			_ = s.Close()
+		}
+	}()
+	d, _ := ctx.Deadline()
+	_ = s.SetDeadline(d)
+	if err := write(s, &frame.Frame{Method: method, Body: body}); err != nil {
+		return nil, false, lost(err)
 	}
 	p := &frame.Reply{}
 	o := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 	if err := o.UnmarshalFrom(buffered(s), p); err != nil {
-		return nil, lost(err)
+		return nil, false, lost(err)
 	}
 	if p.Refusal != nil {
-		return nil, received(p.Refusal)
+		return nil, true, received(p.Refusal)
+	}
+	return p.Body, true, nil
+}
+
+// write sends a message in one frame.
+func write(s *yamux.Stream, m proto.Message) error {
+	var b bytes.Buffer
+	if _, err := protodelim.MarshalTo(&b, m); err != nil {
+		return err
 	}
-	return p.Body, nil
+	_, err := s.Write(b.Bytes())
+	return err
 }
 
 func (l *Link) tell(s *yamux.Stream, method string, body []byte) error {
-	defer func() { _ = s.Close() }()
-	_ = s.SetWriteDeadline(time.Now().Add(heartbeatTimeout))
-	_, err := protodelim.MarshalTo(s, &frame.Frame{Method: method, Body: body, OneWay: true})
+	_ = s.SetDeadline(time.Now().Add(heartbeatTimeout))
+	err := write(s, &frame.Frame{Method: method, Body: body, OneWay: true})
+	if err != nil {
+		_ = s.Close()
+	}
 	return err
 }
 
@@ -44,26 +61,33 @@
 	return refusal.NewMayHaveRun(504, "peer-lost", "the answer of the peer was lost: "+err.Error())
 }
 
-// handle answers the one call of a stream.
+// handle answers the calls of a stream, one after the other.
 func (l *Link) handle(ctx context.Context, from string, s *yamux.Stream) {
 	defer func() { _ = s.Close() }()
-	f := &frame.Frame{}
+	r := buffered(s)
 	o := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
-	if err := o.UnmarshalFrom(buffered(s), f); err != nil {
-		return
+	for {
+		f := &frame.Frame{}
+		if err := o.UnmarshalFrom(r, f); err != nil || !l.reply(ctx, from, s, f) {
+			return
+		}
 	}
+}
+
+// reply answers one call and reports whether the stream can carry another one.
+func (l *Link) reply(ctx context.Context, from string, s *yamux.Stream, f *frame.Frame) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	b, err := l.answer(ctx, from, f.Method, f.Body)
 	if f.OneWay {
-		return
+		return true
 	}
 	p := &frame.Reply{Body: b}
 	if err != nil {
 		p = &frame.Reply{Refusal: sent(refusal.Of(err))}
 	}
 	_ = s.SetWriteDeadline(time.Now().Add(callTimeout))
-	_, _ = protodelim.MarshalTo(s, p)
+	return write(s, p) == nil
 }
 
 func sent(r *refusal.Refusal) *frame.Refusal {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -71,13 +71,6 @@
 	lane string
 }
 
-// session is one dialled session, or the time until which dialling waits.
-type session struct {
-	mu    sync.Mutex
-	mux   *yamux.Session
-	pause time.Time
-}
-
 // Handle registers the handler of a method and must be called before Run.
 func (l *Link) Handle(method string, h Handler) {
 	l.mu.Lock()
@@ -110,11 +103,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s, err := l.open(ctx, to, lane(method))
+	e := l.session(slot{to, lane(method)})
+	s, err := l.open(ctx, e, to, lane(method))
 	if err != nil {
 		return nil, refusal.NewNotRun(503, "peer-unreachable", err.Error()).WithRetryAfter(time.Second)
 	}
-	return exchange(ctx, s, method, body)
+	b, whole, err := exchange(ctx, s, method, body)
+	if whole {
+		e.keep(s)
+	}
+	return b, err
 }
 
 // Send tells a peer something without waiting for an answer and reports whether it was sent.
@@ -123,11 +121,13 @@
 		_, err := l.answer(ctx, to, method, body)
 		return err == nil
 	}
-	s, err := l.open(ctx, to, lane(method))
-	if err != nil {
+	e := l.session(slot{to, lane(method)})
+	s, err := l.open(ctx, e, to, lane(method))
+	if err != nil || l.tell(s, method, body) != nil {
 		return false
 	}
-	return l.tell(s, method, body) == nil
+	e.keep(s)
+	return true
 }
 
 // Names returns the names of all peers but this host.
@@ -166,10 +166,13 @@
 	return h(ctx, from, body)
 }
 
-func (l *Link) open(ctx context.Context, to, lane string) (*yamux.Stream, error) {
-	e := l.session(slot{to, lane})
+// open returns a stream to a peer that no call uses.
+func (l *Link) open(ctx context.Context, e *session, to, lane string) (*yamux.Stream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if s := e.idleStream(); s != nil {
+		return s, nil
+	}
 	if e.mux != nil && !e.mux.IsClosed() {
 		s, err := e.mux.OpenStream()
 		if err == nil {
@@ -188,6 +191,7 @@
 		return nil, err
 	}
 	e.mux = m
+	e.idle = nil
 	return m.OpenStream()
 }
 
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -59,7 +59,7 @@
 		_ = c.Close()
 		return nil, errors.Wrapf(err, "greet %s", to)
 	}
-	return yamux.Client(c, muxConfig())
+	return yamux.Client(&joined{Conn: c}, muxConfig())
 }
 
 func (l *Link) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -151,7 +151,7 @@
 		_ = c.Close()
 		return
 	}
-	m, err := yamux.Server(c, muxConfig())
+	m, err := yamux.Server(&joined{Conn: c}, muxConfig())
 	if err != nil {
 		_ = c.Close()
 		return
--- a/internal/serve/adapters.go
+++ b/internal/serve/adapters.go
@@ -134,7 +134,7 @@
 
 // Window returns how many batch items may run on an upstream now.
 func (w windows) Window(name string) int {
-	if !w.parts.choose.Allowed(name) {
+	if !w.parts.choose.Reachable(name) {
 		return 0
 	}
 	return w.parts.yield.Window(name, w.parts.serveHost.timer.Now())
--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -435,9 +435,11 @@
 			return err
 		}
 		l := p.roster.Upstreams()
+		n := p.serveHost.timer.Now()
 		names := make([]string, 0, len(l))
 		for _, u := range l {
 			names = append(names, u.Name)
+			p.choose.Heard(u.Name, n.Add(-u.Age.Duration()))
 			if r, at, ok := p.roster.Load(u.Name); ok {
 				p.choose.Report(r, at)
 				p.yield.Report(r, at)
