--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -19,6 +19,7 @@
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
+	last time.Time
 }
 
 // Accept implements net.Listener.Accept.
@@ -34,6 +35,7 @@
 		l.open = map[*conn]struct{}{}
 	}
 	l.open[k] = struct{}{}
+	l.last = k.used
 	return k, nil
 }
 
@@ -44,6 +46,13 @@
 	return len(l.open)
 }
 
+// Quiet returns how long there has been no new connection.
+func (l *Listener) Quiet() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Timer.Now().Sub(l.last)
+}
+
 // CloseIdle closes the connections without a call on which no byte came for the given time.
 func (l *Listener) CloseIdle(idle time.Duration) {
 	n := l.Timer.Now()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,8 @@
 	idleTimeout = 2 * time.Minute
 	idleGrace   = 2 * time.Second
 	drainPoll   = 50 * time.Millisecond
+	// quietTime is how long no connection may have come before a stopping host takes no more of them.
+	quietTime = 500 * time.Millisecond
 )
 
 // dialect answers requests in one wire format.
@@ -121,7 +123,7 @@
 		defer cancel()
 	}
 	_ = i.Timer.Sleep(ctx, i.Drain)
-	for i.accept.Open() > 0 && ctx.Err() == nil {
+	for (i.accept.Open() > 0 || i.accept.Quiet() < quietTime) && ctx.Err() == nil {
 		i.accept.CloseIdle(idleGrace)
 		_ = i.Timer.Sleep(ctx, drainPoll)
 	}
