Read the settings again when they change, and outlive a hangup

Change: hangups and every 2 s read the settings; changed seeds are taken over, unusable ones are logged and leave the former in force.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -38,7 +41,17 @@
 		if s.Fleet.Dialect != "" && !ok {
 			return errors.Newf("the settings name dialect %q, which this program does not know", s.Fleet.Dialect)
 		}
-		h := &serve.Serve{Dialect: w, Name: name, Settings: s, Log: c.logger(l).With().Str("host", name).Logger()}
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		defer signal.Stop(hangups)
+		h := &serve.Serve{
+			Dialect:  w,
+			Name:     name,
+			Settings: s,
+			Reload:   f.load,
+			Hangups:  hangups,
+			Log:      c.logger(l).With().Str("host", name).Logger(),
+		}
 		return h.Run(ctx)
 	})
 }
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// Meet takes in hosts that were not named at the start.
+func (m *Membership) Meet(names []string) {
+	for _, n := range names {
+		if m.hosts[n] == nil {
+			m.admit(n)
+		}
+	}
+}
+
 // admit adds a host that was not named at the start.
 func (m *Membership) admit(name string) *host {
 	h := &host{Host: news.Host{Name: name}}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -303,3 +303,39 @@
 	is.Equal(len(n.Announcements), 0)
 	is.True(slices.ContainsFunc(n.Hosts, func(h news.Host) bool { return h.Name == "a" && h.Sequence == 5000 }))
 }
+
+func TestOpenMembershipTakesHostsInAndForgetsTheDead(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := membership.NewMembership("a", "d1", 1, []string{"s"}, 1)
+	a.Open = true
+	b := membership.NewMembership("b", "d2", 1, []string{"s"}, 2)
+	b.Open = true
+	b.Self = news.Host{Label: "host-b", Control: true}
+	a.Answer(now, b.Question()) // b asks a, which did not know of b
+	find := func(n string) (news.Host, bool) {
+		for _, h := range a.Hosts() {
+			if h.Name == n {
+				return h, true
+			}
+		}
+		return news.Host{}, false
+	}
+	h, ok := find("b")
+	is.True(ok)
+	is.Equal(h.Label, "host-b")
+	is.True(h.Control)
+	is.True(a.Alive("b"))
+	a.Meet([]string{"c", "b"})
+	_, ok = find("c")
+	is.True(ok)
+	a.Suspect("c")
+	is.True(a.Condemn("c"))
+	a.Prune(now)
+	a.Prune(now.Add(time.Minute))
+	_, ok = find("c")
+	is.True(!ok)
+	a.Hear(now, news.News{From: "b", Hosts: []news.Host{{Name: "c", Boot: 1, Dead: true}}})
+	_, ok = find("c")
+	is.True(!ok) // one that is known to be dead is not taken in again
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -118,6 +118,14 @@
 	return r.group.Wait()
 }
 
+// Meet takes in hosts that were not named at the start.
+func (r *Roster) Meet(names []string) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.membership.Meet(names)
+}
+
 // Announce takes the announcement of an upstream and reports whether it counts.
 func (r *Roster) Announce(u upstream.Upstream) bool {
 	r.once.Do(r.init)
--- a/internal/serve/joining.go
+++ b/internal/serve/joining.go
@@ -59,7 +59,7 @@
 	if group != configurationGroup {
 		return slices.Sorted(maps.Keys(p.ledgerHosts()))
 	}
-	l := append(p.serveHost.Settings.Control(), slices.Sorted(maps.Keys(p.controlHosts()))...)
+	l := append(slices.Clone(p.seedHosts()), slices.Sorted(maps.Keys(p.controlHosts()))...)
 	slices.Sort(l)
 	return slices.Compact(l)
 }
@@ -101,7 +101,7 @@
 			return err
 		}
 		domains := map[string]string{}
-		control := p.serveHost.Settings.Control()
+		control := slices.Clone(p.seedHosts())
 		for _, h := range p.roster.Hosts() {
 			if h.Dead {
 				continue
--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -72,6 +72,8 @@
 	seed      uint64
 	started   time.Time
 	settled   atomic.Bool
+	// seeds replaces the seeds of the settings once these have changed.
+	seeds atomic.Pointer[[]string]
 
 	link      *link.Link
 	control   *control.Control
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -35,6 +36,10 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Dialect, if set, replaces the product's own wire formats.
 	Dialect *dialect.Dialect
+	// Reload, if set, reads the settings again.
+	Reload func() (*settings.Settings, error)
+	// Hangups tells that the settings have changed.
+	Hangups <-chan os.Signal
 	// Log takes JSON lines.
 	Log zerolog.Logger
 
@@ -88,6 +93,7 @@
 	}
 	if p.serveHost.Settings.Joining() {
 		g.Go("follow", p.follow)
+		g.Go("reload", p.reload)
 		g.Go("form-ledgers", p.formLedgers)
 	}
 	if p.metrics != nil {
