--- a/internal/accept/conn.go
+++ b/internal/accept/conn.go
@@ -23,7 +23,7 @@
 	calls int
 	// closing says that the connection closes as idle; what still comes on it is not read.
 	closing bool
-	used  time.Time
+	used    time.Time
 }
 
 // Read implements io.Reader.Read.
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -26,7 +26,7 @@
 func (a *Account) Finish(r record.Record) {
 	a.count(r)
 	e := a.Log.Info()
-	if r.Verdict == verdict.MayHaveRun {
+	if r.Verdict == verdict.MayHaveRun || r.Status >= statusRefused {
 		e = a.Log.Warn()
 	}
 	e.Str("request-id", r.ID).
@@ -37,7 +37,10 @@
 		Int("status", r.Status).
 		Str("code", r.Code).
 		Str("verdict", r.Verdict.String()).
+		Str("reason", r.Message).
+		Uint64("configuration", r.Configuration).
 		Int("attempts", r.Attempts).
+		Strs("tried", r.Tried).
 		Int("events", r.Events).
 		Dur("waited-ms", r.Waited).
 		Dur("first-ms", r.First).
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -29,3 +29,8 @@
 		return d.Run(ctx)
 	})
 }
+
+// logger returns a log of JSON lines at the given level.
+func (c *Command) logger(l zerolog.Level) zerolog.Logger {
+	return zerolog.New(zerolog.SyncWriter(c.Err)).Level(l).With().Timestamp().Logger()
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"siskinrun/internal/logwriter"
 	"siskinrun/internal/serve"
 )
 
@@ -44,19 +45,16 @@
 		hangups := make(chan os.Signal, 1)
 		signal.Notify(hangups, syscall.SIGHUP)
 		defer signal.Stop(hangups)
+		lines := &logwriter.Writer{Out: c.Out}
 		h := &serve.Serve{
+			Lines:    lines,
 			Dialect:  w,
 			Name:     name,
 			Settings: s,
 			Reload:   f.load,
 			Hangups:  hangups,
-			Log:      c.logger(l).With().Str("host", name).Logger(),
+			Log:      zerolog.New(lines).Level(l).With().Timestamp().Str("host", name).Logger(),
 		}
 		return h.Run(ctx)
 	})
 }
-
-// logger returns a log of JSON lines at the given level.
-func (c *Command) logger(l zerolog.Level) zerolog.Logger {
-	return zerolog.New(zerolog.SyncWriter(c.Out)).Level(l).With().Timestamp().Logger()
-}
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		if _, err := c.Link.Call(ctx, h, methodForm, b); err != nil {
-			c.Log.Warn().Err(err).Str("host", h).Msg("formation not promised")
+			c.Log.Warn().Err(err).Str("peer", h).Msg("formation not promised")
 			return nil
 		}
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -33,6 +33,9 @@
 }
 
 func (d *Dispatch) begin(u upstream.Upstream, c *call.Call) *attempt {
+	if c.Record.Attempts > 0 {
+		c.Record.Tried = append(c.Record.Tried, c.Record.Upstream)
+	}
 	c.Record.Attempts++
 	c.Record.Upstream = u.Name
 	d.Choose.Started(u.Name)
--- /dev/null
+++ b/internal/logwriter/doc.go
@@ -0,0 +1,2 @@
+// Package logwriter writes log lines without ever holding up those who log.
+package logwriter
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -32,6 +32,7 @@
 	stopTimeout    = 5 * time.Second
 	answerTimeout  = 20 * time.Second
 	bearer         = "Bearer "
+	pathFigures    = "/metrics"
 
 	// VerdictHeader carries the verdict of a refusal.
 	VerdictHeader = "siskin-verdict"
@@ -59,6 +60,8 @@
 	Log zerolog.Logger
 	// Metrics takes the number of requests.
 	Metrics metrics.Registry
+	// Figures, if set, returns the metrics of the host as text, which are shown without a secret.
+	Figures func() []byte
 
 	handlers map[string]Handler
 }
@@ -145,6 +148,10 @@
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	metrics.GetOrRegisterCounter("operator-requests", o.Metrics).Inc(1)
+	if o.Figures != nil && c.IsGet() && string(c.Path()) == pathFigures {
+		c.SetBody(o.Figures())
+		return
+	}
 	b, err := o.answer(ctx, c)
 	c.SetContentType("application/json")
 	var s *stated
--- a/internal/pipe/match.go
+++ b/internal/pipe/match.go
@@ -45,6 +45,7 @@
 		return err
 	}
 	r.Service = r.Pick(rand.Uint64())
+	c.Record.Configuration = p.View().Version
 	c.Route = n
 	c.Rule = r
 	c.Record.Route = n
--- a/internal/pipe/tracker.go
+++ b/internal/pipe/tracker.go
@@ -72,6 +72,7 @@
 		if f != nil {
 			r.Status = f.Status
 			r.Code = f.Code
+			r.Message = f.Message
 			r.Verdict = f.Verdict
 		}
 		t.pipe.Account.Finish(*r)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -26,6 +26,12 @@
 	Verdict verdict.Verdict
 	// Attempts is the number of times that the call was sent.
 	Attempts int
+	// Tried names the upstreams that the call was sent to before the last one, in order.
+	Tried []string
+	// Message says why a refused call got no answer.
+	Message string
+	// Configuration is the version that the call was decided by.
+	Configuration uint64
 	// Events is the number of events of a streamed answer.
 	Events int
 	// At is when the call ended.
--- a/internal/roster/gossip.go
+++ b/internal/roster/gossip.go
@@ -67,7 +67,7 @@
 	dead := r.membership.Condemn(peer)
 	r.mu.Unlock()
 	if dead {
-		r.Log.Warn().Str("host", peer).Msg("host does not answer")
+		r.Log.Warn().Str("peer", peer).Msg("host does not answer")
 	}
 }
 
--- a/internal/serve/edges.go
+++ b/internal/serve/edges.go
@@ -6,6 +6,7 @@
 
 	"siskinrun/internal/announce"
 	"siskinrun/internal/caller"
+	"siskinrun/internal/metricspage"
 	"siskinrun/internal/operator"
 )
 
@@ -80,6 +81,7 @@
 		Timer:    s.timer,
 		Log:      s.Log,
 		Metrics:  p.child("operator"),
+		Figures:  (&metricspage.Page{Metrics: s.metrics}).Text,
 	}
 	p.operator.Handle("GET", "/v1/metrics", p.showMetrics)
 	p.operator.Handle("GET", "/v1/upstreams", p.showUpstreams)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -13,6 +13,7 @@
 
 	"siskinrun/internal/dialect"
 	"siskinrun/internal/group"
+	"siskinrun/internal/logwriter"
 	"siskinrun/internal/settings"
 	"siskinrun/internal/timer"
 )
@@ -34,6 +35,8 @@
 	Listeners map[string]net.Listener
 	// Dial, if set, replaces the dialer between hosts.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Lines, if set, is the writer behind Log, which runs as long as the host.
+	Lines *logwriter.Writer
 	// Dialect, if set, replaces the product's own wire formats.
 	Dialect *dialect.Dialect
 	// Reload, if set, reads the settings again.
@@ -56,6 +59,7 @@
 	if m := s.Settings.Limits.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(m)
 	}
+	defer s.lines(base)()
 	g := group.NewGroup(base)
 	p, err := s.build(g)
 	if err != nil {
@@ -66,12 +70,27 @@
 		defer cancel()
 		return p.serve(ctx, base)
 	})
-	s.Log.Info().Str("host", s.Name).Msg("host started")
+	s.Log.Info().Uint64("run", p.seed).Msg("host started")
 	err = g.Wait()
-	s.Log.Info().Str("host", s.Name).Err(err).Msg("host stopped")
+	s.Log.Info().Err(err).Msg("host stopped")
 	return errors.Wrapf(err, "host %s", s.Name)
 }
 
+// lines runs the writer of the log and returns the function that ends it once everything was logged.
+func (s *Serve) lines(ctx context.Context) (end func()) {
+	if s.Lines == nil {
+		return func() {}
+	}
+	s.Lines.Timer = s.timer
+	ctx, cancel := context.WithCancel(ctx)
+	g := group.NewGroup(ctx)
+	g.Go("log", s.Lines.Run)
+	return func() {
+		cancel()
+		_ = g.Wait() // the writer returns no error
+	}
+}
+
 // listen returns the open listener of an address or opens one.
 func (s *Serve) listen(address string) (net.Listener, error) {
 	if l, ok := s.Listeners[address]; ok {
