Spend less on idle hosts

Change: only sessions with a waiting call are pinged, bytes without acknowledgement end their connection; timers that repeat fall together; no wake without news, wallets or items.

--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -34,6 +34,8 @@
 	pollInterval = 300 * time.Millisecond
 	// watchInterval is how often windows and deadlines are looked at without being told.
 	watchInterval = 25 * time.Millisecond
+	// restInterval is the same on a host without items.
+	restInterval = 200 * time.Millisecond
 	// drainTimeout bounds the wait for items that may not be repeated at a stop.
 	drainTimeout = 15 * time.Second
 	// stopTimeout bounds the handing back of leases at a stop.
@@ -183,7 +185,7 @@
 // watch stops what is beyond a window or lease and starts what has room.
 func (d *Drive) watch(ctx context.Context) error {
 	for {
-		t := d.after(watchInterval)
+		t := d.after(d.watchPause())
 		select {
 		case <-ctx.Done():
 			t.cancel()
@@ -196,6 +198,18 @@
 	}
 }
 
+// watchPause returns how long windows need no look unless told: long where this host has no items.
+func (d *Drive) watchPause() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.plan.sides {
+		if len(s.tasks) > 0 {
+			return watchInterval
+		}
+	}
+	return restInterval
+}
+
 func (d *Drive) step() {
 	n := d.Timer.Now()
 	d.mu.Lock()
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -31,6 +31,8 @@
 	maxWaiters  = 256
 	// overrunUsed is the part of what teams may pass their limits by that is used.
 	overrunUsed = 0.7
+	// restTicks is the number of ticks after which a group without wallets is looked at.
+	restTicks   = 5
 	methodAsk   = "grant/ask"
 	methodFence = "grant/fence"
 )
@@ -76,6 +78,7 @@
 	terms []uint64
 	// sequence is the highest that a forgotten wallet used.
 	sequence uint64
+	ticks    int
 	owners   []*owner
 	kicks    []chan struct{}
 }
@@ -217,12 +220,23 @@
 	}
 }
 
+// tick wakes the groups in which this host may hold or grant something, and all of them now and then.
 func (g *Grant) tick() {
+	g.ticks++
 	for i := range g.kicks {
-		g.kick(uint64(i) + 1)
+		if g.ticks%restTicks == 0 || g.holds(i) {
+			g.kick(uint64(i) + 1)
+		}
 	}
 }
 
+// holds reports whether this host has wallets of a group.
+func (g *Grant) holds(i int) bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return len(g.members[i]) > 0
+}
+
 func (g *Grant) serve(ctx context.Context, i int) error {
 	for {
 		select {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,10 +25,12 @@
 
 	heartbeatInterval = 400 * time.Millisecond
 	heartbeatTimeout  = 600 * time.Millisecond
-	dialTimeout       = time.Second
-	dialPause         = 200 * time.Millisecond
-	callTimeout       = 5 * time.Second
-	maxFrameBytes     = 16 << 20
+	// silenceTimeout is how long sent bytes may stay without acknowledgement.
+	silenceTimeout = 700 * time.Millisecond
+	dialTimeout    = time.Second
+	dialPause      = 200 * time.Millisecond
+	callTimeout    = 5 * time.Second
+	maxFrameBytes  = 16 << 20
 )
 
 // Link sends calls to peers and answers theirs.
@@ -108,7 +110,9 @@
 	if err != nil {
 		return nil, refusal.NewNotRun(503, "peer-unreachable", err.Error()).WithRetryAfter(time.Second)
 	}
+	stop := l.watch(s.Session())
 	b, whole, err := exchange(ctx, s, method, body)
+	stop()
 	if whole {
 		e.keep(s)
 	}
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -29,7 +29,7 @@
 func muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
-	c.KeepAliveInterval = heartbeatInterval
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = heartbeatTimeout
 	c.MaxStreamWindowSize = streamWindow
 	c.LogOutput = io.Discard
@@ -52,6 +52,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := silence(c); err != nil {
+		l.Log.Warn().Err(err).Str("peer", to).Msg("a silent session may last long")
+	}
 	if l.ClientTLS != nil {
 		c = tls.Client(c, l.ClientTLS)
 	}
@@ -134,6 +137,9 @@
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
+		if err := silence(c); err != nil {
+			l.Log.Warn().Err(err).Msg("a silent session may last long")
+		}
 		l.group.Go("session", func(ctx context.Context) error {
 			l.serve(ctx, c)
 			return nil
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -75,6 +75,11 @@
 	return u, len(u.Announcements)+len(u.Counts)+len(u.Hosts) > 0
 }
 
+// HasUrgent reports whether Urgent would return news.
+func (m *Membership) HasUrgent() bool {
+	return len(m.changed)+len(m.urgent.Announcements)+len(m.urgent.Hosts) > 0
+}
+
 // Prune forgets what is too old to matter and renews the counts of this host.
 func (m *Membership) Prune(now time.Time) {
 	m.forget(now)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -107,7 +107,11 @@
 	flushes := make(chan struct{}, 1)
 	stopPeriods := r.Timer.Every(Period, func(time.Time) { signal(periods) })
 	defer stopPeriods()
-	stopFlushes := r.Timer.Every(Flush, func(time.Time) { signal(flushes) })
+	stopFlushes := r.Timer.Every(Flush, func(time.Time) {
+		if r.urgent() {
+			signal(flushes)
+		}
+	})
 	defer stopFlushes()
 	r.group.Go("question", func(ctx context.Context) error {
 		return repeat(ctx, periods, r.question)
@@ -118,6 +122,13 @@
 	return r.group.Wait()
 }
 
+// urgent reports whether there is news to send at once.
+func (r *Roster) urgent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.membership.HasUrgent()
+}
+
 // Stop tells the other hosts that this one takes on nothing more.
 func (r *Roster) Stop() {
 	r.once.Do(r.init)
--- a/internal/timer/service.go
+++ b/internal/timer/service.go
@@ -102,7 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seq++
-	e := &entry{at: n.Add(d), seq: s.seq, every: every, call: f}
+	e := &entry{at: s.first(n, d, every), seq: s.seq, every: every, call: f}
 	heap.Push(&s.due, e)
 	select {
 	case s.wake <- struct{}{}:
@@ -111,6 +111,14 @@
 	return func() { s.drop(e) }
 }
 
+// first returns when an entry is due first; on the machine's clock, entries that repeat wake it together.
+func (s *Service) first(now time.Time, d, every time.Duration) time.Time {
+	if s.manual || every <= 0 {
+		return now.Add(d)
+	}
+	return s.steady.wall.Add((now.Sub(s.steady.wall)/every + 1) * every)
+}
+
 func (s *Service) drop(e *entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
