Tell what a host keeps from its first message on

One that was asked before told the new run without it, and what a run tells counts once. Storage hosts that were wiped were so not seen as such, never became learners, and the next wipe took the quorum. Found in the logs: 'formed' on the wiped host without 'learner added' on the leader. Change: it is set before any message.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -17,8 +17,6 @@
 
 // Question returns what this host knows, for a peer to answer with what it lacks.
 func (m *Membership) Question() news.News {
-	h := m.hosts[m.name]
-	h.Label, h.Control, h.Ledgers = m.Self.Label, m.Self.Control, m.Self.Ledgers
 	return news.News{From: m.name, Hosts: m.known()}
 }
 
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -150,6 +150,12 @@
 	}
 }
 
+// Introduce sets what this host tells of itself besides its name, domain and run; it must come before any message.
+func (m *Membership) Introduce(self news.Host) {
+	h := m.hosts[m.name]
+	h.Label, h.Control, h.Ledgers = self.Label, self.Control, self.Ledgers
+}
+
 // Stop tells that this host takes on nothing more.
 func (m *Membership) Stop() {
 	h := m.hosts[m.name]
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -40,8 +40,6 @@
 type Membership struct {
 	// Open takes in hosts that were not named at the start, and forgets dead ones.
 	Open bool
-	// Self is what this host tells of itself besides its name, domain and run.
-	Self news.Host
 	// Expiry is the age at which an announcement no longer counts; zero means the constant.
 	Expiry time.Duration
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -311,7 +311,7 @@
 	a.Open = true
 	b := membership.NewMembership("b", "d2", 1, []string{"s"}, 2)
 	b.Open = true
-	b.Self = news.Host{Label: "host-b", Control: true}
+	b.Introduce(news.Host{Label: "host-b", Control: true})
 	a.Answer(now, b.Question()) // b asks a, which did not know of b
 	find := func(n string) (news.Host, bool) {
 		for _, h := range a.Hosts() {
@@ -339,3 +339,23 @@
 	_, ok = find("c")
 	is.True(!ok) // one that is known to be dead is not taken in again
 }
+
+// TestHostThatIsAskedFirstTellsWhatItKeeps has a host that restarted answer before it asks for the first time.
+func TestHostThatIsAskedFirstTellsWhatItKeeps(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := membership.NewMembership("a", "d1", 1, []string{"b"}, 1)
+	a.Open = true
+	old := membership.NewMembership("b", "d2", 1, []string{"a"}, 2)
+	old.Introduce(news.Host{Ledgers: true})
+	a.Answer(now, old.Question())
+	b := membership.NewMembership("b", "d2", 2, []string{"a"}, 2)
+	b.Introduce(news.Host{Ledgers: true})
+	a.Learn(now, now, b.Answer(now, a.Question()))
+	for _, h := range a.Hosts() {
+		if h.Name == "b" {
+			is.Equal(h.Boot, uint64(2))
+			is.True(h.Ledgers)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -243,7 +243,7 @@
 	r.asking = map[string]bool{}
 	r.membership = membership.NewMembership(r.Name, r.FailureDomain, r.Boot, r.Link.Names(), r.Seed)
 	r.membership.Open = r.Open
-	r.membership.Self = r.Self
+	r.membership.Introduce(r.Self)
 	r.membership.Expiry = r.Expiry
 }
 
