--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -88,31 +88,24 @@
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
 	err = u.do(ctx, func(now time.Time) error {
-		if i, ok := s.Learn(); ok {
-			_, err := u.step(now, stepLearn, i)
-			return logStep(c, g, "learner added", i, err)
+		k, what := stepRemove, "member removed"
+		switch {
+		case s.Learn:
+			k, what = stepLearn, "learner added"
+		case s.Promote:
+			k, what = stepPromote, "voter added"
 		}
-		if i, ok := s.Promote(); ok {
-			_, err := u.step(now, stepPromote, i)
-			return logStep(c, g, "voter added", i, err)
+		_, err := u.step(now, k, s.Member)
+		if err == nil {
+			c.Log.Info().Uint32("group", g).Stringer("member", s.Member).Msg(what)
 		}
-		i, _ := s.Remove()
-		_, err := u.step(now, stepRemove, i)
-		return logStep(c, g, "member removed", i, err)
+		return err
 	})
 	if err != nil {
 		c.Log.Debug().Err(err).Uint32("group", g).Msg("repair waits")
 	}
 }
 
-// logStep notes a step that was taken.
-func logStep(c *Control, g uint32, what string, i identity.Identity, err error) error {
-	if err == nil {
-		c.Log.Info().Uint32("group", g).Stringer("member", i).Msg(what)
-	}
-	return err
-}
-
 func (c *Control) domain(host string) string {
 	if c.Known == nil {
 		return ""
--- a/internal/link/exchange.go
+++ b/internal/link/exchange.go
@@ -49,7 +49,7 @@
 }
 
 func (l *Link) tell(s *yamux.Stream, method string, body []byte) error {
-	_ = s.SetDeadline(time.Now().Add(heartbeatTimeout))
+	_ = s.SetDeadline(l.Timer.DeadlineIn(heartbeatTimeout))
 	err := write(s, &frame.Frame{Method: method, Body: body, OneWay: true})
 	if err != nil {
 		_ = s.Close()
@@ -86,7 +86,7 @@
 	if err != nil {
 		p = &frame.Reply{Refusal: sent(refusal.Of(err))}
 	}
-	_ = s.SetWriteDeadline(time.Now().Add(callTimeout))
+	_ = s.SetWriteDeadline(l.Timer.DeadlineIn(callTimeout))
 	return write(s, p) == nil
 }
 
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -74,7 +74,7 @@
 }
 
 func (l *Link) greet(c net.Conn, to, lane string) error {
-	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
+	_ = c.SetDeadline(l.Timer.DeadlineIn(handshakeTimeout))
 	r := reader{c}
 	q, err := readHello(r)
 	if err != nil {
@@ -100,7 +100,7 @@
 
 // welcome is the server's half of greet.
 func (l *Link) welcome(c net.Conn) (*frame.Hello, error) {
-	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
+	_ = c.SetDeadline(l.Timer.DeadlineIn(handshakeTimeout))
 	q := &frame.Hello{From: l.Name, Nonce: nonce()}
 	if _, err := protodelim.MarshalTo(c, q); err != nil {
 		return nil, err
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -6,22 +6,10 @@
 	"time"
 
 	"siskinrun/internal/identity"
+	"siskinrun/internal/memberstep"
 	"siskinrun/internal/standing"
 )
 
-// kind is one change of a group's members.
-type kind int
-
-const (
-	none kind = iota
-	// learn adds a learner.
-	learn
-	// promote gives a learner its vote.
-	promote
-	// remove ends a membership.
-	remove
-)
-
 // Repair plans the changes of one group, one at a time, so that any leader can go on where another stopped.
 //
 // A voter is lost when its host shows another disk, or when it was silent for too long. It is
@@ -39,49 +27,31 @@
 	Domain func(host string) string
 }
 
-// Step is the next change.
-type Step struct {
-	kind   kind
-	member identity.Identity
-}
-
-// Learn returns the member that becomes a learner, if that is the step.
-func (s Step) Learn() (identity.Identity, bool) { return s.member, s.kind == learn }
-
-// Promote returns the learner that becomes a voter, if that is the step.
-func (s Step) Promote() (identity.Identity, bool) { return s.member, s.kind == promote }
-
-// Remove returns the member that leaves, if that is the step.
-func (s Step) Remove() (identity.Identity, bool) { return s.member, s.kind == remove }
-
-// IsZero reports whether there is nothing to do.
-func (s Step) IsZero() bool { return s.kind == none }
-
 // Next returns the next step for a group as its leader sees it, given the disks of the control hosts that answer.
-func (r *Repair) Next(s standing.Standing, present []identity.Identity) Step {
+func (r *Repair) Next(s standing.Standing, present []identity.Identity) memberstep.Step {
 	lost := r.lost(s, present)
 	for _, m := range s.Members {
 		if !m.Voter && replaced(m.Identity, present) {
-			return Step{remove, m.Identity}
+			return memberstep.Step{Member: m.Identity, Remove: true}
 		}
 	}
 	if voters(s) > r.Voters && len(lost) > 0 {
-		return Step{remove, lost[0]}
+		return memberstep.Step{Member: lost[0], Remove: true}
 	}
 	if voters(s) < r.Voters {
 		return r.add(s, present, identity.Identity{})
 	}
 	if len(lost) == 0 || voters(s) > r.Voters {
-		return Step{}
+		return memberstep.Step{}
 	}
 	return r.add(s, present, lost[0])
 }
 
 // add brings the best spare one step nearer to its vote.
-func (r *Repair) add(s standing.Standing, present []identity.Identity, lost identity.Identity) Step {
+func (r *Repair) add(s standing.Standing, present []identity.Identity, lost identity.Identity) memberstep.Step {
 	l := r.spares(s, present, lost)
 	if len(l) == 0 {
-		return Step{}
+		return memberstep.Step{}
 	}
 	best := l[0]
 	for _, m := range s.Members {
@@ -89,11 +59,11 @@
 			continue
 		}
 		if m.Lag > r.CaughtUp {
-			return Step{}
+			return memberstep.Step{}
 		}
-		return Step{promote, best}
+		return memberstep.Step{Member: best, Promote: true}
 	}
-	return Step{learn, best}
+	return memberstep.Step{Member: best, Learn: true}
 }
 
 // lost returns the voters that must be replaced, those with changed disks first.
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/identity"
+	"siskinrun/internal/memberstep"
 	"siskinrun/internal/repair"
 	"siskinrun/internal/standing"
 )
@@ -60,15 +61,14 @@
 	}
 }
 
-func text(s repair.Step) string {
-	if i, ok := s.Learn(); ok {
-		return "learn " + i.String()
-	}
-	if i, ok := s.Promote(); ok {
-		return "promote " + i.String()
-	}
-	if i, ok := s.Remove(); ok {
-		return "remove " + i.String()
+func text(s memberstep.Step) string {
+	switch {
+	case s.Learn:
+		return "learn " + s.Member.String()
+	case s.Promote:
+		return "promote " + s.Member.String()
+	case s.Remove:
+		return "remove " + s.Member.String()
 	}
 	return "none"
 }
--- a/internal/timer/service.go
+++ b/internal/timer/service.go
@@ -43,6 +43,11 @@
 	return time.Now().Add(t.Sub(s.Now()))
 }
 
+// DeadlineIn returns when d will have passed, as Deadline does.
+func (s *Service) DeadlineIn(d time.Duration) time.Time {
+	return time.Now().Add(d)
+}
+
 // After calls f once when d has passed and returns a function that cancels it.
 func (s *Service) After(d time.Duration, f func(now time.Time)) (cancel func()) {
 	return s.add(d, 0, f)
