--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -46,6 +46,15 @@
 	return l
 }
 
+// FanOf returns up to n peers as Fan does, but for counts alone only those that take calls, where these are known.
+func (m *Membership) FanOf(u news.News, n int) []string {
+	l := m.Fan(len(m.order), "")
+	if len(u.Announcements)+len(u.Hosts) == 0 {
+		l = slices.DeleteFunc(l, func(p string) bool { return m.hosts[p].Control != m.hosts[p].Ledgers })
+	}
+	return l[:min(n, len(l))]
+}
+
 // Alive reports whether a host is neither suspected here nor declared dead.
 func (m *Membership) Alive(name string) bool {
 	h := m.hosts[name]
--- a/internal/roster/gossip.go
+++ b/internal/roster/gossip.go
@@ -160,7 +160,7 @@
 	if own(n, r.Name) {
 		f = fanOut
 	}
-	l := r.membership.Fan(f, "")
+	l := r.membership.FanOf(n, f)
 	r.mu.Unlock()
 	b, err := encode(n)
 	if err != nil {
--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -301,6 +301,7 @@
 	p.rollout = rollout.NewRollout()
 	p.spread.Subscribe(func(c *configuration.Configuration) { p.rollout.SetModels(c.Models) })
 	p.choose = choose.NewChoose(p.seed)
+	p.choose.LocalityWeight = s.Settings.Fleet.Weights.Locality
 	p.yield = yield.NewYield()
 	w := s.Settings.Fleet.Weights
 	p.yield.BatchWeight = w.BatchThroughput
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -175,6 +175,7 @@
 	s.bound(f, "fleet.rate-slack", s.Fleet.RateSlack, 0, maxSlack)
 	s.weight(f, "fleet.weights.batch-throughput", s.Fleet.Weights.BatchThroughput)
 	s.weight(f, "fleet.weights.online-tail", s.Fleet.Weights.OnlineTail)
+	s.weight(f, "fleet.weights.locality", s.Fleet.Weights.Locality)
 	s.weight(f, "fleet.weights.worst-team", s.Fleet.Weights.WorstTeam)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"sort"
 	"time"
 
+	"siskinrun/internal/choose"
 	"siskinrun/internal/configuration"
 	"siskinrun/internal/document"
 	"siskinrun/internal/fault"
@@ -168,6 +169,8 @@
 	OnlineTail float64 `json:"online-tail"`
 	// WorstTeam values the worst-served team.
 	WorstTeam float64 `json:"worst-team"`
+	// Locality is the share of an upstream's slots by which one of the own failure domain may be busier.
+	Locality float64 `json:"locality"`
 }
 
 // Limits bound what a host takes from callers.
@@ -329,7 +332,7 @@
 			LedgerGroups:   defaultLedgerGroups,
 			FreshnessLease: span.Span(defaultFreshnessLease),
 			Drain:          span.Span(defaultDrain),
-			Weights:        Weights{BatchThroughput: 1, OnlineTail: 1, WorstTeam: 1},
+			Weights:        Weights{BatchThroughput: 1, OnlineTail: 1, WorstTeam: 1, Locality: choose.LocalityWeightDefault},
 		},
 		Limits: Limits{
 			HeaderBytes: defaultHeaderBytes,
