--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -212,6 +212,21 @@
 	return c.Eject.Reachable(name)
 }
 
+// Slowness returns how many times as long as the median of its service an upstream takes, 1 if it is not known.
+func (c *Choose) Slowness(name string, now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.members[name]
+	if !ok {
+		return 1
+	}
+	p, ok := c.pools[poolKey{service: m.upstream.Service}]
+	if !ok {
+		return 1
+	}
+	return m.ratio(now, p.median)
+}
+
 // Heard notes a sign of life of an upstream, such as an announcement.
 func (c *Choose) Heard(name string, at time.Time) {
 	c.mu.Lock()
--- a/internal/serve/adapters.go
+++ b/internal/serve/adapters.go
@@ -127,6 +127,9 @@
 	return f.parts.directory.Targets(u)
 }
 
+// slowUpstream is the slowness from which an upstream runs fewer batch items, which would take that much longer there.
+const slowUpstream = 2.5
+
 // windows bounds the batch items of an upstream by the feedback on online calls.
 type windows struct {
 	parts *parts
@@ -137,7 +140,12 @@
 	if !w.parts.choose.Reachable(name) {
 		return 0
 	}
-	return w.parts.yield.Window(name, w.parts.serveHost.timer.Now())
+	n := w.parts.serveHost.timer.Now()
+	s := w.parts.choose.Slowness(name, n)
+	if s < slowUpstream {
+		s = 1
+	}
+	return int(float64(w.parts.yield.Window(name, n)) / s)
 }
 
 // announced takes messages of upstreams into the roster.
