Take no new connections in the second half of a stop

Change: after the drain the listener closes, open connections go on to their end, idle ones close after 300 ms.

--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -19,12 +19,18 @@
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
-	last time.Time
+	// refusing says that no new connections are taken, while those that are open go on.
+	refusing bool
+	once     sync.Once
+	closed   chan struct{}
 }
 
 // Accept implements net.Listener.Accept.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if err != nil && l.refuses() {
+		<-l.ended()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -35,7 +41,6 @@
 		l.open = map[*conn]struct{}{}
 	}
 	l.open[k] = struct{}{}
-	l.last = k.used
 	return k, nil
 }
 
@@ -46,11 +51,40 @@
 	return len(l.open)
 }
 
-// Quiet returns how long there has been no new connection.
-func (l *Listener) Quiet() time.Duration {
+// Refuse takes no new connections from now on; the server goes on with those that are open.
+func (l *Listener) Refuse() error {
+	l.mu.Lock()
+	l.refusing = true
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// Close implements net.Listener.Close.
+func (l *Listener) Close() error {
+	c := l.ended()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+	if l.refusing {
+		return nil // closed before
+	}
+	return l.Listener.Close()
+}
+
+// ended returns a channel that is closed with the listener.
+func (l *Listener) ended() chan struct{} {
+	l.once.Do(func() { l.closed = make(chan struct{}) })
+	return l.closed
+}
+
+func (l *Listener) refuses() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Timer.Now().Sub(l.last)
+	return l.refusing
 }
 
 // CloseIdle closes the connections without a call on which no byte came for the given time.
--- a/internal/accept/listener_test.go
+++ b/internal/accept/listener_test.go
@@ -1,6 +1,7 @@
 package accept_test
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/accept"
+	"siskinrun/internal/group"
 	"siskinrun/internal/timer"
 )
 
@@ -53,5 +55,28 @@
 	l.CloseIdle(2 * time.Second)
 	is.Equal(l.Open(), 1)
 	done()
-	is.Equal(l.Quiet(), time.Minute)
+	l.CloseIdle(2 * time.Second)
+	is.Equal(l.Open(), 1) // used a moment ago
+}
+
+// TestRefusingListenerKeepsItsServer has a server go on with open connections while new ones are refused.
+func TestRefusingListenerKeepsItsServer(t *testing.T) {
+	is := is.New(t)
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &accept.Listener{Listener: in, Timer: timer.NewManual(time.Unix(1000, 0))}
+	ended := make(chan error, 1)
+	g := group.NewGroup(t.Context())
+	g.Go("serve", func(context.Context) error {
+		_, err := l.Accept()
+		ended <- err
+		return nil
+	})
+	is.NoErr(l.Refuse())
+	_, err = net.Dial("tcp", in.Addr().String())
+	is.True(err != nil)
+	is.Equal(len(ended), 0)
+	_ = l.Close()
+	is.True(<-ended != nil)
+	is.NoErr(g.Wait())
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,10 +17,9 @@
 
 const (
 	idleTimeout = 2 * time.Minute
-	idleGrace   = 2 * time.Second
-	drainPoll   = 50 * time.Millisecond
-	// quietTime is how long no connection may have come before a stopping host takes no more of them.
-	quietTime = 500 * time.Millisecond
+	// idleGrace is how long a connection of a stopping host is without a call before it closes.
+	idleGrace = 300 * time.Millisecond
+	drainPoll = 50 * time.Millisecond
 )
 
 // dialect answers requests in one wire format.
@@ -114,7 +113,7 @@
 	}
 }
 
-// drain answers for a while with the connections closing, then waits until all calls have ended.
+// drain answers for a while with the connections closing, then takes no new ones and waits until all calls have ended.
 func (i *Ingress) drain(ctx context.Context) {
 	i.draining.Store(true)
 	if i.StopTimeout > 0 {
@@ -123,7 +122,11 @@
 		defer cancel()
 	}
 	_ = i.Timer.Sleep(ctx, i.Drain)
-	for (i.accept.Open() > 0 || i.accept.Quiet() < quietTime) && ctx.Err() == nil {
+	if err := i.accept.Refuse(); err != nil {
+		i.Log.Warn().Err(err).Msg("listener not closed")
+	}
+	_ = i.Timer.Sleep(ctx, drainPoll)
+	for i.accept.Open() > 0 && ctx.Err() == nil {
 		i.accept.CloseIdle(idleGrace)
 		_ = i.Timer.Sleep(ctx, drainPoll)
 	}
