Keep what is known of an upstream when a host that never saw it tells of its leave

Cause of the red TestRostersAgreeOverLinks: a host that did not know an upstream told of its leave without an address, and this bare leave took the place of the full announcement, so the leaving upstream vanished from the view instead of being marked.

Cause of the red TestHostsStartedAfterALeaveAreToldOfItInTime: the model told its chooser of a peer's answer only at its next step of 100 ms, while the roster does so with the answer.

--- a/internal/joined/members_test.go
+++ b/internal/joined/members_test.go
@@ -213,5 +213,6 @@
 	}
 	h.members.Trust(name)
 	h.members.Learn(h.now(), h.now().Add(-time.Millisecond), a)
+	h.refresh()
 	return true
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -270,6 +270,7 @@
 // keep stores an announcement and marks it as urgent if it ends an incarnation.
 func (m *Membership) keep(now time.Time, a *announcement) {
 	old := m.announcements[a.upstream.Name]
+	a.complete(old)
 	m.announcements[a.upstream.Name] = a
 	if old == nil || !same(a.upstream, old.upstream) {
 		m.version++
@@ -280,6 +281,16 @@
 	m.urgent.Announcements = append(m.urgent.Announcements, a.news(now))
 }
 
+// complete takes over what a host told of a leave without knowing the upstream that left.
+func (a *announcement) complete(old *announcement) {
+	if old == nil || a.upstream.Address != "" || a.upstream.Incarnation != old.upstream.Incarnation {
+		return
+	}
+	u := old.upstream
+	u.Leaving = a.upstream.Leaving
+	a.upstream = u
+}
+
 func (a *announcement) news(now time.Time) news.Announcement {
 	return news.Announcement{Origin: a.origin, Age: now.Sub(a.born), Upstream: a.upstream}
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -189,6 +189,26 @@
 	is.True(m.Announce(start.Add(time.Minute), up(5, "x", 0)))
 }
 
+func TestLeaveToldByAHostThatNeverSawTheUpstreamKeepsItsAddress(t *testing.T) {
+	is := is.New(t)
+	n := time.Unix(0, 0)
+	a, b := newView(), membership.NewMembership("b", "d", 1, []string{"a"}, 1)
+	is.True(a.Announce(n, up(1, "x", 0)))
+	is.True(b.Leave(n, "u", 1))
+	u, ok := b.Urgent(n)
+	is.True(ok)
+	a.Hear(n, u)
+	l := a.Upstreams(n)
+	is.Equal(len(l), 1)
+	is.True(l[0].Leaving)
+	is.Equal(l[0].Address, "x")
+	// A bare leave of a later incarnation takes nothing over.
+	is.True(b.Leave(n, "u", 2))
+	u, _ = b.Urgent(n)
+	a.Hear(n, u)
+	is.Equal(len(a.Upstreams(n)), 0)
+}
+
 func TestOneAddressHasOneName(t *testing.T) {
 	is := is.New(t)
 	m := newView()
