--- a/internal/serve/parts.go
+++ b/internal/serve/parts.go
@@ -4,18 +4,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/hex"
 	mathrand "math/rand/v2"
 	"net"
-	"path/filepath"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	"siskinrun/internal/account"
-	"siskinrun/internal/admit"
 	"siskinrun/internal/announce"
 	"siskinrun/internal/batch"
 	"siskinrun/internal/caller"
@@ -24,34 +19,22 @@
 	"siskinrun/internal/configuration"
 	"siskinrun/internal/control"
 	"siskinrun/internal/directory"
-	"siskinrun/internal/dispatch"
 	"siskinrun/internal/drive"
-	"siskinrun/internal/engine"
-	"siskinrun/internal/exchange"
-	"siskinrun/internal/folder"
 	"siskinrun/internal/grant"
 	"siskinrun/internal/group"
 	"siskinrun/internal/identify"
-	"siskinrun/internal/lead"
 	"siskinrun/internal/ledger"
 	"siskinrun/internal/link"
-	"siskinrun/internal/machine"
 	"siskinrun/internal/metricspage"
 	"siskinrun/internal/news"
 	"siskinrun/internal/occupancy"
-	"siskinrun/internal/once"
 	"siskinrun/internal/operator"
-	"siskinrun/internal/orderclient"
 	"siskinrun/internal/pipe"
 	"siskinrun/internal/planner"
 	"siskinrun/internal/proposal"
-	"siskinrun/internal/record"
 	"siskinrun/internal/register"
-	"siskinrun/internal/report"
-	"siskinrun/internal/retry"
 	"siskinrun/internal/rollout"
 	"siskinrun/internal/roster"
-	"siskinrun/internal/runner"
 	"siskinrun/internal/settings"
 	"siskinrun/internal/spread"
 	"siskinrun/internal/upstream"
@@ -169,92 +152,6 @@
 	return nil
 }
 
-// dataFolder returns where the replicated state is kept, or nothing on a host without a disk.
-func (p *parts) dataFolder() string {
-	s := p.serveHost
-	if p.host.DataFolder == "" {
-		return ""
-	}
-	if s.Folder != "" {
-		return s.Folder
-	}
-	return s.Settings.Path("fleet.hosts."+s.Name+".data-folder", p.host.DataFolder)
-}
-
-func (p *parts) buildState() error {
-	s := p.serveHost
-	p.client = &proposal.Client{Link: p.link, Hosts: s.Settings.Control(), Timer: s.timer}
-	if s.Settings.Joining() {
-		p.client.Known = p.keepers
-	}
-	if d := p.dataFolder(); d != "" {
-		if err := p.buildControl(d); err != nil {
-			return err
-		}
-	}
-	p.spread = &spread.Spread{
-		Name:          s.Name,
-		FailureDomain: p.host.FailureDomain,
-		Domains:       s.Settings.Domains(),
-		Control:       s.Settings.Control(),
-		Link:          p.link,
-		Client:        p.client,
-		Register:      p.register,
-		Lease:         s.Settings.Fleet.FreshnessLease.Duration(),
-		Timer:         s.timer,
-		Log:           s.Log,
-		Metrics:       p.child("spread"),
-	}
-	p.spread.Bind()
-	p.identify = &identify.Identify{Spread: p.spread}
-	if s.Dialect != nil {
-		p.identify.Scheme = s.Dialect.Scheme
-	}
-	p.identify.Start()
-	p.directory = &directory.Directory{View: p.spread.View}
-	return nil
-}
-
-// buildControl makes the state machines of a control host and the groups that replicate them.
-func (p *parts) buildControl(data string) error {
-	s := p.serveHost
-	p.ledgers = map[uint32]*ledger.Ledger{}
-	m := map[uint32]machine.Machine{}
-	if p.host.Holds(settings.KeepsConfiguration) {
-		p.register = register.NewRegister()
-		m[configurationGroup] = p.register
-	}
-	for g := uint32(1); g <= p.groups() && p.host.Holds(settings.KeepsLedgers); g++ {
-		f, err := folder.NewFolder(filepath.Join(data, "ledger-"+strconv.Itoa(int(g))))
-		if err != nil {
-			return err
-		}
-		p.ledgers[g] = ledger.NewLedger(f)
-		m[g] = p.ledgers[g]
-	}
-	p.control = &control.Control{
-		Name:     s.Name,
-		Folder:   data,
-		Hosts:    s.Settings.Control(),
-		Machines: m,
-		Link:     p.link,
-		Timer:    s.timer,
-		Log:      s.Log,
-		Metrics:  p.child("control"),
-		Seed:     p.seed,
-	}
-	if s.Settings.Joining() {
-		p.joinControl()
-	}
-	p.control.Register()
-	p.client.Control = p.control
-	return nil
-}
-
-func (p *parts) groups() uint32 {
-	return uint32(p.serveHost.Settings.Fleet.LedgerGroups)
-}
-
 func (p *parts) buildLimits() error {
 	s := p.serveHost
 	p.roster = &roster.Roster{
@@ -354,74 +251,6 @@
 	return nil
 }
 
-func (p *parts) buildPipe(g *group.Group) {
-	s := p.serveHost
-	p.observed = p.observations()
-	m := s.Settings.Limits
-	x := &exchange.Exchange{
-		Timer:          s.timer,
-		IdleAge:        idleAge,
-		Silence:        m.StreamSilence.Duration(),
-		ConnectTimeout: m.ConnectTimeout.Duration(),
-	}
-	p.pipe = &pipe.Pipe{
-		Identify: &keys{identify: p.identify, group: g},
-		View:     p.spread.View,
-
-		FinishWithdrawn: s.Settings.Fleet.FinishWithdrawn,
-
-		Rollout: p.rollout,
-		Admit:   &admit.Admit{Grants: p.grant, Metrics: p.child("admit")},
-		Queue:   p.capacity,
-		Keeper:  &once.Once{Store: p.batch},
-		Dispatch: &dispatch.Dispatch{
-			FailureDomain: p.host.FailureDomain,
-			Choose:        p.choose,
-			Retry:         retry.NewRetry(),
-			Exchange:      x,
-			Observe:       p.occupancy,
-			Cancel:        &engine.Engine{Exchange: x, Group: g, Timer: s.timer},
-			Timer:         s.timer,
-		},
-		Account:        &account.Account{Log: s.Log, Metrics: s.metrics, Sinks: []func(record.Record){p.observed.add}},
-		Jobs:           p.batch,
-		Timer:          s.timer,
-		TimeoutDefault: callTimeout,
-	}
-	if s.Dialect != nil {
-		x.Dialect = s.Dialect.Upstreams
-		x.Report = p.reported
-		d := p.pipe.Dispatch.(*dispatch.Dispatch)
-		d.PlainStreams = true
-		d.Cancel = closing{}
-	}
-	p.planner = planner.NewPlanner()
-	p.planner.Lead = func() lead.Lead { return p.lead(0) }
-	p.planner.Upstreams = p.roster.Upstreams
-	p.planner.View = p.spread.View
-	p.planner.Busy = func(n string) int { return p.roster.Peers(n) + p.choose.Own(n) }
-	p.planner.Engines = &orderclient.Client{Exchange: x, Timer: s.timer}
-	p.planner.Timer = s.timer
-	p.planner.Log = s.Log
-	p.drive = &drive.Drive{
-		Host:        s.Name,
-		Incarnation: hex.EncodeToString(binary.BigEndian.AppendUint64(nil, p.seed)),
-		Groups:      p.groups(),
-		Ledgers:     p.batch,
-		Fleet:       fleet{p},
-		Windows:     windows{p},
-		Runner:      &runner.Runner{Pipe: p.pipe, Upstreams: p.roster.Upstreams, Timer: s.timer},
-		Timer:       s.timer,
-		Log:         s.Log,
-	}
-}
-
-// reported takes the load that an upstream told with an answer.
-func (p *parts) reported(r report.Report, at time.Time) {
-	p.choose.Report(r, at)
-	p.yield.Report(r, at)
-}
-
 func (p *parts) buildMetrics() error {
 	if p.host.Metrics == "" {
 		return nil
--- /dev/null
+++ b/internal/serve/state.go
@@ -0,0 +1,103 @@
+package serve
+
+import (
+	"path/filepath"
+	"strconv"
+
+	"siskinrun/internal/control"
+	"siskinrun/internal/directory"
+	"siskinrun/internal/folder"
+	"siskinrun/internal/identify"
+	"siskinrun/internal/ledger"
+	"siskinrun/internal/machine"
+	"siskinrun/internal/proposal"
+	"siskinrun/internal/register"
+	"siskinrun/internal/settings"
+	"siskinrun/internal/spread"
+)
+
+// dataFolder returns where the replicated state is kept, or nothing on a host without a disk.
+func (p *parts) dataFolder() string {
+	s := p.serveHost
+	if p.host.DataFolder == "" {
+		return ""
+	}
+	if s.Folder != "" {
+		return s.Folder
+	}
+	return s.Settings.Path("fleet.hosts."+s.Name+".data-folder", p.host.DataFolder)
+}
+
+func (p *parts) buildState() error {
+	s := p.serveHost
+	p.client = &proposal.Client{Link: p.link, Hosts: s.Settings.Control(), Timer: s.timer}
+	if s.Settings.Joining() {
+		p.client.Known = p.keepers
+	}
+	if d := p.dataFolder(); d != "" {
+		if err := p.buildControl(d); err != nil {
+			return err
+		}
+	}
+	p.spread = &spread.Spread{
+		Name:          s.Name,
+		FailureDomain: p.host.FailureDomain,
+		Domains:       s.Settings.Domains(),
+		Control:       s.Settings.Control(),
+		Link:          p.link,
+		Client:        p.client,
+		Register:      p.register,
+		Lease:         s.Settings.Fleet.FreshnessLease.Duration(),
+		Timer:         s.timer,
+		Log:           s.Log,
+		Metrics:       p.child("spread"),
+	}
+	p.spread.Bind()
+	p.identify = &identify.Identify{Spread: p.spread}
+	if s.Dialect != nil {
+		p.identify.Scheme = s.Dialect.Scheme
+	}
+	p.identify.Start()
+	p.directory = &directory.Directory{View: p.spread.View}
+	return nil
+}
+
+// buildControl makes the state machines of a control host and the groups that replicate them.
+func (p *parts) buildControl(data string) error {
+	s := p.serveHost
+	p.ledgers = map[uint32]*ledger.Ledger{}
+	m := map[uint32]machine.Machine{}
+	if p.host.Holds(settings.KeepsConfiguration) {
+		p.register = register.NewRegister()
+		m[configurationGroup] = p.register
+	}
+	for g := uint32(1); g <= p.groups() && p.host.Holds(settings.KeepsLedgers); g++ {
+		f, err := folder.NewFolder(filepath.Join(data, "ledger-"+strconv.Itoa(int(g))))
+		if err != nil {
+			return err
+		}
+		p.ledgers[g] = ledger.NewLedger(f)
+		m[g] = p.ledgers[g]
+	}
+	p.control = &control.Control{
+		Name:     s.Name,
+		Folder:   data,
+		Hosts:    s.Settings.Control(),
+		Machines: m,
+		Link:     p.link,
+		Timer:    s.timer,
+		Log:      s.Log,
+		Metrics:  p.child("control"),
+		Seed:     p.seed,
+	}
+	if s.Settings.Joining() {
+		p.joinControl()
+	}
+	p.control.Register()
+	p.client.Control = p.control
+	return nil
+}
+
+func (p *parts) groups() uint32 {
+	return uint32(p.serveHost.Settings.Fleet.LedgerGroups)
+}
--- /dev/null
+++ b/internal/serve/work.go
@@ -0,0 +1,118 @@
+package serve
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"time"
+
+	"siskinrun/internal/account"
+	"siskinrun/internal/admit"
+	"siskinrun/internal/dispatch"
+	"siskinrun/internal/drive"
+	"siskinrun/internal/engine"
+	"siskinrun/internal/exchange"
+	"siskinrun/internal/group"
+	"siskinrun/internal/lead"
+	"siskinrun/internal/once"
+	"siskinrun/internal/orderclient"
+	"siskinrun/internal/pipe"
+	"siskinrun/internal/planner"
+	"siskinrun/internal/record"
+	"siskinrun/internal/report"
+	"siskinrun/internal/retry"
+	"siskinrun/internal/runner"
+)
+
+// buildPipe makes the pipe of the calls, and what drives batch items through it.
+func (p *parts) buildPipe(g *group.Group) {
+	s := p.serveHost
+	p.observed = p.observations()
+	x := p.newExchange()
+	p.pipe = &pipe.Pipe{
+		Identify: &keys{identify: p.identify, group: g},
+		View:     p.spread.View,
+
+		FinishWithdrawn: s.Settings.Fleet.FinishWithdrawn,
+
+		Rollout:        p.rollout,
+		Admit:          &admit.Admit{Grants: p.grant, Metrics: p.child("admit")},
+		Queue:          p.capacity,
+		Keeper:         &once.Once{Store: p.batch},
+		Dispatch:       p.newDispatch(x, g),
+		Account:        &account.Account{Log: s.Log, Metrics: s.metrics, Sinks: []func(record.Record){p.observed.add}},
+		Jobs:           p.batch,
+		Timer:          s.timer,
+		TimeoutDefault: callTimeout,
+	}
+	p.planner = p.newPlanner(x)
+	p.drive = p.newDrive()
+}
+
+// newExchange returns what sends requests to upstreams.
+func (p *parts) newExchange() *exchange.Exchange {
+	s := p.serveHost
+	m := s.Settings.Limits
+	x := &exchange.Exchange{
+		Timer:          s.timer,
+		IdleAge:        idleAge,
+		Silence:        m.StreamSilence.Duration(),
+		ConnectTimeout: m.ConnectTimeout.Duration(),
+	}
+	if s.Dialect != nil {
+		x.Dialect = s.Dialect.Upstreams
+		x.Report = p.reported
+	}
+	return x
+}
+
+func (p *parts) newDispatch(x *exchange.Exchange, g *group.Group) *dispatch.Dispatch {
+	s := p.serveHost
+	d := &dispatch.Dispatch{
+		FailureDomain: p.host.FailureDomain,
+		Choose:        p.choose,
+		Retry:         retry.NewRetry(),
+		Exchange:      x,
+		Observe:       p.occupancy,
+		Cancel:        &engine.Engine{Exchange: x, Group: g, Timer: s.timer},
+		Timer:         s.timer,
+	}
+	if s.Dialect != nil {
+		d.PlainStreams = true
+		d.Cancel = closing{}
+	}
+	return d
+}
+
+func (p *parts) newPlanner(x *exchange.Exchange) *planner.Planner {
+	s := p.serveHost
+	l := planner.NewPlanner()
+	l.Lead = func() lead.Lead { return p.lead(configurationGroup) }
+	l.Upstreams = p.roster.Upstreams
+	l.View = p.spread.View
+	l.Busy = func(n string) int { return p.roster.Peers(n) + p.choose.Own(n) }
+	l.Engines = &orderclient.Client{Exchange: x, Timer: s.timer}
+	l.Timer = s.timer
+	l.Log = s.Log
+	return l
+}
+
+func (p *parts) newDrive() *drive.Drive {
+	s := p.serveHost
+	return &drive.Drive{
+		Host:        s.Name,
+		Incarnation: hex.EncodeToString(binary.BigEndian.AppendUint64(nil, p.seed)),
+		Groups:      p.groups(),
+		Ledgers:     p.batch,
+		Fleet:       fleet{p},
+		Windows:     windows{p},
+		Runner:      &runner.Runner{Pipe: p.pipe, Upstreams: p.roster.Upstreams, Timer: s.timer},
+		Timer:       s.timer,
+		Log:         s.Log,
+	}
+}
+
+// reported takes the load that an upstream told with an answer.
+func (p *parts) reported(r report.Report, at time.Time) {
+	p.choose.Report(r, at)
+	p.yield.Report(r, at)
+}
