Refuse a replacement on a host that has not opened its groups

Cause of the red TestLeaderIsReplacedByAnotherHost: Replace ran over the groups that were open, which were none on a host that had just started, and told the operator that the change was done. The trace: a leader and three old members at entry 21, the spare in term 0, Replace without an error. Now the refusal says starting, not run. A claim that cannot be given up and ledgers that could not be formed are logged as what they are.

--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -97,6 +97,10 @@
 
 // Replace puts the disk of a new host in the place of an old member in all groups, one change at a time.
 func (c *Control) Replace(ctx context.Context, old identity.Identity, host string) error {
+	groups := c.Groups()
+	if len(groups) < len(c.Machines) {
+		return refusal.NewNotRun(503, codeStarting, "this host has not opened its groups yet").WithRetryAfter(time.Second)
+	}
 	b, err := c.Link.Call(ctx, host, methodGreet, nil)
 	if err != nil {
 		return err
@@ -112,12 +116,12 @@
 	if g.GetFormation().GetCluster() != c.cluster() || !g.GetFormation().GetFormed() {
 		return refusal.NewNotRun(409, "other-cluster", "the new member has not found this cluster yet")
 	}
-	for _, group := range c.Groups() {
+	for _, group := range groups {
 		if err := c.admissible(group, old, n); err != nil {
 			return err
 		}
 	}
-	for _, group := range c.Groups() {
+	for _, group := range groups {
 		for _, s := range []struct {
 			step   step
 			member identity.Identity
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/control"
 	"siskinrun/internal/group"
 	"siskinrun/internal/identity"
+	"siskinrun/internal/machine"
 	"siskinrun/internal/proposal"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
@@ -143,6 +145,17 @@
 	}
 }
 
+func TestHostThatHasNotOpenedItsGroupsReplacesNobody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := &control.Control{Name: "a", Machines: map[uint32]machine.Machine{0: &counter{}}}
+	err := c.Replace(within(t), identity.Identity{Host: "b"}, "c")
+	r := refusal.Of(err)
+	is.Equal(r.Code, "starting")
+	is.Equal(r.Verdict, verdict.NotRun)
+	is.True(r.RetryAfter > 0)
+}
+
 // replace asks until the new host has found the cluster.
 func (f *fleet) replace(at *host, old identity.Identity, host string) error {
 	ctx := within(f.t)
--- a/internal/control/wait.go
+++ b/internal/control/wait.go
@@ -12,6 +12,7 @@
 	codeNotLeader      = "not-leader"
 	codeOutcomeUnknown = "outcome-unknown"
 	codeBusy           = "busy"
+	codeStarting       = "starting"
 	maxWaiters         = 65536
 	maxCommandBytes    = 8 << 20
 )
--- a/internal/drive/exchange.go
+++ b/internal/drive/exchange.go
@@ -270,6 +270,13 @@
 	}
 	d.mu.Unlock()
 	for _, n := range free {
-		_ = d.Ledgers.Unclaim(ctx, claimPrefix+n, d.holder())
+		d.unclaim(ctx, n)
+	}
+}
+
+// unclaim gives up a claim; one that cannot be given up ends with its lease.
+func (d *Drive) unclaim(ctx context.Context, name string) {
+	if err := d.Ledgers.Unclaim(ctx, claimPrefix+name, d.holder()); err != nil {
+		d.Log.Debug().Err(err).Str("upstream", name).Msg("a claim is left to its lease")
 	}
 }
--- a/internal/drive/run.go
+++ b/internal/drive/run.go
@@ -94,6 +94,6 @@
 		}
 	}
 	for n := range d.claims {
-		_ = d.Ledgers.Unclaim(ctx, claimPrefix+n, d.holder())
+		d.unclaim(ctx, n)
 	}
 }
--- a/internal/serve/formation.go
+++ b/internal/serve/formation.go
@@ -109,7 +109,11 @@
 	if err == nil {
 		_, err = p.client.Propose(ctx, configurationGroup, b)
 	}
-	log := p.serveHost.Log.Info().Err(err).Str("cluster", f.Cluster)
+	if err != nil {
+		p.serveHost.Log.Warn().Err(err).Str("cluster", f.Cluster).Msg("the ledgers are not known to be formed; looking again")
+		return
+	}
+	log := p.serveHost.Log.Info().Str("cluster", f.Cluster)
 	for _, i := range members {
 		log = log.Stringer("member", i)
 	}
