--- a/internal/serve/dialect.go
+++ b/internal/serve/dialect.go
@@ -102,7 +102,7 @@
 	return nil
 }
 
-// install proposes a whole configuration and waits until it is in force on this host.
+// install proposes a whole configuration and returns what its log decided.
 func (p *parts) install(ctx context.Context, c *change.Change) (*changeoutcome.Outcome, error) {
 	c.At = p.serveHost.timer.Now()
 	b, err := c.Encode()
