Acknowledge no leave that nobody else knows

A host that saw no live peer acknowledged a leave at once, so one that was cut off let an upstream go of which no other host had heard. It is now refused as may-have-run, with when to come back, as is one told to a host that doubts its own view.

--- a/internal/roster/leave.go
+++ b/internal/roster/leave.go
@@ -15,6 +15,9 @@
 	leaveTimeout = 700 * time.Millisecond
 )
 
+// unconfirmed says that the leave may be known to some: this host keeps and spreads it all the same.
+var unconfirmed = refusal.NewMayHaveRun(503, "leave-unconfirmed", "too few hosts know of the leave yet").WithRetryAfter(leaveTimeout)
+
 // Depart takes the announcement that an upstream leaves and returns once enough hosts know of it.
 func (r *Roster) Depart(ctx context.Context, u upstream.Upstream) error {
 	u.Leaving = true
@@ -36,16 +39,23 @@
 
 // witness tells peers of an upstream until enough of them have confirmed.
 func (r *Roster) witness(ctx context.Context, name string) error {
-	if r.group == nil {
-		return refusal.NewNotRun(503, "starting", "this host is starting")
-	}
 	r.mu.Lock()
+	g := r.group
 	n, ok := r.membership.News(r.Timer.Now(), name)
 	l := r.membership.Witnesses()
+	alone := len(r.membership.Hosts()) == 1
+	doubtful := r.membership.Doubtful()
 	r.mu.Unlock()
-	if !ok || len(l) == 0 {
+	if g == nil {
+		return refusal.NewNotRun(503, "starting", "this host is starting").WithRetryAfter(leaveTimeout)
+	}
+	if ok && alone {
 		return nil
 	}
+	// A host that is cut off, alone or with few others, cannot let callers elsewhere know.
+	if !ok || doubtful || len(l) == 0 {
+		return unconfirmed
+	}
 	b, err := encode(n)
 	if err != nil {
 		return err
@@ -54,7 +64,7 @@
 	defer cancel()
 	told := make(chan bool, len(l))
 	for _, p := range l {
-		r.group.Go("witness", func(context.Context) error {
+		g.Go("witness", func(context.Context) error {
 			_, err := r.call(ctx, p, methodTell, b)
 			told <- err == nil
 			return nil
@@ -69,5 +79,5 @@
 			return nil
 		}
 	}
-	return refusal.NewNotRun(503, "leave-unconfirmed", "too few hosts know of the leave yet")
+	return unconfirmed
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -102,7 +102,10 @@
 // Run exchanges news with peers until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
 	r.once.Do(r.init)
-	r.group = group.NewGroup(ctx)
+	g := group.NewGroup(ctx)
+	r.mu.Lock()
+	r.group = g
+	r.mu.Unlock()
 	periods := make(chan struct{}, 1)
 	flushes := make(chan struct{}, 1)
 	stopPeriods := r.Timer.Every(Period, func(time.Time) { signal(periods) })
