--- a/cmd/siskinrun/fleet_test.go
+++ b/cmd/siskinrun/fleet_test.go
@@ -200,10 +200,15 @@
 	return l
 }
 
-// runFleet starts a configured fleet that ends with the test.
+// runFleet makes a fleet and runs it.
 func runFleet(t testing.TB) (*fleet, context.Context) {
 	t.Helper()
 	f := newFleet(t)
+	return f, f.run()
+}
+
+// run starts and configures the fleet, which ends with the test.
+func (f *fleet) run() context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
 	g := group.NewGroup(ctx)
 	g.Go("timer", f.timer.Run)
@@ -211,15 +216,15 @@
 	for _, n := range f.names() {
 		f.start(n)
 	}
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		for n := range f.processes {
 			f.kill(n)
 		}
 		cancel()
 		_ = g.Wait()
 	})
-	is.New(t).NoErr(f.configure(ctx))
-	return f, ctx
+	is.New(f.t).NoErr(f.configure(ctx))
+	return ctx
 }
 
 // console returns a console that asks the given hosts, or all.
--- a/cmd/siskinrun/joining_test.go
+++ b/cmd/siskinrun/joining_test.go
@@ -15,7 +15,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"siskinrun/internal/group"
 	"siskinrun/internal/settings"
 	"siskinrun/internal/standing"
 	"siskinrun/internal/timer"
@@ -117,26 +116,14 @@
 func TestHostsJoinThroughSeedsAndRepairThemselves(t *testing.T) {
 	is := is.New(t)
 	f := newJoiningFleet(t)
-	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
-	g := group.NewGroup(ctx)
-	g.Go("timer", f.timer.Run)
-	f.startEngines(g)
-	for _, n := range f.names() {
-		f.start(n)
-	}
 	t.Cleanup(func() {
-		for n := range f.processes {
-			f.kill(n)
-		}
-		cancel()
-		_ = g.Wait()
 		for n, l := range f.logs {
 			if t.Failed() {
 				t.Logf("%s:\n%s", n, l)
 			}
 		}
 	})
-	is.NoErr(f.configure(ctx))
+	ctx := f.run()
 	entry := joiningNetwork + "31"
 	f.until(ctx, "first answer", func() error { return f.answered(ctx, entry) })
 	l := f.load()
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -99,6 +99,11 @@
 	if !f.Formed {
 		return nil
 	}
+	return c.keep(f)
+}
+
+// keep saves a formation before this host goes by it.
+func (c *Control) keep(f formation.Formation) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := f.Save(c.disk); err != nil {
@@ -115,13 +120,7 @@
 		if !f.Formed {
 			continue
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if err := f.Save(c.disk); err != nil {
-			return err
-		}
-		c.formation = f
-		return nil
+		return c.keep(f)
 	}
 	return nil
 }
--- a/internal/control/handle.go
+++ b/internal/control/handle.go
@@ -58,19 +58,25 @@
 }
 
 func (c *Control) onConfirm(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	_, i, err := c.confirmed(ctx, body)
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(&packet.Answer{Index: i})
+}
+
+// confirmed decodes a question about a group and returns the group once a quorum has confirmed that this host leads it.
+func (c *Control) confirmed(ctx context.Context, body []byte) (*unit, uint64, error) {
 	q := &packet.Question{}
 	if err := proto.Unmarshal(body, q); err != nil {
-		return nil, undecodable(err)
+		return nil, 0, undecodable(err)
 	}
 	u, err := c.unit(q.GetGroup())
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	i, err := u.confirm(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return proto.Marshal(&packet.Answer{Index: i})
+	return u, i, err
 }
 
 func (c *Control) askLeader(ctx context.Context, leader string, group uint32) (uint64, error) {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -33,17 +33,10 @@
 
 // onMembers names the members of a group that this host leads.
 func (c *Control) onMembers(ctx context.Context, _ string, body []byte) ([]byte, error) {
-	q := &packet.Question{}
-	if err := proto.Unmarshal(body, q); err != nil {
-		return nil, undecodable(err)
-	}
-	u, err := c.unit(q.GetGroup())
+	u, _, err := c.confirmed(ctx, body)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := u.confirm(ctx); err != nil {
-		return nil, err
-	}
 	f := &packet.Formation{}
 	err = u.do(ctx, func(time.Time) error {
 		for _, i := range u.replica.Quorum().Members() {
--- a/internal/serve/joining.go
+++ b/internal/serve/joining.go
@@ -9,6 +9,7 @@
 
 	"siskinrun/internal/host"
 	"siskinrun/internal/link"
+	"siskinrun/internal/news"
 )
 
 // hostsInterval is how often a host that joined through seeds looks who is there.
@@ -34,20 +35,18 @@
 
 // controlHosts returns the control hosts that answer, with their failure domains.
 func (p *parts) controlHosts() map[string]string {
-	m := map[string]string{}
-	for _, h := range p.roster.Hosts() {
-		if h.Control && !h.Dead {
-			m[h.Name] = h.FailureDomain
-		}
-	}
-	return m
+	return p.hostsThat(func(h news.Host) bool { return h.Control })
 }
 
 // ledgerHosts returns the hosts that keep ledgers and answer, with their failure domains.
 func (p *parts) ledgerHosts() map[string]string {
+	return p.hostsThat(func(h news.Host) bool { return h.Ledgers })
+}
+
+func (p *parts) hostsThat(keep func(news.Host) bool) map[string]string {
 	m := map[string]string{}
 	for _, h := range p.roster.Hosts() {
-		if h.Ledgers && !h.Dead {
+		if keep(h) && !h.Dead {
 			m[h.Name] = h.FailureDomain
 		}
 	}
