Keep the slot of an item that may not be repeated until its outcome is recorded

Seen: TestHostIsLostAndComesBack (known red) ended with more than 64 items in doubt, twice of about ten runs beside load. Cause: a slot was free as soon as its item had ended. While the record of it was on its way, the next items ran, so a lost host could leave a window, the items beyond it and all unsent outcomes in doubt; the bound of 64 is one window. Ruled out: sessions that lapse while a leader is elected, as the ledger restarts all of them on the new leader's clock.

--- a/internal/jobs/batch/durable_test.go
+++ b/internal/jobs/batch/durable_test.go
@@ -232,6 +232,7 @@
 	r.fleet.lose("a")
 	j = r.await(t, j, job.Job.Ended)
 	is.Equal(j.Completed+j.MayHaveRun, 5000)
+	t.Logf("%d items may have run", j.MayHaveRun)
 	is.True(j.MayHaveRun <= 64)
 	l, err := net.Listen("tcp", r.addresses["a"])
 	is.NoErr(err)
--- a/internal/jobs/drive/exchange.go
+++ b/internal/jobs/drive/exchange.go
@@ -72,8 +72,9 @@
 		return false
 	}
 	d.mu.Lock()
-	s.outcomes = append([]*entry.Outcome(nil), s.outcomes[n:]...)
+	d.plan.recorded(g, n)
 	d.mu.Unlock()
+	signal(d.nudge)
 	return true
 }
 
--- a/internal/jobs/drive/plan.go
+++ b/internal/jobs/drive/plan.go
@@ -36,7 +36,10 @@
 	targets []string
 	window  int
 	until   time.Time
-	busy    int
+	// busy counts the started items.
+	busy int
+	// unrecorded counts the items that may not be repeated and have ended without a record.
+	unrecorded int
 }
 
 // side is what this host holds of one group.
@@ -49,6 +52,8 @@
 	asked    []*entry.Want
 	tasks    map[uint64]*task
 	outcomes []*entry.Outcome
+	// owed are the places whose slots stay taken until the outcome of a fence is recorded.
+	owed map[uint64]*place
 }
 
 // plan decides what to ask for, to start and to stop; it knows no clock, socket or goroutine.
@@ -63,11 +68,16 @@
 func newPlan(groups uint32) *plan {
 	p := &plan{places: map[string]*place{}, sides: map[uint32]*side{}}
 	for g := uint32(1); g <= groups; g++ {
-		p.sides[g] = &side{tasks: map[uint64]*task{}}
+		p.sides[g] = &side{tasks: map[uint64]*task{}, owed: map[uint64]*place{}}
 	}
 	return p
 }
 
+// used returns the slots that are taken.
+func (c *place) used() int {
+	return c.busy + c.unrecorded
+}
+
 // setPlace adds an upstream or changes its window, targets and claim.
 func (p *plan) setPlace(name string, targets []string, window int, until time.Time) {
 	c := p.places[name]
@@ -128,7 +138,7 @@
 	for _, n := range slices.Sorted(maps.Keys(p.places)) {
 		c := p.places[n]
 		if now.Before(c.until) && c.window > 0 {
-			r = append(r, room{place: c, free: c.window + ahead(c.window) - c.busy})
+			r = append(r, room{place: c, free: c.window + ahead(c.window) - c.used()})
 		}
 	}
 	for _, t := range p.pending {
@@ -216,7 +226,7 @@
 	}
 	var best *place
 	for _, c := range p.places {
-		if c.busy >= c.window || !now.Before(c.until) || !slices.Contains(c.targets, t.item.Target) {
+		if c.used() >= c.window || !now.Before(c.until) || !slices.Contains(c.targets, t.item.Target) {
 			continue
 		}
 		if best == nil || roomier(c, best) {
@@ -227,8 +237,8 @@
 }
 
 func roomier(a, b *place) bool {
-	x := a.window - a.busy
-	y := b.window - b.busy
+	x := a.window - a.used()
+	y := b.window - b.used()
 	return x > y || x == y && a.name < b.name
 }
 
@@ -336,20 +346,37 @@
 	return a
 }
 
-// end frees the slot of a task and keeps its outcome for the group.
+// end keeps the outcome of a task for the group and frees its slot. One that may not be repeated keeps the
+// slot until the outcome is recorded, so that a lost host leaves no more such items in doubt than its windows.
 func (p *plan) end(t *task, o *entry.Outcome) {
 	s := p.sides[t.group]
 	if s.tasks[t.item.Fence] != t {
 		return
 	}
 	delete(s.tasks, t.item.Fence)
-	if t.place != nil {
-		t.place.busy--
+	if c := t.place; c != nil {
+		c.busy--
 		t.place = nil
+		if !t.item.Repeatable {
+			c.unrecorded++
+			s.owed[o.Fence] = c
+		}
 	}
 	s.outcomes = append(s.outcomes, o)
 }
 
+// recorded forgets the first n outcomes of a group and frees the slots that waited for them.
+func (p *plan) recorded(g uint32, n int) {
+	s := p.sides[g]
+	for _, o := range s.outcomes[:n] {
+		if c := s.owed[o.Fence]; c != nil {
+			c.unrecorded--
+			delete(s.owed, o.Fence)
+		}
+	}
+	s.outcomes = slices.Clone(s.outcomes[n:])
+}
+
 // idle reports whether this host holds nothing of a group.
 func (s *side) idle() bool {
 	return len(s.tasks) == 0 && len(s.outcomes) == 0
@@ -358,7 +385,11 @@
 // check verifies that the slots in use are those of the started tasks.
 func (p *plan) check() error {
 	busy := map[*place]int{}
+	owed := map[*place]int{}
 	for g, s := range p.sides {
+		for _, c := range s.owed {
+			owed[c]++
+		}
 		for f, t := range s.tasks {
 			if t.group != g || t.item.Fence != f {
 				return errors.Newf("task %d of group %d is kept as %d of %d", t.item.Fence, t.group, f, g)
@@ -372,6 +403,9 @@
 		if c.busy != busy[c] {
 			return errors.Newf("upstream %s has %d tasks and counts %d", n, busy[c], c.busy)
 		}
+		if c.unrecorded != owed[c] {
+			return errors.Newf("upstream %s waits for %d records and counts %d", n, owed[c], c.unrecorded)
+		}
 	}
 	return nil
 }
--- a/internal/jobs/drive/random_test.go
+++ b/internal/jobs/drive/random_test.go
@@ -185,7 +185,7 @@
 	h.call(&entry.Command{Kind: &entry.Command_Finish{Finish: f}}, func(_ *entry.Answer, err error) {
 		h.telling = false
 		if err == nil {
-			s.outcomes = s.outcomes[n:]
+			h.plan.recorded(1, n)
 		}
 	})
 }
