Take in only what changed of loads and counts, and ask more seldom in large fleets

On loopback with 90 hosts and 60 upstreams an idle entry host used 32.6 ms a second: a fifth for loads and counts that had not changed, a third for questions between hosts, which grow with the hosts.

--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -59,7 +59,9 @@
 	touched       map[string]struct{}
 	own           map[string]*count
 	changed       map[string]struct{}
-	urgent        news.News
+	// counted is when counts went out last.
+	counted time.Time
+	urgent  news.News
 }
 
 type host struct {
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -14,6 +14,12 @@
 // question asks this period's peers for what they know.
 func (r *Roster) question(context.Context) {
 	r.mu.Lock()
+	r.passed++
+	if r.passed < r.membership.Periods() {
+		r.mu.Unlock()
+		return
+	}
+	r.passed = 0
 	r.membership.Prune(r.Timer.Now())
 	if err := r.membership.Check(); err != nil {
 		r.Log.Error().Err(err).Msg("the view of the fleet contradicts itself")
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// Period is the time between questions to peers.
+	// Period is the time between questions to peers in a small fleet.
 	Period = 200 * time.Millisecond
 	// Flush is the time in which urgent news is gathered before it goes out.
 	Flush = 20 * time.Millisecond
@@ -73,6 +73,8 @@
 	samples     sync.Map
 	view        atomic.Pointer[[]upstream.Upstream]
 	group       *group.Group
+	// passed counts the periods since the last question.
+	passed int
 }
 
 // sample is what is known of the load of one upstream.
@@ -129,7 +131,7 @@
 func (r *Roster) urgent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.membership.HasUrgent()
+	return r.membership.HasUrgent(r.Timer.Now())
 }
 
 // Stop tells the other hosts that this one takes on nothing more.
--- a/internal/product/serve/parts.go
+++ b/internal/product/serve/parts.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	mathrand "math/rand/v2"
@@ -44,7 +43,6 @@
 const (
 	idleAge         = 5 * time.Second
 	callTimeout     = time.Minute
-	refreshInterval = 50 * time.Millisecond
 	incarnationSize = 8
 )
 
@@ -259,25 +257,3 @@
 	p.metrics = &metricspage.Page{Listener: l, Metrics: p.serveHost.metrics}
 	return err
 }
-
-// refresh takes the counts and reports of the fleet in until ctx ends.
-func (p *parts) refresh(ctx context.Context) error {
-	for {
-		if err := p.serveHost.timer.Sleep(ctx, refreshInterval); err != nil {
-			return err
-		}
-		l := p.roster.Upstreams()
-		n := p.serveHost.timer.Now()
-		names := make([]string, 0, len(l))
-		for _, u := range l {
-			names = append(names, u.Name)
-			p.choose.Heard(u.Name, n.Add(-u.Age.Duration()))
-			if r, at, ok := p.roster.Load(u.Name); ok {
-				p.choose.Report(r, at)
-				p.yield.Report(r, at)
-			}
-		}
-		p.occupancy.Refresh(names)
-		p.capacity.Update(l, p.roster.Peers, p.takers())
-	}
-}
--- a/internal/product/serve/serve.go
+++ b/internal/product/serve/serve.go
@@ -128,7 +128,7 @@
 		g.Go("control-address", p.serveControl)
 	}
 	g.Go("operator", p.operator.Run)
-	g.Go("refresh", p.refresh)
+	g.Go("loads", (&loads{parts: p}).run)
 	g.Go("reach", p.reach)
 }
 
