Form the groups with the first hosts, whoever else is known

Cause: the host that forms the configuration's group wanted as many answers as there are first hosts, but counted the answers of all control hosts that it knew. Where further ones had started before it, the groups never formed. Test: a fourth host that starts first; no leader in 8 s before, formed after.

--- a/internal/state/control/control_test.go
+++ b/internal/state/control/control_test.go
@@ -228,6 +228,22 @@
 	g.propose(g.hosts["a"], 0, 1)
 }
 
+// TestGroupFormsWhileFurtherHostsAreKnown starts a host that is not among the first ones before they form.
+func TestGroupFormsWhileFurtherHostsAreKnown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.names = []string{"a", "b", "c"}
+	f.known = map[string]string{"d": "d4", "a": "d1"}
+	f.open("a", "b", "c", "d")
+	for _, n := range []string{"d", "c", "b", "a"} {
+		f.start(n, t.TempDir(), 1)
+	}
+	l := f.leader(0)
+	is := is.New(t)
+	is.True(l.name != "d")
+	is.Equal(len(l.control.Status(0).Members), 3)
+}
+
 func TestHostWithoutDiskProposesAndConfirms(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/state/control/fleet_test.go
+++ b/internal/state/control/fleet_test.go
@@ -72,6 +72,8 @@
 	names []string
 	hosts map[string]*host
 	slow  *group.Group
+	// known, if set, are the hosts that all hosts have heard of besides the first ones.
+	known map[string]string
 }
 
 func newFleet(t testing.TB, groups int, names ...string) *fleet {
@@ -136,6 +138,9 @@
 		Name: name, Folder: folder, Hosts: f.names, Machines: machines, Link: l, Timer: m,
 		Log: zerolog.Nop(), Metrics: h.metrics, Seed: uint64(len(folder)) + uint64(name[0]), SnapshotBytes: 4096,
 	}
+	if f.known != nil {
+		h.control.Known = func() map[string]string { return f.known }
+	}
 	h.control.Register()
 	h.client = &proposal.Client{Link: l, Control: h.control, Hosts: f.names, Timer: m}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/state/control/form.go
+++ b/internal/state/control/form.go
@@ -32,8 +32,8 @@
 		if err := c.adopt(all); err != nil {
 			return err
 		}
-		if !c.formed() && !c.JoinOnly && c.Decided == nil && len(all) == len(c.Hosts) && c.Name == slices.Min(c.Hosts) {
-			if err := c.coordinate(ctx, all); err != nil {
+		if first := c.first(all); !c.formed() && c.coordinates() && len(first) == len(c.Hosts) {
+			if err := c.coordinate(ctx, first); err != nil {
 				return err
 			}
 		}
@@ -54,6 +54,22 @@
 	return c.formation.Formed
 }
 
+// coordinates reports whether this host is the one that may form the groups.
+func (c *Control) coordinates() bool {
+	return !c.JoinOnly && c.Decided == nil && c.Name == slices.Min(c.Hosts)
+}
+
+// first returns the greetings of the hosts that form the groups; others that have started by then join later.
+func (c *Control) first(all []*packet.Greeting) []*packet.Greeting {
+	var l []*packet.Greeting
+	for _, g := range all {
+		if slices.Contains(c.Hosts, g.GetSelf().GetHost()) {
+			l = append(l, g)
+		}
+	}
+	return l
+}
+
 // greetAll returns what the hosts that answer say of themselves.
 func (c *Control) greetAll(ctx context.Context) []*packet.Greeting {
 	var all []*packet.Greeting
