--- /dev/null
+++ b/cmd/siskinrun/backend_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/timer"
+	"siskinrun/internal/data/report"
+	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/standin/announcer"
+)
+
+// backend is a plain service that counts how often it began each body that it was sent.
+type backend struct {
+	upstream upstream.Upstream
+	listener net.Listener
+	hosts    []string
+	secret   string
+	timer    *timer.Service
+	runs     *runs
+}
+
+// runs counts by body over all backends.
+type runs struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (r *runs) note(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n[id]++
+}
+
+func (r *runs) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.n[id]
+}
+
+// ServeHTTP answers with the body after a few milliseconds of work.
+func (b *backend) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	id, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	b.runs.note(string(id))
+	_ = b.timer.Sleep(q.Context(), time.Duration(5+rand.IntN(40))*time.Millisecond)
+	if i := q.Header.Get("Siskin-Request-Id"); i != "" {
+		w.Header().Set("Siskin-Request-Id", i)
+	}
+	_, _ = w.Write(id)
+}
+
+// run serves and announces until ctx ends.
+func (b *backend) run(ctx context.Context) error {
+	b.upstream.Address = b.listener.Addr().String()
+	s := &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
+	g := group.NewGroup(ctx)
+	g.Go("stop", func(ctx context.Context) error {
+		<-ctx.Done()
+		return s.Close()
+	})
+	g.Go("serve", func(context.Context) error {
+		_ = s.Serve(b.listener)
+		return nil
+	})
+	a := &announcer.Announcer{
+		Hosts: b.hosts, Secret: b.secret, Timer: b.timer,
+		Upstream: func() upstream.Upstream { return b.upstream },
+		Report:   func() report.Report { return report.Report{Upstream: b.upstream.Name, Incarnation: 1} },
+	}
+	g.Go("announce", a.Run)
+	return g.Wait()
+}
--- a/cmd/siskinrun/fleet_test.go
+++ b/cmd/siskinrun/fleet_test.go
@@ -54,8 +54,8 @@
 	settings  *settings.Settings
 	timer     *timer.Service
 	secret    string
-	// joining says that each host has settings of its own and finds the others through seeds.
-	joining bool
+	// apart says that each host has an overlay of its own, named after it.
+	apart bool
 }
 
 // newFleet writes the settings of three control and four entry hosts.
@@ -123,12 +123,14 @@
 func (f *fleet) start(name string) {
 	f.t.Helper()
 	overlay := filepath.Join(f.folder, "overlay.jsonc")
-	if f.joining {
+	if f.apart {
 		overlay = filepath.Join(f.folder, name+".jsonc")
 	}
 	c := exec.Command(f.program, "serve", "--base", filepath.Join(f.folder, "base.jsonc"),
 		"--overlay", overlay, "--host", name, "--log-level", "warn")
-	f.logs[name] = &bytes.Buffer{}
+	if f.logs[name] == nil {
+		f.logs[name] = &bytes.Buffer{}
+	}
 	c.Stdout = f.logs[name]
 	c.Stderr = f.logs[name]
 	if err := c.Start(); err != nil {
--- a/cmd/siskinrun/joining_test.go
+++ b/cmd/siskinrun/joining_test.go
@@ -30,7 +30,7 @@
 	is := is.New(t)
 	f := &fleet{
 		t: t, folder: t.TempDir(), hosts: map[string]settings.Host{}, processes: map[string]*exec.Cmd{},
-		logs: map[string]*bytes.Buffer{}, timer: timer.NewService(), joining: true,
+		logs: map[string]*bytes.Buffer{}, timer: timer.NewService(), apart: true,
 	}
 	f.program = filepath.Join(f.folder, "siskinrun")
 	out, err := exec.Command("go", "build", "-o", f.program, ".").CombinedOutput()
