--- a/internal/config/identify/identify.go
+++ b/internal/config/identify/identify.go
@@ -78,7 +78,7 @@
 		return key.Key{}, missingKey
 	}
 	if !i.Spread.Fresh() {
-		return key.Key{}, notFresh
+		return key.Key{}, notFresh.WithSpread()
 	}
 	h := sha256.Sum256(s)
 	if e := i.index.Load().find(&h); e != nil {
--- a/internal/limits/grant/wallet.go
+++ b/internal/limits/grant/wallet.go
@@ -209,7 +209,7 @@
 func (w *wallet) refusal(now time.Time) error {
 	d, settling := w.allowance.Empty(now)
 	if w.failing || settling {
-		return errUnreachable.WithRetryAfter(max(d, unreachablePause))
+		return errUnreachable.WithRetryAfter(max(d, unreachablePause)).WithSpread()
 	}
 	return errExceeded.WithRetryAfter(max(d, exceededPause))
 }
--- a/internal/wire/pipe/match.go
+++ b/internal/wire/pipe/match.go
@@ -70,7 +70,7 @@
 func (p *Pipe) find(c *call.Call) (string, route.Route, error) {
 	v := p.View()
 	if len(v.Routes) == 0 {
-		return "", route.Route{}, unconfigured
+		return "", route.Route{}, unconfigured.WithSpread()
 	}
 	m := p.routes.index(v)
 	if c.Model != "" {
@@ -88,8 +88,12 @@
 	return n, r, nil
 }
 
+// configurationPause is how long a host that starts beside control hosts needs to hear of a configuration, their
+// election included.
+const configurationPause = 800 * time.Millisecond
+
 // unconfigured refuses calls on a host that has not heard of any configuration yet.
-var unconfigured = refusal.NewNotRun(503, "no-configuration", "this host knows no configuration yet").WithRetryAfter(time.Second)
+var unconfigured = refusal.NewNotRun(503, "no-configuration", "this host knows no configuration yet").WithRetryAfter(configurationPause)
 
 // loaded returns what an engine must have loaded for a route.
 func (p *Pipe) loaded(r route.Route) string {
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,15 @@
 	return &c
 }
 
+// WithSpread returns a copy whose time to come back is up to a half longer, drawn anew each time, so that
+// callers that were refused together do not return together.
+func (r *Refusal) WithSpread() *Refusal {
+	return r.WithRetryAfter(r.RetryAfter + rand.N(r.RetryAfter/spreadParts+1))
+}
+
+// spreadParts is the number of parts of a time to come back of which up to one is added.
+const spreadParts = 2
+
 // WithVerdict returns a copy with another verdict, and with a status that fits it.
 func (r *Refusal) WithVerdict(v verdict.Verdict) *Refusal {
 	c := *r
--- a/pkg/refusal/refusal_test.go
+++ b/pkg/refusal/refusal_test.go
@@ -38,3 +38,17 @@
 	is.Equal(refusal.Of(errors.New("unknown")).Verdict, verdict.MayHaveRun)
 	is.True(refusal.Of(nil) == nil)
 }
+
+func TestSpreadLengthensByUpToAHalf(t *testing.T) {
+	is := is.New(t)
+	r := refusal.NewNotRun(503, "busy", "").WithRetryAfter(time.Second)
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		d := r.WithSpread().RetryAfter
+		is.True(d >= time.Second && d <= 1500*time.Millisecond)
+		seen[d] = true
+	}
+	is.True(len(seen) > 50) // callers refused together are told different times
+	is.Equal(r.RetryAfter, time.Second)
+	is.Equal(refusal.NewNotRun(503, "busy", "").WithSpread().RetryAfter, time.Duration(0))
+}
