Keep an item that made room for online calls on its host, where its next run finds what there is

Change: an item that stops for the window alone waits on its host, for 250 ms at least and 2 s at most, and goes on with what it has; only then it goes back, with its progress. Leases, drains and ended jobs give it back at once. Two deliberate faults of the ledger no longer applied to its text since results carry progress; both apply and are caught again.

--- a/internal/jobs/drive/fault_test.go
+++ b/internal/jobs/drive/fault_test.go
@@ -31,14 +31,14 @@
 		file: "../ledger/finish.go",
 		old:  "\tif s.state > leased {\n",
 		new:  "\tif false {\n",
-		also: "\tl.drop(e)\n\tswitch o.Kind",
-		then: "\tswitch o.Kind",
+		also: "\tl.drop(e)\n\tw.inline.advance",
+		then: "\tw.inline.advance",
 	},
 	{
 		name: "an outcome does not end the lease",
 		file: "../ledger/finish.go",
-		old:  "\tl.drop(e)\n\tswitch o.Kind",
-		new:  "\tswitch o.Kind",
+		old:  "\tl.drop(e)\n\tw.inline.advance",
+		new:  "\tw.inline.advance",
 	},
 	{
 		name: "fencing numbers repeat",
--- a/internal/jobs/drive/plan.go
+++ b/internal/jobs/drive/plan.go
@@ -10,11 +10,14 @@
 
 	"siskinrun/internal/data/item"
 	"siskinrun/internal/jobs/entry"
+	"siskinrun/pkg/verdict"
 )
 
 const (
 	// pendingKeep is how long a leased item may wait for an upstream before it is given back.
 	pendingKeep = 2 * time.Second
+	// yieldPause is how long an item that made room waits before it runs again, so that it does not flap.
+	yieldPause = 250 * time.Millisecond
 	// maxOutcomes bounds the unsent outcomes of a group, above which no items are asked for.
 	maxOutcomes = 1024
 )
@@ -26,6 +29,12 @@
 	since    time.Time
 	place    *place
 	stopping bool
+	// yielding says that the task stops for the window alone, so that this host may go on with it.
+	yielding bool
+	// notBefore is when the task may start again.
+	notBefore time.Time
+	// held is the outcome of a run that made room, for the group if no other run follows here.
+	held *entry.Outcome
 	// stop ends the run of a started task.
 	stop func()
 }
@@ -206,7 +215,7 @@
 	keep := p.pending[:0]
 	for _, t := range p.pending {
 		c := p.free(now, t)
-		if c == nil {
+		if c == nil || now.Before(t.notBefore) {
 			keep = append(keep, t)
 			continue
 		}
@@ -268,6 +277,7 @@
 			continue
 		}
 		excess[t.place]--
+		t.yielding = true
 		a = append(a, t)
 	}
 	return a
@@ -346,6 +356,30 @@
 	return a
 }
 
+// finish ends a task, or keeps it for another run on this host if it made room and its lease goes on: the
+// ledger and the other hosts need not hear of a pause that is shorter than their round trip.
+func (p *plan) finish(now time.Time, t *task, o *entry.Outcome) {
+	s := p.sides[t.group]
+	again := t.yielding && o.Kind == entry.Outcome_YIELD && !p.draining && now.Before(s.until)
+	if !again || s.tasks[t.item.Fence] != t {
+		p.end(t, o)
+		return
+	}
+	t.place.busy--
+	t.place = nil
+	t.stop = nil
+	t.stopping, t.yielding = false, false
+	t.since = now
+	t.notBefore = now.Add(yieldPause)
+	if g := o.GetProgress(); g.GetNext() > t.item.Next {
+		t.item.Next, t.item.Text = g.GetNext(), g.GetText()
+	}
+	if o.Progress != nil || t.held == nil {
+		t.held = o
+	}
+	p.pending = slices.Insert(p.pending, 0, t)
+}
+
 // end keeps the outcome of a task for the group and frees its slot. One that may not be repeated keeps the
 // slot until the outcome is recorded, so that a lost host leaves no more such items in doubt than its windows.
 func (p *plan) end(t *task, o *entry.Outcome) {
@@ -353,6 +387,7 @@
 	if s.tasks[t.item.Fence] != t {
 		return
 	}
+	o = t.whole(o)
 	delete(s.tasks, t.item.Fence)
 	if c := t.place; c != nil {
 		c.busy--
@@ -365,6 +400,19 @@
 	s.outcomes = append(s.outcomes, o)
 }
 
+// whole returns an outcome that accounts for the runs that made room before.
+func (t *task) whole(o *entry.Outcome) *entry.Outcome {
+	switch {
+	case t.held == nil:
+		return o
+	case o.Kind == entry.Outcome_YIELD && o.Progress == nil:
+		return t.held
+	case o.GetResult().GetVerdict() == uint32(verdict.NotRun):
+		o.Result.Verdict = t.held.GetResult().GetVerdict()
+	}
+	return o
+}
+
 // recorded forgets the first n outcomes of a group and frees the slots that waited for them.
 func (p *plan) recorded(g uint32, n int) {
 	s := p.sides[g]
--- a/internal/jobs/drive/plan_test.go
+++ b/internal/jobs/drive/plan_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/data/item"
+	"siskinrun/internal/jobs/entry"
+	"siskinrun/pkg/verdict"
 )
 
 // TestSlotIsTakenUntilRecorded plays a ledger that is slower than its items: what a lost host may
@@ -65,3 +67,82 @@
 	}
 	return a
 }
+
+// TestItemThatMadeRoomGoesOnHere plays a burst of online calls: the item pauses, runs on from where it was on the
+// same host, and nothing of it reaches the ledger.
+func TestItemThatMadeRoomGoesOnHere(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	until := now.Add(time.Minute)
+	p := newPlan(1)
+	p.setPlace("u", []string{"m"}, 1, until)
+	p.taken(now, 1, items(1, true), until)
+	k := p.assign(now)[0]
+	p.setPlace("u", []string{"m"}, 0, until)
+	is.Equal(p.overdue(now), []*task{k})
+	k.stopping = true
+	cut := yielded(1)
+	cut.Progress = &entry.Progress{Next: 7, Text: []byte("so far")}
+	p.finish(now, k, cut)
+	is.Equal(len(p.sides[1].outcomes), 0)
+	p.setPlace("u", []string{"m"}, 1, until)
+	is.Equal(len(p.assign(now)), 0) // it does not flap
+	now = now.Add(yieldPause)
+	is.Equal(p.assign(now), []*task{k})
+	is.Equal(k.item.Next, uint64(7))
+	is.NoErr(p.check())
+}
+
+// TestItemThatFindsNoRoomGoesBackWithItsProgress holds that a long burst hands the item to other hosts.
+func TestItemThatFindsNoRoomGoesBackWithItsProgress(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	until := now.Add(time.Minute)
+	p := newPlan(1)
+	p.setPlace("u", []string{"m"}, 1, until)
+	p.taken(now, 1, items(1, true), until)
+	k := p.assign(now)[0]
+	p.setPlace("u", []string{"m"}, 0, until)
+	p.overdue(now)
+	cut := yielded(1)
+	cut.Progress = &entry.Progress{Next: 7}
+	p.finish(now, k, cut)
+	p.stale(now.Add(pendingKeep))
+	is.Equal(p.sides[1].outcomes, []*entry.Outcome{cut})
+	is.NoErr(p.check())
+}
+
+// TestItemThatStopsForItsLeaseGoesBack holds that only room is a reason to keep an item.
+func TestItemThatStopsForItsLeaseGoesBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	p := newPlan(1)
+	p.setPlace("u", []string{"m"}, 1, now.Add(time.Minute))
+	p.taken(now, 1, items(1, true), now.Add(time.Second))
+	k := p.assign(now)[0]
+	now = now.Add(time.Second)
+	is.Equal(p.overdue(now), []*task{k})
+	p.finish(now, k, yielded(1))
+	is.Equal(len(p.sides[1].outcomes), 1)
+}
+
+// TestRunsThatMadeRoomAreNotForgotten holds that an item that ran before never ends as not run.
+func TestRunsThatMadeRoomAreNotForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	until := now.Add(time.Minute)
+	p := newPlan(1)
+	p.setPlace("u", []string{"m"}, 1, until)
+	p.taken(now, 1, items(1, true), until)
+	k := p.assign(now)[0]
+	p.setPlace("u", []string{"m"}, 0, until)
+	p.overdue(now)
+	cut := yielded(1)
+	cut.Result.Verdict = uint32(verdict.MayHaveRun)
+	p.finish(now, k, cut)
+	p.setPlace("u", []string{"m"}, 1, until)
+	now = now.Add(yieldPause)
+	is.Equal(p.assign(now), []*task{k})
+	p.finish(now, k, &entry.Outcome{Fence: 1, Kind: entry.Outcome_RETRY, Result: &entry.Result{Verdict: uint32(verdict.NotRun)}})
+	is.Equal(p.sides[1].outcomes[0].Result.Verdict, uint32(verdict.MayHaveRun))
+}
--- a/internal/jobs/drive/random_test.go
+++ b/internal/jobs/drive/random_test.go
@@ -146,12 +146,14 @@
 		return
 	}
 	h.world.dispatch(t)
+	over := false
 	done := func(stopped bool) {
-		if h.dead || h.plan.sides[t.group].tasks[t.item.Fence] != t {
+		if over || h.dead || h.plan.sides[t.group].tasks[t.item.Fence] != t {
 			return
 		}
+		over = true // a task that made room runs again
 		a, err := h.result(t, stopped)
-		h.plan.end(t, judge(t.item.Fence, a, err, stopped))
+		h.plan.finish(h.world.time(), t, judge(t.item.Fence, a, err, stopped))
 	}
 	t.stop = func() { done(true) }
 	d := time.Duration(20+h.world.random.IntN(400)) * time.Millisecond
--- a/internal/jobs/drive/run.go
+++ b/internal/jobs/drive/run.go
@@ -72,7 +72,7 @@
 // finish frees the slot of a task and gives the slot to the next one.
 func (d *Drive) finish(t *task, o *entry.Outcome) {
 	d.mu.Lock()
-	d.plan.end(t, o)
+	d.plan.finish(d.Timer.Now(), t, o)
 	d.mu.Unlock()
 	signal(d.wake[t.group])
 	signal(d.nudge)
