Tell the driver of an upstream of online calls at once in large fleets

Cause: counts went to 8 random hosts; of 73 entry hosts the one that drives an upstream's batch work heard of an online call with the next answer to a question, up to a second later, and held the slot until then. Change: above 24 hosts counts go to the drivers alone; one message in place of eight. Small fleets as before.

--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -17,11 +17,7 @@
 	hostsEachPeriod = 64
 	// mostPeriods bounds the periods between questions, as they are also the probes of silent hosts.
 	mostPeriods = 4
-	// countPause is the time for which counts are gathered, for each host of the fleet.
-	countPause = time.Millisecond
-	// mostCountPause bounds that time.
-	mostCountPause = 200 * time.Millisecond
-	// smallFleet is the number of hosts up to which counts go out at once.
+	// smallFleet is the number of hosts up to which the usual fan reaches most of them.
 	smallFleet = 24
 )
 
@@ -31,12 +27,9 @@
 	return min(1+len(m.hosts)/hostsEachPeriod, mostPeriods)
 }
 
-// gathering reports whether counts wait for others: in a large fleet most hosts hear of them by answers alone.
-func (m *Membership) gathering(now time.Time) bool {
-	if len(m.hosts) <= smallFleet {
-		return false
-	}
-	return now.Sub(m.counted) < min(time.Duration(len(m.hosts))*countPause, mostCountPause)
+// Small reports whether urgent news reaches most hosts at once.
+func (m *Membership) Small() bool {
+	return len(m.hosts) <= smallFleet
 }
 
 // Question returns what this host knows, for a peer to answer with what it lacks.
@@ -85,10 +78,6 @@
 	u := m.urgent
 	u.From = m.name
 	m.urgent = news.News{}
-	if m.gathering(now) {
-		return u, len(u.Announcements)+len(u.Hosts) > 0
-	}
-	m.counted = now
 	for n := range m.changed {
 		if len(u.Counts) == mostUrgent {
 			break
@@ -102,11 +91,8 @@
 }
 
 // HasUrgent reports whether Urgent would return news.
-func (m *Membership) HasUrgent(now time.Time) bool {
-	if len(m.urgent.Announcements)+len(m.urgent.Hosts) > 0 {
-		return true
-	}
-	return len(m.changed) > 0 && !m.gathering(now)
+func (m *Membership) HasUrgent() bool {
+	return len(m.changed)+len(m.urgent.Announcements)+len(m.urgent.Hosts) > 0
 }
 
 // Prune forgets what is too old to matter and renews the counts of this host.
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -59,9 +59,7 @@
 	touched       map[string]struct{}
 	own           map[string]*count
 	changed       map[string]struct{}
-	// counted is when counts went out last.
-	counted time.Time
-	urgent  news.News
+	urgent        news.News
 }
 
 type host struct {
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -380,17 +380,16 @@
 	}
 }
 
-// TestLargeFleetsAskAndCountMoreSeldom holds that a small fleet is not slowed, and that counts of a large one are
-// gathered but not lost.
-func TestLargeFleetsAskAndCountMoreSeldom(t *testing.T) {
+// TestLargeFleetsAskMoreSeldom holds that a small fleet is not slowed.
+func TestLargeFleetsAskMoreSeldom(t *testing.T) {
 	for _, c := range []struct {
 		hosts   int
 		periods int
-		waits   bool
+		small   bool
 	}{
-		{15, 1, false},
-		{93, 2, true},
-		{320, 4, true},
+		{15, 1, true},
+		{93, 2, false},
+		{320, 4, false},
 	} {
 		t.Run(fmt.Sprint(c.hosts), func(t *testing.T) {
 			is := is.New(t)
@@ -399,23 +398,8 @@
 				names = append(names, fmt.Sprint("h", i))
 			}
 			m := membership.NewMembership("h0", "d", 1, names, 1)
-			now := time.Unix(1_800_000_000, 0)
 			is.Equal(m.Periods(), c.periods)
-			m.Busy(now, "u", 1)
-			is.True(m.HasUrgent(now))
-			n, ok := m.Urgent(now)
-			is.True(ok)
-			is.Equal(len(n.Counts), 1)
-			now = now.Add(20 * time.Millisecond)
-			m.Busy(now, "u", 2)
-			is.Equal(m.HasUrgent(now), !c.waits)
-			now = now.Add(200 * time.Millisecond)
-			if c.waits {
-				is.True(m.HasUrgent(now))
-				n, ok = m.Urgent(now)
-				is.True(ok)
-				is.Equal(n.Counts[0].InFlight, 2)
-			}
+			is.Equal(m.Small(), c.small)
 		})
 	}
 }
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -154,27 +154,57 @@
 	return false
 }
 
-// flush sends urgent news to a few peers.
-func (r *Roster) flush(ctx context.Context) {
+// flush sends urgent news to a few peers, and counts in a large fleet to the hosts that need them at once.
+func (r *Roster) flush(context.Context) {
 	r.mu.Lock()
 	n, ok := r.membership.Urgent(r.Timer.Now())
 	if !ok {
 		r.mu.Unlock()
 		return
 	}
+	var direct []news.Count
+	if r.Driver != nil && !r.membership.Small() {
+		direct, n.Counts = n.Counts, nil
+	}
 	f := relayFanOut
 	if own(n, r.Name) {
 		f = fanOut
 	}
-	l := r.membership.FanOf(n, f)
+	var l []string
+	if len(n.Announcements)+len(n.Counts)+len(n.Hosts) > 0 {
+		l = r.membership.FanOf(n, f)
+	}
 	r.mu.Unlock()
+	r.tell(n, l...)
+	for h, c := range r.byDriver(direct) {
+		r.tell(news.News{From: n.From, Counts: c}, h)
+	}
+}
+
+// byDriver sorts counts by the host that drives their upstream.
+func (r *Roster) byDriver(l []news.Count) map[string][]news.Count {
+	m := map[string][]news.Count{}
+	for _, c := range l {
+		if h := r.Driver(c.Upstream); h != "" && h != r.Name {
+			m[h] = append(m[h], c)
+		}
+	}
+	return m
+}
+
+// tell sends news to peers that need not answer.
+func (r *Roster) tell(n news.News, to ...string) {
+	if len(to) == 0 {
+		return
+	}
 	b, err := encode(n)
 	if err != nil {
+		r.Log.Error().Err(err).Msg("news cannot be encoded")
 		return
 	}
-	for _, p := range l {
+	for _, p := range to {
 		r.count("sent", len(b))
-		r.group.Go("tell", func(context.Context) error {
+		r.group.Go("tell", func(ctx context.Context) error {
 			r.Link.Send(ctx, p, methodTell, b)
 			return nil
 		})
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -54,6 +54,8 @@
 	Self news.Host
 	// Expiry is the age at which an announcement no longer counts; zero means the usual one.
 	Expiry time.Duration
+	// Driver, if set, returns the host that drives the batch work of an upstream, and so must hear of calls there.
+	Driver func(upstream string) string
 	// Seed starts the random choice of peers.
 	Seed uint64
 	// Timer tells the time.
@@ -131,7 +133,7 @@
 func (r *Roster) urgent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.membership.HasUrgent(r.Timer.Now())
+	return r.membership.HasUrgent()
 }
 
 // Stop tells the other hosts that this one takes on nothing more.
--- a/internal/product/serve/joining.go
+++ b/internal/product/serve/joining.go
@@ -10,6 +10,7 @@
 	"siskinrun/internal/base/host"
 	"siskinrun/internal/base/link"
 	"siskinrun/internal/data/news"
+	"siskinrun/internal/data/upstream"
 )
 
 // hostsInterval is how often a host that joined through seeds looks who is there.
@@ -101,6 +102,17 @@
 	return entry
 }
 
+// driver returns the host that drives the batch work of an upstream, or nothing if that is not known.
+func (p *parts) driver(name string) string {
+	a := p.driving.Load()
+	l := p.roster.Upstreams()
+	i := slices.IndexFunc(l, func(u upstream.Upstream) bool { return u.Name == name })
+	if a == nil || i < 0 {
+		return ""
+	}
+	return a.Driver(l[i])
+}
+
 // follow keeps those who need the hosts of the fleet up to date until ctx ends.
 func (p *parts) follow(ctx context.Context) error {
 	for {
--- a/internal/product/serve/loads.go
+++ b/internal/product/serve/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/jobs/assignment"
 )
 
 // loadsInterval is how often counts and reports of the fleet are taken in.
@@ -51,6 +52,7 @@
 	l.heard = make(map[string]time.Time, len(view))
 	l.peers = make(map[string]int, len(view))
 	l.takers = l.parts.takers()
+	l.parts.driving.Store(&assignment.Assignment{Hosts: l.parts.drivers()})
 	now := l.parts.serveHost.timer.Now()
 	for i := range view {
 		l.parts.choose.Heard(view[i].Name, now.Add(-view[i].Age.Duration()))
--- a/internal/product/serve/parts.go
+++ b/internal/product/serve/parts.go
@@ -20,6 +20,7 @@
 	"siskinrun/internal/data/news"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/fleet/roster"
+	"siskinrun/internal/jobs/assignment"
 	"siskinrun/internal/jobs/batch"
 	"siskinrun/internal/jobs/drive"
 	"siskinrun/internal/jobs/ledger"
@@ -69,6 +70,8 @@
 	rollout   *rollout.Rollout
 	planner   *planner.Planner
 	known     map[string]bool
+	// driving spreads the upstreams over the hosts that drive batch work, as known at the last look.
+	driving   atomic.Pointer[assignment.Assignment]
 	choose    *choose.Choose
 	yield     *yield.Yield
 	capacity  *capacity.Capacity
@@ -161,6 +164,7 @@
 		Log:           s.Log,
 		Metrics:       p.child("roster"),
 		Open:          s.Settings.Joining(),
+		Driver:        p.driver,
 		Self: news.Host{
 			Label:   p.host.Label,
 			Control: p.host.Holds(settings.KeepsConfiguration),
