Let drivers pass the counts at their upstreams on to the hosts of their failure domain

Change: a driver gathers what it hears at first hand for 150 ms and tells its failure domain; fleets of up to 24 hosts as before.

--- a/internal/fleet/membership/hosts.go
+++ b/internal/fleet/membership/hosts.go
@@ -55,6 +55,19 @@
 	return l[:min(n, len(l))]
 }
 
+// Neighbours returns the other hosts of this failure domain that take calls and answer.
+func (m *Membership) Neighbours() []string {
+	var l []string
+	for n, h := range m.hosts {
+		same := n != m.name && h.FailureDomain == m.hosts[m.name].FailureDomain
+		if same && !h.Control && !h.Ledgers && m.Alive(n) {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 // Alive reports whether a host is neither suspected here nor declared dead.
 func (m *Membership) Alive(name string) bool {
 	h := m.hosts[name]
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -177,6 +177,10 @@
 	r.mu.Unlock()
 	r.tell(n, l...)
 	for h, c := range r.byDriver(direct) {
+		if h == r.Name {
+			r.relays.add(r.Timer.Now(), c)
+			continue
+		}
 		r.tell(news.News{From: n.From, Counts: c}, h)
 	}
 }
@@ -185,7 +189,7 @@
 func (r *Roster) byDriver(l []news.Count) map[string][]news.Count {
 	m := map[string][]news.Count{}
 	for _, c := range l {
-		if h := r.Driver(c.Upstream); h != "" && h != r.Name {
+		if h := r.Driver(c.Upstream); h != "" {
 			m[h] = append(m[h], c)
 		}
 	}
@@ -218,7 +222,7 @@
 			return true
 		}
 	}
-	return len(n.Counts) > 0
+	return len(n.Counts) > 0 && n.Counts[0].Origin.Host == name
 }
 
 func (r *Roster) answer(_ context.Context, from string, body []byte) ([]byte, error) {
@@ -245,7 +249,11 @@
 	r.membership.Trust(from)
 	r.membership.Hear(r.Timer.Now(), n)
 	r.sample()
+	large := !r.membership.Small()
 	r.mu.Unlock()
+	if large && r.Driver != nil && own(n, from) {
+		r.relays.add(r.Timer.Now(), r.byDriver(n.Counts)[r.Name])
+	}
 	r.count("received", len(body))
 	r.refresh(false)
 	return nil, nil
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -22,6 +22,8 @@
 const (
 	// Period is the time between questions to peers in a small fleet.
 	Period = 200 * time.Millisecond
+	// RelayPeriod is the time in which a driver gathers counts for the hosts of its failure domain.
+	RelayPeriod = 150 * time.Millisecond
 	// Flush is the time in which urgent news is gathered before it goes out.
 	Flush = 20 * time.Millisecond
 
@@ -75,6 +77,7 @@
 	samples     sync.Map
 	view        atomic.Pointer[[]upstream.Upstream]
 	group       *group.Group
+	relays      relays
 	// passed counts the periods since the last question.
 	passed int
 }
@@ -120,6 +123,16 @@
 		}
 	})
 	defer stopFlushes()
+	due := make(chan struct{}, 1)
+	stopRelays := r.Timer.Every(RelayPeriod, func(time.Time) {
+		if r.relays.any() {
+			signal(due)
+		}
+	})
+	defer stopRelays()
+	r.group.Go("relay", func(ctx context.Context) error {
+		return repeat(ctx, due, r.relay)
+	})
 	r.group.Go("question", func(ctx context.Context) error {
 		return repeat(ctx, periods, r.question)
 	})
