--- a/internal/base/link/exchange.go
+++ b/internal/base/link/exchange.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"siskinrun/internal/base/frame"
+	"siskinrun/internal/base/packing"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
@@ -24,7 +25,7 @@
 	}()
 	d, _ := ctx.Deadline()
 	_ = s.SetDeadline(d)
-	if err := write(s, &frame.Frame{Method: method, Body: body}); err != nil {
+	if err := write(s, newFrame(method, body)); err != nil {
 		return nil, false, lost(err)
 	}
 	p := &frame.Reply{}
@@ -35,7 +36,26 @@
 	if p.Refusal != nil {
 		return nil, true, received(p.Refusal)
 	}
-	return p.Body, true, nil
+	answer, err = unpack(p.Body, p.Packed)
+	if err != nil {
+		return nil, false, lost(err)
+	}
+	return answer, true, nil
+}
+
+// packer shortens the bodies of all links.
+var packer packing.Packing
+
+func newFrame(method string, body []byte) *frame.Frame {
+	b, packed := packer.Pack(body)
+	return &frame.Frame{Method: method, Body: b, Packed: packed}
+}
+
+func unpack(body []byte, packed bool) ([]byte, error) {
+	if !packed {
+		return body, nil
+	}
+	return packer.Unpack(body, maxFrameBytes)
 }
 
 // write sends a message in one frame.
@@ -50,7 +70,9 @@
 
 func (l *Link) tell(s *yamux.Stream, method string, body []byte) error {
 	_ = s.SetDeadline(l.Timer.DeadlineIn(heartbeatTimeout))
-	err := write(s, &frame.Frame{Method: method, Body: body, OneWay: true})
+	f := newFrame(method, body)
+	f.OneWay = true
+	err := write(s, f)
 	if err != nil {
 		_ = s.Close()
 	}
@@ -78,11 +100,15 @@
 func (l *Link) reply(ctx context.Context, from string, s *yamux.Stream, f *frame.Frame) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	b, err := l.answer(ctx, from, f.Method, f.Body)
+	b, err := unpack(f.Body, f.Packed)
+	if err == nil {
+		b, err = l.answer(ctx, from, f.Method, b)
+	}
 	if f.OneWay {
 		return true
 	}
-	p := &frame.Reply{Body: b}
+	p := &frame.Reply{}
+	p.Body, p.Packed = packer.Pack(b)
 	if err != nil {
 		p = &frame.Reply{Refusal: sent(refusal.Of(err))}
 	}
--- /dev/null
+++ b/internal/base/packing/doc.go
@@ -0,0 +1,2 @@
+// Package packing makes long messages between hosts shorter.
+package packing
--- /dev/null
+++ b/internal/base/packing/packing_test.go
@@ -0,0 +1,68 @@
+package packing_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/packing"
+)
+
+const most = 1 << 20
+
+func TestMessagesComeBack(t *testing.T) {
+	noise := make([]byte, 5000)
+	r := rand.NewChaCha8([32]byte{1})
+	_, _ = r.Read(noise)
+	for _, c := range []struct {
+		name   string
+		b      []byte
+		packed bool
+	}{
+		{"empty", nil, false},
+		{"short", bytes.Repeat([]byte("a"), 1000), false},
+		{"repetitive", bytes.Repeat([]byte("host-12 domain-b "), 300), true},
+		{"noise", noise, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &packing.Packing{}
+			for range 3 { // also with what the pools hold
+				b, packed := p.Pack(c.b)
+				is.Equal(packed, c.packed)
+				if packed {
+					is.True(len(b) < len(c.b)/2)
+					var err error
+					b, err = p.Unpack(b, most)
+					is.NoErr(err)
+				}
+				is.True(bytes.Equal(b, c.b))
+			}
+		})
+	}
+}
+
+func TestLongMessagesAreRefused(t *testing.T) {
+	is := is.New(t)
+	p := &packing.Packing{}
+	b, _ := p.Pack(make([]byte, most+1))
+	_, err := p.Unpack(b, most)
+	is.True(errors.Is(err, packing.ErrTooLong))
+	_, err = p.Unpack(b[:len(b)/2], 2*most)
+	is.True(err != nil)
+}
+
+func FuzzUnpack(f *testing.F) {
+	p := &packing.Packing{}
+	b, _ := p.Pack(bytes.Repeat([]byte("x"), 2000))
+	f.Add(b)
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if out, err := p.Unpack(b, most); err == nil && len(out) > most {
+			t.Fatal("longer than its reader takes")
+		}
+	})
+}
