--- a/internal/jobs/drive/fault_test.go
+++ b/internal/jobs/drive/fault_test.go
@@ -102,7 +102,7 @@
 	},
 	{
 		name: "a host does not stop when its session ends",
-		file: "plan.go",
+		file: "stop.go",
 		old:  "\t\tif lost && !t.stopping {\n\t\t\ta = append(a, t)\n\t\t}\n",
 		new:  "",
 	},
--- a/internal/jobs/drive/plan_test.go
+++ b/internal/jobs/drive/plan_test.go
@@ -60,6 +60,16 @@
 	is.Equal(len(p.overdue(now)), 0)
 }
 
+// running returns a plan in which one item runs that may be repeated, under a lease of the given length.
+func running(lease time.Duration) (p *plan, k *task, now, until time.Time) {
+	now = time.Unix(1_800_000_000, 0)
+	until = now.Add(lease)
+	p = newPlan(1)
+	p.setPlace("u", []string{"m"}, 1, until)
+	p.taken(now, 1, items(1, true), until)
+	return p, p.assign(now)[0], now, until
+}
+
 func items(n int, repeatable bool) []item.Item {
 	var a []item.Item
 	for i := range n {
@@ -72,12 +82,7 @@
 // same host, and nothing of it reaches the ledger.
 func TestItemThatMadeRoomGoesOnHere(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1_800_000_000, 0)
-	until := now.Add(time.Minute)
-	p := newPlan(1)
-	p.setPlace("u", []string{"m"}, 1, until)
-	p.taken(now, 1, items(1, true), until)
-	k := p.assign(now)[0]
+	p, k, now, until := running(time.Minute)
 	p.setPlace("u", []string{"m"}, 0, until)
 	is.Equal(p.overdue(now), []*task{k})
 	k.stopping = true
@@ -96,12 +101,7 @@
 // TestItemThatFindsNoRoomGoesBackWithItsProgress holds that a long burst hands the item to other hosts.
 func TestItemThatFindsNoRoomGoesBackWithItsProgress(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1_800_000_000, 0)
-	until := now.Add(time.Minute)
-	p := newPlan(1)
-	p.setPlace("u", []string{"m"}, 1, until)
-	p.taken(now, 1, items(1, true), until)
-	k := p.assign(now)[0]
+	p, k, now, until := running(time.Minute)
 	p.setPlace("u", []string{"m"}, 0, until)
 	p.overdue(now)
 	cut := yielded(1)
@@ -115,12 +115,9 @@
 // TestItemThatStopsForItsLeaseGoesBack holds that only room is a reason to keep an item.
 func TestItemThatStopsForItsLeaseGoesBack(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1_800_000_000, 0)
-	p := newPlan(1)
-	p.setPlace("u", []string{"m"}, 1, now.Add(time.Minute))
-	p.taken(now, 1, items(1, true), now.Add(time.Second))
-	k := p.assign(now)[0]
-	now = now.Add(time.Second)
+	p, k, now, until := running(time.Second)
+	p.setPlace("u", []string{"m"}, 1, until.Add(time.Minute))
+	now = until
 	is.Equal(p.overdue(now), []*task{k})
 	p.finish(now, k, yielded(1))
 	is.Equal(len(p.sides[1].outcomes), 1)
@@ -129,12 +126,7 @@
 // TestRunsThatMadeRoomAreNotForgotten holds that an item that ran before never ends as not run.
 func TestRunsThatMadeRoomAreNotForgotten(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1_800_000_000, 0)
-	until := now.Add(time.Minute)
-	p := newPlan(1)
-	p.setPlace("u", []string{"m"}, 1, until)
-	p.taken(now, 1, items(1, true), until)
-	k := p.assign(now)[0]
+	p, k, now, until := running(time.Minute)
 	p.setPlace("u", []string{"m"}, 0, until)
 	p.overdue(now)
 	cut := yielded(1)
