--- a/internal/jobs/drive/plan_test.go
+++ b/internal/jobs/drive/plan_test.go
@@ -115,11 +115,10 @@
 // TestItemThatStopsForItsLeaseGoesBack holds that only room is a reason to keep an item.
 func TestItemThatStopsForItsLeaseGoesBack(t *testing.T) {
 	is := is.New(t)
-	p, k, now, until := running(time.Second)
+	p, k, _, until := running(time.Second)
 	p.setPlace("u", []string{"m"}, 1, until.Add(time.Minute))
-	now = until
-	is.Equal(p.overdue(now), []*task{k})
-	p.finish(now, k, yielded(1))
+	is.Equal(p.overdue(until), []*task{k})
+	p.finish(until, k, yielded(1))
 	is.Equal(len(p.sides[1].outcomes), 1)
 }
 
