--- a/cmd/siskinrun/disturb_test.go
+++ b/cmd/siskinrun/disturb_test.go
@@ -127,8 +127,8 @@
 
 // cut harms all links from or to a host.
 func (s *soak) cut(ctx context.Context, host string, d time.Duration) {
-	w := weather(1 + int(d)%int(weathers-1))
-	s.event("weather %d around %s for %v", w, host, d)
+	w := condition(1 + int(d)%int(conditions-1))
+	s.event("condition %d around %s for %v", w, host, d)
 	var l []*proxy
 	for from, m := range s.links {
 		for to, p := range m {
@@ -144,18 +144,18 @@
 func (s *soak) cutOne(ctx context.Context, host string, d time.Duration) {
 	names := slices.DeleteFunc(s.names(), func(n string) bool { return n == host })
 	to := names[int(d)%len(names)]
-	w := weather(1 + int(d)%int(weathers-1))
-	s.event("weather %d from %s to %s for %v", w, host, to, d)
+	w := condition(1 + int(d)%int(conditions-1))
+	s.event("condition %d from %s to %s for %v", w, host, to, d)
 	s.harm(ctx, []*proxy{s.links[host][to]}, w, d)
 }
 
-func (s *soak) harm(ctx context.Context, l []*proxy, w weather, d time.Duration) {
+func (s *soak) harm(ctx context.Context, l []*proxy, w condition, d time.Duration) {
 	for _, p := range l {
 		p.set(w)
 	}
 	rest(ctx, d)
 	for _, p := range l {
-		p.set(clear)
+		p.set(normal)
 	}
 }
 
@@ -172,7 +172,7 @@
 	s.event("healed")
 	for _, m := range s.links {
 		for _, p := range m {
-			p.set(clear)
+			p.set(normal)
 		}
 	}
 }
--- a/cmd/siskinrun/proxy_test.go
+++ b/cmd/siskinrun/proxy_test.go
@@ -9,21 +9,21 @@
 	"siskinrun/internal/base/group"
 )
 
-// weather is what a proxy does to the bytes that pass it.
-type weather int
+// condition is what a proxy does to the bytes that pass it.
+type condition int
 
 const (
-	// clear passes everything on.
-	clear weather = iota
-	// slow passes everything on late.
-	slow
-	// deaf holds back what the side that dialled sends.
-	deaf
-	// mute holds back what the side that was dialled sends.
-	mute
-	// silent holds back both.
-	silent
-	weathers
+	// normal passes everything on.
+	normal condition = iota
+	// delayed passes everything on late.
+	delayed
+	// forwardHeld holds back what the side that dialled sends.
+	forwardHeld
+	// backHeld holds back what the side that was dialled sends.
+	backHeld
+	// bothHeld holds back both.
+	bothHeld
+	conditions
 )
 
 const (
@@ -38,7 +38,7 @@
 	to       string
 
 	mu      sync.Mutex
-	weather weather
+	condition condition
 	open    map[net.Conn]bool
 }
 
@@ -47,16 +47,16 @@
 	return &proxy{listener: l, to: to, open: map[net.Conn]bool{}}, err
 }
 
-func (p *proxy) set(w weather) {
+func (p *proxy) set(w condition) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.weather = w
+	p.condition = w
 }
 
-func (p *proxy) now() weather {
+func (p *proxy) now() condition {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.weather
+	return p.condition
 }
 
 // reset ends all open connections without a goodbye.
@@ -112,12 +112,12 @@
 	}
 	g.Go("forth", func(ctx context.Context) error {
 		defer end()
-		p.pass(ctx, d, c, deaf)
+		p.pass(ctx, d, c, forwardHeld)
 		return nil
 	})
 	g.Go("back", func(ctx context.Context) error {
 		defer end()
-		p.pass(ctx, c, d, mute)
+		p.pass(ctx, c, d, backHeld)
 		return nil
 	})
 	_ = g.Wait()
@@ -127,20 +127,20 @@
 	p.mu.Unlock()
 }
 
-// pass copies in one direction, which the given weather holds back.
-func (p *proxy) pass(ctx context.Context, to, from net.Conn, held weather) {
+// pass copies in one direction, which the given condition holds back.
+func (p *proxy) pass(ctx context.Context, to, from net.Conn, held condition) {
 	b := make([]byte, proxyBytes)
 	for {
 		n, err := from.Read(b)
 		if err != nil {
 			return
 		}
-		for w := p.now(); w == held || w == silent; w = p.now() {
+		for w := p.now(); w == held || w == bothHeld; w = p.now() {
 			if !rest(ctx, proxyLook) {
 				return
 			}
 		}
-		if p.now() == slow && !rest(ctx, proxyDelay) {
+		if p.now() == delayed && !rest(ctx, proxyDelay) {
 			return
 		}
 		if _, err := to.Write(b[:n]); err != nil {
