--- a/cmd/siskinrun/proxy_test.go
+++ b/cmd/siskinrun/proxy_test.go
@@ -37,9 +37,9 @@
 	listener net.Listener
 	to       string
 
-	mu      sync.Mutex
+	mu        sync.Mutex
 	condition condition
-	open    map[net.Conn]bool
+	open      map[net.Conn]bool
 }
 
 func newProxy(to string) (*proxy, error) {
