Give each run of an item that made room an ID of its own

Cause: an item that waits on its host keeps its lease, and the ID of its call was made of the lease; an engine that was told to cancel that ID refuses it (409), and the item ended as rejected. Items of the platform bear the caller's ID and were not affected.

--- a/internal/data/item/item.go
+++ b/internal/data/item/item.go
@@ -20,6 +20,8 @@
 	Attempt int
 	// Line is the JSON line of the input.
 	Line []byte
+	// Runs is the number of runs under this lease that made room before.
+	Runs int
 	// Next is the number of the first event that is missing, zero if there is none yet.
 	Next uint64
 	// Text is the output up to that event.
--- a/internal/jobs/drive/end.go
+++ b/internal/jobs/drive/end.go
@@ -24,6 +24,7 @@
 	t.stop = nil
 	t.stopping, t.yielding = false, false
 	t.since = now
+	t.item.Runs++
 	t.notBefore = now.Add(yieldPause)
 	if g := o.GetProgress(); g.GetNext() > t.item.Next {
 		t.item.Next, t.item.Text = g.GetNext(), g.GetText()
--- a/internal/jobs/drive/plan_test.go
+++ b/internal/jobs/drive/plan_test.go
@@ -95,6 +95,7 @@
 	now = now.Add(yieldPause)
 	is.Equal(p.assign(now), []*task{k})
 	is.Equal(k.item.Next, uint64(7))
+	is.Equal(k.item.Runs, 1) // its call gets an ID of its own
 	is.NoErr(p.check())
 }
 
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -105,7 +105,7 @@
 		return r.inline(i, l)
 	}
 	c := &call.Call{
-		ID:      i.Job + "-" + strconv.Itoa(i.Index) + "-" + strconv.FormatUint(i.Fence, 36),
+		ID:      callID(i),
 		Team:    i.Team,
 		Batch:   true,
 		Method:  l.Method,
@@ -124,6 +124,15 @@
 	return c
 }
 
+// callID names one run of an item; an upstream refuses an ID whose call it was told to cancel.
+func callID(i item.Item) string {
+	s := i.Job + "-" + strconv.Itoa(i.Index) + "-" + strconv.FormatUint(i.Fence, 36)
+	if i.Runs > 0 {
+		s += "-" + strconv.Itoa(i.Runs)
+	}
+	return s
+}
+
 // inline builds the call of an item that came with its job, which goes on where its last run ended.
 func (r *Runner) inline(i item.Item, l itemline.Line) *call.Call {
 	c := &call.Call{
