Let each host of a large fleet contact few others

Cause: at 300 machines every host exchanged with every other in turn, held a session to each and sent the list of all hosts with every question and answer; counts went to nearly as many drivers as there are upstreams, each of which relayed them one by one to its failure domain; hosts of other domains heard of them with the answers alone.

Change: exchanges and pushes go to the followers at distances that are powers of two on two rings (the failure domain's and the fleet's). A digest is a fingerprint and sequences; the hosts are listed only if the peer knows other ones. Batch work of a failure domain is driven by one host for six upstreams. Drivers sum the calls of all hosts, batch runs among them, and send the sums to their domain and to one driver of each other domain, which passes them on.

TestDriverRelaysCounts checked that counts are relayed one by one with their ages; sums replace them, so it now checks the sum and its receivers, and a second test the age of what is forwarded.

--- a/internal/data/gossipmessage/message.go
+++ b/internal/data/gossipmessage/message.go
@@ -13,12 +13,20 @@
 	From string
 	// Hosts are the hosts that the sender knows.
 	Hosts []Host
+	// Fingerprint stands for the states of all hosts that the sender knows, without their sequences; zero if Hosts lists them.
+	Fingerprint uint64
+	// Sequences are the sequences of the hosts of Fingerprint, ordered by the names of the hosts.
+	Sequences []uint64
+	// Mismatch says that the answering host knows other hosts than those of the digest's fingerprint, and lists them.
+	Mismatch bool
 	// Announcements are the announcements of upstreams, with their origins.
 	Announcements []Announcement
 	// Reports are the loads of upstreams.
 	Reports []Report
 	// Counts are the numbers of requests that hosts have in flight.
 	Counts []Count
+	// Occupancies are the numbers of requests on upstreams, as summed by the hosts that drive their batch work.
+	Occupancies []Occupancy
 }
 
 // Origin identifies the host at which an item entered the fleet, and orders it among the items of that host.
@@ -83,6 +91,20 @@
 	Age time.Duration
 	// Upstream is the name of the upstream.
 	Upstream string
-	// InFlight is the number of requests in flight.
+	// InFlight is the number of online requests in flight.
 	InFlight int
+	// Batch is the number of batch requests in flight.
+	Batch int
+}
+
+// Occupancy is the number of requests of all hosts at one upstream.
+type Occupancy struct {
+	// Upstream is the name of the upstream.
+	Upstream string
+	// Age is the time since the sum was taken.
+	Age time.Duration
+	// Online is the number of online requests.
+	Online int
+	// Batch is the number of batch requests.
+	Batch int
 }
--- a/internal/fleet/gossip/direct_test.go
+++ b/internal/fleet/gossip/direct_test.go
@@ -68,10 +68,9 @@
 	}
 }
 
-// TestDriverRelaysCounts checks that the driver of an upstream relays the counts of calls begun here and elsewhere, with
-// their ages, to the hosts of its failure domain and to no others.
-func TestDriverRelaysCounts(t *testing.T) {
-	is := is.New(t)
+// newDriverOf60 returns a host of a fleet of 60 in three failure domains that drives the upstreams whose names begin with u.
+func newDriverOf60(t *testing.T) (*Service, *recordingTransport, []gossipmessage.Host) {
+	t.Helper()
 	s := &recordingTransport{}
 	var hosts []gossipmessage.Host
 	for i := range 60 {
@@ -80,30 +79,83 @@
 	}
 	r := &Service{
 		Link: s, Name: "h0", FailureDomain: "d0", Boot: 1, Timer: timer.NewManual(time.Unix(1_800_000_000, 0)),
-		Driver: func(string) string { return "h0" },
+		Driver:        func(string) string { return "h0" },
+		RemoteDrivers: func() []string { return []string{"h1", "h2"} },
 	}
-	r.Busy("u", 1)
+	r.Register()
 	r.group = group.NewGroup(t.Context())
-	pushed := gossipmessage.Message{From: "h4", Hosts: hosts, Counts: []gossipmessage.Count{
-		{Origin: gossipmessage.Origin{Host: "h4", Boot: 1, Sequence: 3}, Upstream: "u", InFlight: 2},
-	}}
-	b, err := encode(pushed)
+	return r, s, hosts
+}
+
+func pushTo(t *testing.T, r *Service, from string, n gossipmessage.Message) {
+	t.Helper()
+	is := is.New(t)
+	b, err := encode(n)
 	is.NoErr(err)
-	_, err = r.handlePush(t.Context(), "h4", b)
+	_, err = r.handlePush(t.Context(), from, b)
 	is.NoErr(err)
+}
+
+// TestDriverRelaysCounts checks that the driver of an upstream relays the sum of the calls begun here and elsewhere to the
+// hosts of its failure domain and to one driver of each other, and to no others.
+func TestDriverRelaysCounts(t *testing.T) {
+	is := is.New(t)
+	r, s, hosts := newDriverOf60(t)
+	r.Busy("u", 1)
+	r.BusyBatch("u", 3)
+	pushTo(t, r, "h4", gossipmessage.Message{From: "h4", Hosts: hosts, Counts: []gossipmessage.Count{
+		{Origin: gossipmessage.Origin{Host: "h4", Boot: 1, Sequence: 3}, Upstream: "u", InFlight: 2},
+	}})
 	r.flush(t.Context())
 	r.Timer.Advance(50 * time.Millisecond)
 	r.sendRelays(t.Context())
 	is.NoErr(r.group.Wait())
-	is.Equal(len(s.to), 19) // the domain has 20 hosts, this one included
+	is.Equal(len(s.to), 21) // the domain has 20 hosts, this one included
 	for _, h := range s.to {
 		n, err := strconv.Atoi(h[1:])
 		is.NoErr(err)
-		is.Equal(n%3, 0)
+		is.True(n%3 == 0 || h == "h1" || h == "h2")
 	}
 	n, err := decode(s.last)
 	is.NoErr(err)
-	is.Equal(len(n.Counts), 2)
-	is.Equal(n.Counts[0].Age, 50*time.Millisecond)
+	is.Equal(n.Occupancies, []gossipmessage.Occupancy{{Upstream: "u", Online: 3, Batch: 3}})
 	is.True(!r.relays.pending())
 }
+
+// TestDriverForwardsOccupanciesOfOtherDomains checks that occupancies of another failure domain reach the hosts of this one,
+// with the age that they had, and that those of this domain are not sent on.
+func TestDriverForwardsOccupanciesOfOtherDomains(t *testing.T) {
+	for _, c := range []struct {
+		from string
+		sent int
+	}{{"h1", 19}, {"h3", 0}} {
+		t.Run(c.from, func(t *testing.T) {
+			is := is.New(t)
+			r, s, hosts := newDriverOf60(t)
+			pushTo(t, r, c.from, gossipmessage.Message{From: c.from, Hosts: hosts, Occupancies: []gossipmessage.Occupancy{
+				{Upstream: "v", Age: 20 * time.Millisecond, Online: 4, Batch: 1},
+			}})
+			r.Timer.Advance(50 * time.Millisecond)
+			r.sendRelays(t.Context())
+			is.NoErr(r.group.Wait())
+			is.Equal(len(s.to), c.sent)
+			is.Equal(r.Peers("v"), 4)
+			is.Equal(r.PeersBatch("v"), 1)
+			if c.sent == 0 {
+				return
+			}
+			n, err := decode(s.last)
+			is.NoErr(err)
+			is.Equal(n.Occupancies, []gossipmessage.Occupancy{{Upstream: "v", Age: 70 * time.Millisecond, Online: 4, Batch: 1}})
+		})
+	}
+}
+
+// TestOccupancyExcludesOwnCalls checks that a host does not take its own calls for those of others.
+func TestOccupancyExcludesOwnCalls(t *testing.T) {
+	is := is.New(t)
+	r, _, hosts := newDriverOf60(t)
+	pushTo(t, r, "h3", gossipmessage.Message{From: "h3", Hosts: hosts, Occupancies: []gossipmessage.Occupancy{{Upstream: "v", Online: 4}}})
+	r.Busy("v", 1)
+	is.Equal(r.Peers("v"), 3)
+}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -77,23 +77,40 @@
 	}
 }
 
-// exchangeWith sends a digest to a peer, merges the answer and reports whether there was one.
+// exchangeWith sends a digest to a peer, merges the answer and reports whether there was one. In a large fleet the digest
+// lists the hosts only if the peer knows other ones.
 func (r *Service) exchangeWith(ctx context.Context, peer string) bool {
 	r.mu.Lock()
 	q := r.membership.Digest()
+	if !r.membership.Small() {
+		q = r.membership.CompactDigest()
+	}
 	r.mu.Unlock()
+	a, ok := r.sendDigest(ctx, peer, q)
+	if !ok || !a.Mismatch {
+		return ok
+	}
+	r.mu.Lock()
+	q = r.membership.Digest()
+	r.mu.Unlock()
+	_, ok = r.sendDigest(ctx, peer, q)
+	return ok
+}
+
+// sendDigest sends a digest to a peer, merges and returns the answer, and reports whether there was one.
+func (r *Service) sendDigest(ctx context.Context, peer string, q gossipmessage.Message) (gossipmessage.Message, bool) {
 	sent := r.Timer.Now()
 	b, err := encode(q)
 	if err != nil {
-		return false
+		return gossipmessage.Message{}, false
 	}
 	b, err = r.call(ctx, peer, methodExchange, b)
 	if err != nil {
-		return false
+		return gossipmessage.Message{}, false
 	}
 	a, err := decode(b)
 	if err != nil {
-		return false
+		return gossipmessage.Message{}, false
 	}
 	r.mu.Lock()
 	r.membership.MarkAlive(peer)
@@ -101,7 +118,7 @@
 	r.publishLoads()
 	r.mu.Unlock()
 	r.publishUpstreams(false)
-	return true
+	return a, true
 }
 
 // call calls a peer and returns at the timeout even if the session of the peer is stuck.
@@ -178,7 +195,9 @@
 	r.push(n, l...)
 	for h, c := range r.byDriver(direct) {
 		if h == r.Name {
-			r.relays.add(r.Timer.Now(), c)
+			for _, o := range c {
+				r.relays.add(o.Upstream)
+			}
 			continue
 		}
 		r.push(gossipmessage.Message{From: n.From, Counts: c}, h)
@@ -251,8 +270,8 @@
 	r.publishLoads()
 	large := !r.membership.Small()
 	r.mu.Unlock()
-	if large && r.Driver != nil && originatedBy(n, from) {
-		r.relays.add(r.Timer.Now(), r.byDriver(n.Counts)[r.Name])
+	if large {
+		r.queueReceived(from, n)
 	}
 	r.countMessage("received", len(body))
 	r.publishUpstreams(false)
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -22,7 +22,7 @@
 const (
 	// ExchangePeriod is the time between exchanges with peers in a small fleet.
 	ExchangePeriod = 200 * time.Millisecond
-	// RelayPeriod is the time for which a driver batches counts for the hosts of its failure domain.
+	// RelayPeriod is the time for which a driver batches occupancies for other hosts.
 	RelayPeriod = 150 * time.Millisecond
 	// FlushPeriod is the time for which urgent news is batched before it is pushed.
 	FlushPeriod = 20 * time.Millisecond
@@ -59,6 +59,8 @@
 	Expiry time.Duration
 	// Driver, if set, returns the host that drives the batch work of an upstream; it needs the counts there at once.
 	Driver func(upstream string) string
+	// RemoteDrivers, if set, returns one driver of each other failure domain, to which this host sends occupancies.
+	RemoteDrivers func() []string
 	// Seed seeds the random choice of peers.
 	Seed uint64
 	// Timer provides the time and the periodic calls.
@@ -85,10 +87,11 @@
 
 // sample is the known load of one upstream.
 type sample struct {
-	report   loadreport.Report
-	measured time.Time
-	reported bool
-	peers    int
+	report     loadreport.Report
+	measured   time.Time
+	reported   bool
+	peers      int
+	peersBatch int
 }
 
 // transport calls other hosts.
@@ -126,6 +129,7 @@
 	defer stopFlushes()
 	due := make(chan struct{}, 1)
 	stopRelays := r.Timer.Every(RelayPeriod, func(time.Time) {
+		r.queueRenewals()
 		if r.relays.pending() {
 			signal(due)
 		}
@@ -214,15 +218,25 @@
 	return s.report, s.measured, s.reported
 }
 
-// Busy sets the number of requests that this host has in flight at an upstream, for peers to learn.
+// Busy sets the number of online requests that this host has in flight at an upstream, for peers to learn.
 func (r *Service) Busy(name string, n int) {
 	r.once.Do(r.init)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.membership.SetInFlight(r.Timer.Now(), name, n)
+	r.publishLoads()
+}
+
+// BusyBatch sets the number of batch requests that this host has in flight at an upstream, for peers to learn.
+func (r *Service) BusyBatch(name string, n int) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.membership.SetBatch(r.Timer.Now(), name, n)
+	r.publishLoads()
 }
 
-// Peers returns how many requests other hosts are known to have in flight at an upstream.
+// Peers returns how many online requests other hosts are known to have in flight at an upstream.
 func (r *Service) Peers(name string) int {
 	v, ok := r.samples.Load(name)
 	if !ok {
@@ -231,6 +245,15 @@
 	return v.(*sample).peers
 }
 
+// PeersBatch returns how many batch requests other hosts are known to have in flight at an upstream.
+func (r *Service) PeersBatch(name string) int {
+	v, ok := r.samples.Load(name)
+	if !ok {
+		return 0
+	}
+	return v.(*sample).peersBatch
+}
+
 // Alive reports whether a host is known and neither suspected here nor declared dead.
 func (r *Service) Alive(host string) bool {
 	r.once.Do(r.init)
@@ -271,9 +294,9 @@
 // publishLoads publishes the changed loads and counts for lock-free readers.
 func (r *Service) publishLoads() {
 	for _, n := range r.membership.TakeChangedLoads() {
-		s := &sample{peers: r.membership.PeersInFlight(n)}
+		s := &sample{peers: r.membership.PeersInFlight(n), peersBatch: r.membership.PeersBatch(n)}
 		s.report, s.measured, s.reported = r.membership.Load(n)
-		if !s.reported && s.peers == 0 {
+		if !s.reported && s.peers+s.peersBatch == 0 {
 			r.samples.Delete(n)
 			continue
 		}
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -13,7 +13,7 @@
 )
 
 func encode(n gossipmessage.Message) ([]byte, error) {
-	m := &rumour.News{From: n.From}
+	m := &rumour.News{From: n.From, Fingerprint: n.Fingerprint, Sequences: n.Sequences, Mismatch: n.Mismatch}
 	for _, h := range n.Hosts {
 		m.Hosts = append(m.Hosts, encodeHost(h))
 	}
@@ -37,8 +37,12 @@
 			AgeNanoseconds: int64(c.Age),
 			Upstream:       c.Upstream,
 			InFlight:       int64(c.InFlight),
+			Batch:          int64(c.Batch),
 		})
 	}
+	for _, o := range n.Occupancies {
+		m.Occupancies = append(m.Occupancies, encodeOccupancy(o))
+	}
 	return proto.Marshal(m)
 }
 
@@ -48,7 +52,7 @@
 	if err := proto.Unmarshal(b, m); err != nil {
 		return gossipmessage.Message{}, errors.Wrap(err, "decode news")
 	}
-	n := gossipmessage.Message{From: m.From}
+	n := gossipmessage.Message{From: m.From, Fingerprint: m.Fingerprint, Sequences: m.Sequences, Mismatch: m.Mismatch}
 	for _, h := range m.Hosts {
 		n.Hosts = append(n.Hosts, gossipmessage.Host{
 			Name:          h.Name,
@@ -75,11 +79,28 @@
 			Age:      time.Duration(c.AgeNanoseconds),
 			Upstream: c.Upstream,
 			InFlight: int(c.InFlight),
+			Batch:    int(c.Batch),
 		})
 	}
+	for _, o := range m.Occupancies {
+		n.Occupancies = append(n.Occupancies, decodeOccupancy(o))
+	}
 	return n, nil
 }
 
+func encodeOccupancy(o gossipmessage.Occupancy) *rumour.Occupancy {
+	return &rumour.Occupancy{Upstream: o.Upstream, AgeNanoseconds: int64(o.Age), Online: int64(o.Online), Batch: int64(o.Batch)}
+}
+
+func decodeOccupancy(o *rumour.Occupancy) gossipmessage.Occupancy {
+	return gossipmessage.Occupancy{
+		Upstream: o.Upstream,
+		Age:      time.Duration(o.AgeNanoseconds),
+		Online:   int(o.Online),
+		Batch:    int(o.Batch),
+	}
+}
+
 func encodeOrigin(o gossipmessage.Origin) *rumour.Origin {
 	return &rumour.Origin{Host: o.Host, Boot: o.Boot, Sequence: o.Sequence}
 }
--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -32,14 +32,25 @@
 	return len(m.hosts) <= smallFleet
 }
 
-// Digest returns the hosts and sequences known here; a peer answers with the news that they lack.
-func (m *Membership) Digest() gossipmessage.Message {
-	return gossipmessage.Message{From: m.name, Hosts: m.sortedHosts()}
-}
-
-// Answer merges the hosts of a digest and returns the news that its sender lacks.
+// Answer merges the hosts of a digest and returns the news that its sender lacks, or only the hosts known here if the
+// fingerprint of the digest does not match.
 func (m *Membership) Answer(now time.Time, q gossipmessage.Message) gossipmessage.Message {
+	compact := q.Fingerprint != 0
+	if compact && !m.expand(&q) {
+		return gossipmessage.Message{From: m.name, Hosts: m.sortedHosts(), Mismatch: true}
+	}
 	m.mergeHosts(q.Hosts, false)
+	a := m.newsFor(now, q)
+	a.Hosts = m.sortedHosts()
+	truncate(&a)
+	if compact {
+		compress(&a)
+	}
+	return a
+}
+
+// newsFor returns the announcements, reports and counts that the sender of a digest lacks.
+func (m *Membership) newsFor(now time.Time, q gossipmessage.Message) gossipmessage.Message {
 	known := map[string]gossipmessage.Host{}
 	for _, h := range q.Hosts {
 		known[h.Name] = h
@@ -55,16 +66,19 @@
 	a := gossipmessage.Message{From: m.name}
 	m.addAnnouncements(now, &a, lacks, former)
 	m.addReports(now, &a, lacks)
-	m.addCounts(now, &a, lacks)
-	a.Hosts = m.sortedHosts()
-	truncate(&a)
+	if m.Small() {
+		m.addCounts(now, &a, lacks)
+	}
 	return a
 }
 
 // ApplyAnswer merges the answer to a digest that was sent at the given time.
 func (m *Membership) ApplyAnswer(now, sent time.Time, a gossipmessage.Message) {
 	m.apply(now, sent, a)
-	m.mergeHosts(a.Hosts, true)
+	if a.Fingerprint != 0 && !m.expand(&a) {
+		return // the hosts known here have changed since the digest: its news will come again
+	}
+	m.mergeHosts(a.Hosts, !a.Mismatch)
 }
 
 // ApplyPush merges news that a peer pushed.
@@ -98,6 +112,7 @@
 // Prune removes expired entries and renews the counts of this host.
 func (m *Membership) Prune(now time.Time) {
 	m.removeDead(now)
+	m.pruneOccupancies(now)
 	for n, a := range m.announcements {
 		if now.Sub(a.createdAt) > TombstoneRetention {
 			delete(m.announcements, n)
@@ -113,7 +128,7 @@
 		for h, c := range l {
 			if now.Sub(c.createdAt) > CountExpiry {
 				delete(l, h)
-				m.adjustTotal(n, -c.inFlight)
+				m.adjustTotal(n, total{-c.online, -c.batch})
 			}
 		}
 		if len(l) == 0 {
@@ -124,18 +139,22 @@
 	m.renewOwnCounts(now)
 }
 
-// renewOwnCounts gives the counts of this host a new origin before they expire at peers.
+// renewOwnCounts gives the counts of this host a new origin before they expire at peers. In a large fleet, where no answer
+// carries them, they are pushed again.
 func (m *Membership) renewOwnCounts(now time.Time) {
 	for n, c := range m.ownCounts {
 		if now.Sub(c.createdAt) < countRenewalAge {
 			continue
 		}
-		if c.inFlight == 0 {
+		if c.total == (total{}) {
 			delete(m.ownCounts, n)
 			continue
 		}
 		c.origin = m.nextOrigin()
 		c.createdAt = now
+		if !m.Small() {
+			m.changedCounts[n] = struct{}{}
+		}
 	}
 }
 
@@ -156,10 +175,13 @@
 	for _, n := range a.Counts {
 		m.applyCount(sent, n)
 	}
+	for _, o := range a.Occupancies {
+		m.applyOccupancy(sent, o)
+	}
 }
 
 func (m *Membership) applyCount(sent time.Time, n gossipmessage.Count) {
-	if n.Origin.Host == m.name || n.Age < 0 || n.InFlight < 0 {
+	if n.Origin.Host == m.name || n.Age < 0 || n.InFlight < 0 || n.Batch < 0 {
 		return
 	}
 	l := m.counts[n.Upstream]
@@ -171,20 +193,21 @@
 	if old != nil && !originAfter(n.Origin, old.origin) {
 		return
 	}
-	c := &count{origin: n.Origin, createdAt: sent.Add(-n.Age), inFlight: n.InFlight}
+	c := &count{origin: n.Origin, createdAt: sent.Add(-n.Age), total: total{n.InFlight, n.Batch}}
 	l[n.Origin.Host] = c
 	if old != nil {
-		m.adjustTotal(n.Upstream, -old.inFlight)
+		m.adjustTotal(n.Upstream, total{-old.online, -old.batch})
 	}
-	m.adjustTotal(n.Upstream, c.inFlight)
+	m.adjustTotal(n.Upstream, c.total)
 }
 
 // adjustTotal changes the sum of the peers' counts at an upstream.
-func (m *Membership) adjustTotal(upstream string, by int) {
-	if by == 0 {
+func (m *Membership) adjustTotal(upstream string, by total) {
+	if by == (total{}) {
 		return
 	}
-	m.peerTotals[upstream] += by
+	t := m.peerTotals[upstream]
+	m.peerTotals[upstream] = total{t.online + by.online, t.batch + by.batch}
 	m.changedLoads[upstream] = struct{}{}
 }
 
@@ -258,5 +281,5 @@
 }
 
 func (c *count) news(now time.Time, upstream string) gossipmessage.Count {
-	return gossipmessage.Count{Origin: c.origin, Age: now.Sub(c.createdAt), Upstream: upstream, InFlight: c.inFlight}
+	return gossipmessage.Count{Origin: c.origin, Age: now.Sub(c.createdAt), Upstream: upstream, InFlight: c.online, Batch: c.batch}
 }
--- a/internal/fleet/membership/hosts.go
+++ b/internal/fleet/membership/hosts.go
@@ -18,9 +18,13 @@
 	exchangesPerDeadProbe = 5
 )
 
-// Targets returns the peers of the next exchange: a random one of this failure domain and the next in a shuffled order.
+// Targets returns the peers of the next exchange. In a small fleet they are a random one of this failure domain and the
+// next in a shuffled order, in a large one the next neighbors.
 func (m *Membership) Targets() []string {
 	m.exchanges++
+	if !m.Small() {
+		return m.neighborhood().exchangeTargets(m.mayExchange)
+	}
 	var l []string
 	if n := m.randomDomainPeer(); n != "" {
 		l = append(l, n)
@@ -31,14 +35,22 @@
 	return l
 }
 
-// RandomPeers returns up to n random live peers, excluding the given one.
+// RandomPeers returns up to n random live peers, excluding the given one. In a large fleet they are neighbors.
 func (m *Membership) RandomPeers(n int, without string) []string {
+	if m.Small() {
+		return m.randomOf(m.peers, n, without)
+	}
+	return m.randomOf(m.neighborhood().all(), n, without)
+}
+
+// randomOf returns up to n random live hosts of those given, excluding one.
+func (m *Membership) randomOf(peers []string, n int, without string) []string {
 	var l []string
-	for _, i := range m.random.Perm(len(m.peers)) {
+	for _, i := range m.random.Perm(len(peers)) {
 		if len(l) == n {
 			break
 		}
-		p := m.peers[i]
+		p := peers[i]
 		if p != without && m.Alive(p) {
 			l = append(l, p)
 		}
@@ -69,6 +81,12 @@
 	return l
 }
 
+// SameDomain reports whether a host is known to be in the failure domain of this one.
+func (m *Membership) SameDomain(name string) bool {
+	h := m.hosts[name]
+	return h != nil && h.FailureDomain == m.hosts[m.name].FailureDomain
+}
+
 // Alive reports whether a host is known and neither suspected here nor declared dead.
 func (m *Membership) Alive(name string) bool {
 	h := m.hosts[name]
@@ -101,14 +119,10 @@
 }
 
 // LikelyIsolated reports whether so many peers are silent that this host is probably cut off from the fleet.
+//
+// A host of a large fleet contacts its neighbors only, so their silence counts as that of all peers does.
 func (m *Membership) LikelyIsolated() bool {
-	n := 0
-	for _, p := range m.peers {
-		if !m.Alive(p) {
-			n++
-		}
-	}
-	return n > 0 && n*isolationDenominator >= len(m.peers)*isolationNumerator
+	return m.mostlySilent(m.peers) || !m.Small() && m.mostlySilent(m.neighborhood().fleet)
 }
 
 // Hosts returns the known hosts, ordered by name.
@@ -131,12 +145,12 @@
 		}
 	}
 	for n, l := range m.counts {
-		sum := 0
+		sum := total{}
 		for _, c := range l {
-			sum += c.inFlight
+			sum = total{sum.online + c.online, sum.batch + c.batch}
 		}
 		if sum != m.peerTotals[n] {
-			return errors.Newf("membership: counts of peers sum to %d at %s, but the stored total is %d", sum, n, m.peerTotals[n])
+			return errors.Newf("membership: counts of peers sum to %+v at %s, but the stored total is %+v", sum, n, m.peerTotals[n])
 		}
 	}
 	return nil
@@ -201,6 +215,7 @@
 	h := &host{Host: gossipmessage.Host{Name: name}}
 	m.hosts[name] = h
 	m.peers = append(m.peers, name)
+	m.neighbors = nil
 	return h
 }
 
@@ -217,6 +232,7 @@
 			h.deadSince = now
 		case now.Sub(h.deadSince) > deadHostRetention:
 			delete(m.hosts, n)
+			m.neighbors = nil
 			m.peers = slices.DeleteFunc(m.peers, func(o string) bool { return o == n })
 			m.nextIndex = 0
 		}
@@ -227,6 +243,9 @@
 	if n.Boot < h.Boot || n.Boot == h.Boot && n.Refutation < h.Refutation {
 		return
 	}
+	if h.FailureDomain != n.FailureDomain {
+		m.neighbors = nil
+	}
 	if n.Boot > h.Boot {
 		h.Host = gossipmessage.Host{
 			Name:          h.Name,
@@ -289,9 +308,14 @@
 		}
 		p := m.peers[m.nextIndex]
 		m.nextIndex = (m.nextIndex + 1) % len(m.peers)
-		if m.Alive(p) || m.exchanges%exchangesPerDeadProbe == 0 {
+		if m.mayExchange(p) {
 			return p
 		}
 	}
 	return ""
 }
+
+// mayExchange reports whether this exchange may target a peer: a live one, or any in one of exchangesPerDeadProbe exchanges.
+func (m *Membership) mayExchange(peer string) bool {
+	return m.Alive(peer) || m.exchanges%exchangesPerDeadProbe == 0
+}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -53,11 +53,14 @@
 	hosts     map[string]*host
 	peers     []string
 	nextIndex int
+	// neighbors are nil if the hosts or their failure domains have changed since they were computed.
+	neighbors *neighbors
 
 	announcements map[string]*announcement
 	reports       map[string]*load
 	counts        map[string]map[string]*count
-	peerTotals    map[string]int
+	peerTotals    map[string]total
+	occupancies   map[string]*occupancy
 	changedLoads  map[string]struct{}
 	ownCounts     map[string]*count
 	changedCounts map[string]struct{}
@@ -86,7 +89,13 @@
 type count struct {
 	origin    gossipmessage.Origin
 	createdAt time.Time
-	inFlight  int
+	total
+}
+
+// total is a number of requests at one upstream.
+type total struct {
+	online int
+	batch  int
 }
 
 // NewMembership returns the view of a host that knows only the names of its peers.
@@ -98,7 +107,8 @@
 		announcements: map[string]*announcement{},
 		reports:       map[string]*load{},
 		counts:        map[string]map[string]*count{},
-		peerTotals:    map[string]int{},
+		peerTotals:    map[string]total{},
+		occupancies:   map[string]*occupancy{},
 		changedLoads:  map[string]struct{}{},
 		ownCounts:     map[string]*count{},
 		changedCounts: map[string]struct{}{},
@@ -164,18 +174,38 @@
 	m.changedLoads[r.Upstream] = struct{}{}
 }
 
-// SetInFlight sets the number of requests that this host has in flight at an upstream.
+// SetInFlight sets the number of online requests that this host has in flight at an upstream.
 func (m *Membership) SetInFlight(now time.Time, name string, n int) {
+	t := m.ownTotal(name)
+	t.online = n
+	m.setOwnTotal(now, name, t)
+}
+
+// SetBatch sets the number of batch requests that this host has in flight at an upstream.
+func (m *Membership) SetBatch(now time.Time, name string, n int) {
+	t := m.ownTotal(name)
+	t.batch = n
+	m.setOwnTotal(now, name, t)
+}
+
+// ownTotal returns the requests that this host has in flight at an upstream.
+func (m *Membership) ownTotal(name string) total {
+	if c := m.ownCounts[name]; c != nil {
+		return c.total
+	}
+	return total{}
+}
+
+func (m *Membership) setOwnTotal(now time.Time, name string, t total) {
 	c := m.ownCounts[name]
-	if c == nil && n == 0 || c != nil && c.inFlight == n && now.Sub(c.createdAt) < countRenewalAge {
+	if c == nil && t == (total{}) || c != nil && c.total == t && now.Sub(c.createdAt) < countRenewalAge {
 		return
 	}
-	if c == nil {
-		c = &count{}
-		m.ownCounts[name] = c
-	}
-	*c = count{origin: m.nextOrigin(), createdAt: now, inFlight: n}
+	m.ownCounts[name] = &count{origin: m.nextOrigin(), createdAt: now, total: t}
 	m.changedCounts[name] = struct{}{}
+	if m.occupancies[name] != nil {
+		m.changedLoads[name] = struct{}{}
+	}
 }
 
 // Incarnation returns the known incarnation of an upstream, or zero.
@@ -199,7 +229,7 @@
 // minConfirmationPeers.
 func (m *Membership) ConfirmationPeers() []string {
 	var l, others []string
-	for _, p := range m.RandomPeers(len(m.peers), "") {
+	for _, p := range m.randomOf(m.peers, len(m.peers), "") {
 		if m.hosts[p].Control {
 			l = append(l, p)
 		} else {
@@ -243,11 +273,6 @@
 	return l.report, l.measuredAt, true
 }
 
-// PeersInFlight returns the number of requests that other hosts are known to have in flight at an upstream.
-func (m *Membership) PeersInFlight(name string) int {
-	return m.peerTotals[name]
-}
-
 // TakeChangedLoads returns the upstreams whose load or peers' counts have changed since the last call.
 func (m *Membership) TakeChangedLoads() []string {
 	var l []string
--- a/internal/jobs/assignment/assignment.go
+++ b/internal/jobs/assignment/assignment.go
@@ -1,16 +1,87 @@
 package assignment
 
 import (
+	"cmp"
+	"slices"
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 
 	"siskinrun/internal/base/host"
 	"siskinrun/internal/data/upstream"
 )
 
-// Assignment distributes upstreams over the live hosts by rendezvous hashing.
+const (
+	// upstreamsPerHost is the number of upstreams for which one host of a failure domain is chosen.
+	upstreamsPerHost = 6
+	// minHostsPerDomain is the least number of hosts that are chosen in a failure domain that has them.
+	minHostsPerDomain = 4
+)
+
+// Assignment distributes upstreams over hosts by rendezvous hashing.
 type Assignment struct {
-	// Hosts are the live hosts, including this one.
+	// Hosts are the hosts to which upstreams are assigned.
 	Hosts []host.Host
+
+	byUpstream map[string]string
+}
+
+// NewAssignment assigns upstreams to as few of the live hosts as can run their batch work. Every other host of the fleet
+// exchanges counts with each chosen one, so their number follows the upstreams and not the hosts.
+func NewAssignment(live []host.Host, upstreams []upstream.Upstream) *Assignment {
+	inDomain := map[string]int{}
+	for _, u := range upstreams {
+		inDomain[u.FailureDomain]++
+	}
+	a := &Assignment{byUpstream: make(map[string]string, len(upstreams))}
+	for d, l := range byDomain(live) {
+		n := max((inDomain[d]+upstreamsPerHost-1)/upstreamsPerHost, minHostsPerDomain)
+		a.Hosts = append(a.Hosts, firstByHash(l, n)...)
+	}
+	for _, u := range upstreams {
+		a.byUpstream[u.Name] = a.HostFor(u)
+	}
+	return a
+}
+
+// HostOf returns the host that runs the batch work of the named upstream, or an empty string if it is not assigned.
+func (a *Assignment) HostOf(upstream string) string {
+	return a.byUpstream[upstream]
+}
+
+// RemoteHosts returns one of the hosts of each failure domain but that of the given host.
+func (a *Assignment) RemoteHosts(from host.Host) []string {
+	var l []string
+	for d, hosts := range byDomain(a.Hosts) {
+		if d == from.FailureDomain {
+			continue
+		}
+		best := slices.MaxFunc(hosts, func(x, y host.Host) int { return cmp.Compare(score(from.Name, x), score(from.Name, y)) })
+		l = append(l, best.Name)
+	}
+	return l
+}
+
+func byDomain(hosts []host.Host) map[string][]host.Host {
+	m := map[string][]host.Host{}
+	for _, h := range hosts {
+		m[h.FailureDomain] = append(m[h.FailureDomain], h)
+	}
+	return m
+}
+
+// firstByHash returns up to n hosts with the lowest hashes of their names, so that the loss of one adds only one other.
+func firstByHash(hosts []host.Host, n int) []host.Host {
+	l := slices.Clone(hosts)
+	slices.SortFunc(l, func(x, y host.Host) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(x.Name), xxhash.Sum64String(y.Name)), strings.Compare(x.Name, y.Name))
+	})
+	return l[:min(n, len(l))]
+}
+
+// score returns the rendezvous hash of a key on a host.
+func score(key string, h host.Host) uint64 {
+	return xxhash.Sum64String(key + "\x00" + h.Name)
 }
 
 // HostFor returns the host that runs the batch work of an upstream: one in the failure domain of the upstream if
@@ -31,7 +102,7 @@
 		if sameDomain && h.FailureDomain != u.FailureDomain {
 			continue
 		}
-		s := xxhash.Sum64String(u.Name + "\x00" + h.Name)
+		s := score(u.Name, h)
 		if best == "" || s > bestScore || s == bestScore && h.Name < best {
 			best = h.Name
 			bestScore = s
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -167,6 +167,7 @@
 		Metrics:       p.childMetrics("roster"),
 		Open:          s.Settings.UsesSeeds(),
 		Driver:        p.batchHost,
+		RemoteDrivers: p.remoteBatchHosts,
 		Self: gossipmessage.Host{
 			Label:   p.host.Label,
 			Control: p.host.Stores(settings.KeepsConfiguration),
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -10,7 +10,6 @@
 	"siskinrun/internal/base/host"
 	"siskinrun/internal/base/rpc"
 	"siskinrun/internal/data/gossipmessage"
-	"siskinrun/internal/data/upstream"
 )
 
 // hostsInterval is how often a host that joined through seeds reads the list of hosts from the gossip.
@@ -106,12 +105,19 @@
 // batchHost returns the host that runs the batch items of an upstream, or "" if it is not known.
 func (p *components) batchHost(name string) string {
 	a := p.assignment.Load()
-	l := p.gossip.Upstreams()
-	i := slices.IndexFunc(l, func(u upstream.Upstream) bool { return u.Name == name })
-	if a == nil || i < 0 {
+	if a == nil {
 		return ""
 	}
-	return a.HostFor(l[i])
+	return a.HostOf(name)
+}
+
+// remoteBatchHosts returns one host of each other failure domain that runs batch items there.
+func (p *components) remoteBatchHosts() []string {
+	a := p.assignment.Load()
+	if a == nil {
+		return nil
+	}
+	return a.RemoteHosts(host.Host{Name: p.server.Name, FailureDomain: p.host.FailureDomain})
 }
 
 // updateHosts passes the hosts known to the gossip to the configuration distribution until ctx ends.
--- a/internal/product/server/loads.go
+++ b/internal/product/server/loads.go
@@ -21,11 +21,17 @@
 	// measured holds when the latest applied report of each upstream was measured.
 	measured map[string]time.Time
 	// peerCounts are the latest applied counts of other hosts, by upstream.
-	peerCounts map[string]int
+	peerCounts map[string]peerCount
 	// callHosts is the number of hosts that take calls, among which the slots of a service are shared.
 	callHosts int
 }
 
+// peerCount is the number of requests of other hosts at an upstream.
+type peerCount struct {
+	online int
+	batch  int
+}
+
 // run applies changes until ctx ends.
 func (l *loadUpdater) run(ctx context.Context) error {
 	p := l.components
@@ -51,9 +57,9 @@
 	}
 	l.upstreams = view
 	l.measured = make(map[string]time.Time, len(view))
-	l.peerCounts = make(map[string]int, len(view))
+	l.peerCounts = make(map[string]peerCount, len(view))
 	l.callHosts = l.components.callHostCount()
-	l.components.assignment.Store(&assignment.Assignment{Hosts: l.components.batchHosts()})
+	l.components.assignment.Store(assignment.NewAssignment(l.components.batchHosts(), view))
 	now := l.components.server.timer.Now()
 	for i := range view {
 		l.components.picker.MarkAlive(view[i].Name, now.Add(-view[i].Age.Duration()))
@@ -73,7 +79,7 @@
 
 // compareCount adds an upstream to changed if the count of other hosts is not the one applied last.
 func (l *loadUpdater) compareCount(name string) {
-	n := l.components.gossip.Peers(name)
+	n := peerCount{online: l.components.gossip.Peers(name), batch: l.components.gossip.PeersBatch(name)}
 	if old, ok := l.peerCounts[name]; ok && old == n {
 		return
 	}
--- a/internal/routing/inflight/tracker.go
+++ b/internal/routing/inflight/tracker.go
@@ -11,12 +11,15 @@
 // gossip shares this host's counts and returns those of its peers.
 type gossip interface {
 	Busy(name string, n int)
+	BusyBatch(name string, n int)
 	Peers(name string) int
+	PeersBatch(name string) int
 }
 
 // picker uses the counts to pick upstreams.
 type picker interface {
 	SetPeerRequests(name string, n int, now time.Time)
+	SetPeerBatch(name string, n int)
 	SetBatch(name string, n int)
 }
 
@@ -52,6 +55,7 @@
 func (t *Tracker) Begin(name string, c *call.Call) {
 	if c.Batch {
 		n := t.count(&t.batch, name, 1)
+		t.Gossip.BusyBatch(name, n)
 		t.Picker.SetBatch(name, n)
 		t.BatchLimiter.SetBatch(name, n)
 		return
@@ -80,6 +84,7 @@
 func (t *Tracker) End(name string, c *call.Call) {
 	if c.Batch {
 		n := t.count(&t.batch, name, -1)
+		t.Gossip.BusyBatch(name, n)
 		t.Picker.SetBatch(name, n)
 		t.BatchLimiter.SetBatch(name, n)
 		return
@@ -94,6 +99,7 @@
 	for _, n := range names {
 		p := t.Gossip.Peers(n)
 		t.Picker.SetPeerRequests(n, p, t.Timer.Now())
+		t.Picker.SetPeerBatch(n, t.Gossip.PeersBatch(n))
 		cancel += t.BatchLimiter.SetPeerOnline(n, p, t.Timer.Now())
 	}
 	if cancel > 0 {
--- a/internal/routing/picker/member.go
+++ b/internal/routing/picker/member.go
@@ -37,6 +37,8 @@
 	own   int
 	peers int
 	batch int
+	// peerBatch is the number of batch requests of other hosts.
+	peerBatch int
 
 	// unexplained is the load in the last report that recent counts do not account for.
 	unexplained float64
@@ -108,7 +110,7 @@
 
 // knownRequests returns the online and batch requests in the counts.
 func (m *member) knownRequests() int {
-	return m.own + m.peers + m.batch
+	return m.own + m.peers + m.batch + m.peerBatch
 }
 
 // load returns the running and waiting online requests; unexplained ones decay linearly in the second half of the report's TTL.
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -137,6 +137,7 @@
 	if x > 1 {
 		s += c.QueueWeight * (x - 1)
 	}
+	s += c.batchCost(x, float64(m.batch+m.peerBatch)/slots)
 	s += c.PromptWeight * m.pendingPromptsAt(now)
 	s *= m.latencyRatio(now, median)
 	if m.upstream.FailureDomain != d.FailureDomain {
@@ -148,6 +149,16 @@
 	return s
 }
 
+// batchCost returns the cost of batch work on an upstream for one more online request, given the shares of the slots that
+// either would take. Batch work slows the request down a little; where no slot is left, a run must first be stopped.
+func (c *Picker) batchCost(online, batch float64) float64 {
+	s := c.BatchWeight * batch
+	if batch > 0 && online+batch > 1 {
+		s += c.DisplacementWeight
+	}
+	return s
+}
+
 // uncachedPrompts returns the prompt computation left for the upstream, as a multiple of a prompt of longPromptBlocks.
 func (v candidate) uncachedPrompts(d *demand.Demand) float64 {
 	if len(d.PrefixHashes) == 0 {
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -23,6 +23,10 @@
 	DefaultPromptWeight = 0.3
 	// DefaultQueueWeight is the default extra cost of a request that would wait, relative to one that would run.
 	DefaultQueueWeight = 3.0
+	// DefaultBatchWeight is the default cost of batch work in all slots, as a share of the slots.
+	DefaultBatchWeight = 0.2
+	// DefaultDisplacementWeight is the default cost of stopping a batch run for the request, as a share of the slots.
+	DefaultDisplacementWeight = 0.4
 	// DefaultWarmUp is the default time in which a new upstream reaches its full number of slots.
 	DefaultWarmUp = 5 * time.Second
 	// DefaultReportTTL is the default time after which a report is ignored.
@@ -45,6 +49,10 @@
 	PromptWeight float64
 	// QueueWeight is the extra cost of a request that would wait, relative to one that would run.
 	QueueWeight float64
+	// BatchWeight is the cost of batch work in all slots, as a share of the slots.
+	BatchWeight float64
+	// DisplacementWeight is the cost of stopping a batch run for the request, as a share of the slots.
+	DisplacementWeight float64
 	// WarmUp is the time in which a new upstream reaches its full number of slots.
 	WarmUp time.Duration
 	// ReportTTL is the time after which a report is ignored.
@@ -71,14 +79,18 @@
 		LocalityWeight: DefaultLocalityWeight,
 		PromptWeight:   DefaultPromptWeight,
 		QueueWeight:    DefaultQueueWeight,
-		WarmUp:         DefaultWarmUp,
-		ReportTTL:      DefaultReportTTL,
-		Ejection:       ejection.NewDetector(),
-		Affinity:       affinity.NewIndex(),
-		random:         rand.New(rand.NewPCG(seed, seed)),
-		members:        make(map[string]*member),
-		tombstones:     make(map[string]*tombstone),
-		pools:          make(map[poolKey]*pool),
+		BatchWeight:    DefaultBatchWeight,
+
+		DisplacementWeight: DefaultDisplacementWeight,
+
+		WarmUp:     DefaultWarmUp,
+		ReportTTL:  DefaultReportTTL,
+		Ejection:   ejection.NewDetector(),
+		Affinity:   affinity.NewIndex(),
+		random:     rand.New(rand.NewPCG(seed, seed)),
+		members:    make(map[string]*member),
+		tombstones: make(map[string]*tombstone),
+		pools:      make(map[poolKey]*pool),
 	}
 }
 
@@ -152,7 +164,17 @@
 	m.history.Set(m.knownRequests(), now)
 }
 
-// SetBatch sets the number of batch requests that run on an upstream; online requests displace them.
+// SetPeerBatch sets the number of batch requests that other hosts have running on an upstream.
+func (c *Picker) SetPeerBatch(name string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := c.members[name]; ok {
+		m.peerBatch = n
+		m.history.Set(m.knownRequests(), c.latest)
+	}
+}
+
+// SetBatch sets the number of batch requests that this host runs on an upstream; online requests displace them.
 func (c *Picker) SetBatch(name string, n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
