Stop running batch items only for slots that online calls need

Cause: the batch window is lowered by reserves, by the peak of the last moments and by load that is only inferred from reports, and every run above the window was cancelled, though the upstream had free slots.

Change: the window bounds what is started; Keep bounds what may go on, and leaves out the reserves.

--- a/internal/jobs/batch/batch_test.go
+++ b/internal/jobs/batch/batch_test.go
@@ -221,6 +221,7 @@
 func (f *fakeFleet) Targets(upstream.Upstream) []string { return []string{"m", "/invoice"} }
 
 func (f *fakeFleet) Window(string) int { return 8 }
+func (f *fakeFleet) Keep(string) int   { return 8 }
 
 func (f *fakeFleet) Run(ctx context.Context, _ string, i item.Item) (itemanswer.Answer, error) {
 	f.mu.Lock()
--- a/internal/jobs/batch/durable_test.go
+++ b/internal/jobs/batch/durable_test.go
@@ -81,6 +81,7 @@
 func (*instantFleet) Targets(upstream.Upstream) []string { return []string{"m", "/invoice"} }
 
 func (*instantFleet) Window(string) int { return 64 }
+func (*instantFleet) Keep(string) int   { return 64 }
 
 func (f *instantFleet) Run(_ context.Context, _ string, i item.Item) (itemanswer.Answer, error) {
 	f.mu.Lock()
--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -211,10 +211,11 @@
 // claimLoop claims the upstreams that are assigned to this host and releases the others.
 func (d *Executor) claimLoop(ctx context.Context) error {
 	for {
-		a := assignment.Assignment{Hosts: d.Fleet.Hosts()}
+		l := d.Fleet.Upstreams()
+		a := assignment.NewAssignment(d.Fleet.Hosts(), l)
 		mine := map[string]upstream.Upstream{}
-		for _, u := range d.Fleet.Upstreams() {
-			if !u.Leaving && a.HostFor(u) == d.Host {
+		for _, u := range l {
+			if !u.Leaving && a.HostOf(u.Name) == d.Host {
 				mine[u.Name] = u
 			}
 		}
@@ -251,7 +252,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.claims[u.Name] = sent.Add(localClaimTTL)
-	d.scheduler.setUpstream(u.Name, d.Fleet.Targets(u), d.Windows.Window(u.Name), sent.Add(localClaimTTL))
+	d.scheduler.setUpstream(u.Name, d.Fleet.Targets(u), 0, sent.Add(localClaimTTL))
+	d.scheduler.upstreams[u.Name].setLimits(d.Windows)
 }
 
 // releaseOthers expires the claims on upstreams that are no longer assigned to this host and releases those
--- a/internal/jobs/executor/executor.go
+++ b/internal/jobs/executor/executor.go
@@ -64,9 +64,12 @@
 	Targets(u upstream.Upstream) []string
 }
 
-// windows returns the concurrency limit for batch items on an upstream.
+// windows limits the batch items on an upstream.
 type windows interface {
+	// Window returns up to how many items may be started.
 	Window(upstream string) int
+	// Keep returns how many of the running items may go on, which is at least Window.
+	Keep(upstream string) int
 }
 
 // runner sends an item to an upstream. Its errors are refusals with a verdict.
@@ -86,7 +89,7 @@
 	Ledgers ledgers
 	// Fleet lists hosts and upstreams.
 	Fleet fleet
-	// Windows limits the batch items that run on an upstream.
+	// Windows limits the batch items on an upstream.
 	Windows windows
 	// Runner sends items to upstreams.
 	Runner runner
@@ -214,12 +217,12 @@
 	return idleReconcileInterval
 }
 
-// reconcile stops items beyond a window or lease and starts pending items in free slots.
+// reconcile stops items beyond a limit or lease and starts pending items in free slots.
 func (d *Executor) reconcile() {
 	n := d.Timer.Now()
 	d.mu.Lock()
 	for _, c := range d.scheduler.upstreams {
-		c.window = d.Windows.Window(c.name)
+		c.setLimits(d.Windows)
 	}
 	d.stopAll(d.scheduler.tasksToStop(n))
 	d.scheduler.returnStale(n)
--- a/internal/jobs/executor/scheduler.go
+++ b/internal/jobs/executor/scheduler.go
@@ -26,7 +26,7 @@
 	pendingSince time.Time
 	upstream     *claimedUpstream
 	stopping     bool
-	// preempting is set if the task stops only because the window shrank, so that this host may run it again.
+	// preempting is set if the task stops only because its upstream has more than it may keep, so that this host may run it again.
 	preempting bool
 	// notBefore is the earliest time at which the task may start again.
 	notBefore time.Time
@@ -38,9 +38,12 @@
 
 // claimedUpstream is an upstream on which this host may run items until its claim expires.
 type claimedUpstream struct {
-	name         string
-	targets      []string
-	window       int
+	name    string
+	targets []string
+	// window is the number of items up to which new ones start.
+	window int
+	// keep is the number of started items that may go on.
+	keep         int
 	claimExpires time.Time
 	// started counts the items that were given a slot and have not ended.
 	started int
@@ -85,6 +88,12 @@
 	return c.started + c.unrecorded
 }
 
+// setLimits reads the limits of the upstream.
+func (c *claimedUpstream) setLimits(w windows) {
+	c.window = w.Window(c.name)
+	c.keep = w.Keep(c.name)
+}
+
 // setUpstream adds an upstream or updates its targets, window and claim.
 func (p *scheduler) setUpstream(name string, targets []string, window int, until time.Time) {
 	c := p.upstreams[name]
@@ -94,6 +103,7 @@
 	}
 	c.targets = targets
 	c.window = window
+	c.keep = window
 	c.claimExpires = until
 }
 
--- a/internal/jobs/executor/stop.go
+++ b/internal/jobs/executor/stop.go
@@ -9,12 +9,12 @@
 )
 
 // tasksToStop returns the started tasks that must stop because their session or claim has expired or their
-// upstream runs more tasks than its window. Only repeatable tasks stop for a window or claim, newest first.
+// upstream runs more tasks than it may keep. Only repeatable tasks stop for this or for a claim, newest first.
 func (p *scheduler) tasksToStop(now time.Time) []*task {
 	var a []*task
 	excess := map[*claimedUpstream]int{}
 	for _, c := range p.upstreams {
-		excess[c] = c.started - c.window
+		excess[c] = c.started - c.keep
 		if !now.Before(c.claimExpires) {
 			excess[c] = c.started
 		}
--- a/internal/product/server/adapters.go
+++ b/internal/product/server/adapters.go
@@ -136,7 +136,15 @@
 	components *components
 }
 
-// Window returns how many batch items may run on an upstream now, 0 on an unreachable one.
+// Keep returns how many of the running batch items of an upstream may go on, 0 on an unreachable one.
+func (w batchWindows) Keep(name string) int {
+	if !w.components.picker.Reachable(name) {
+		return 0
+	}
+	return w.components.batchLimiter.Keep(name, w.components.server.timer.Now())
+}
+
+// Window returns up to how many batch items may be started on an upstream now, 0 on an unreachable one.
 func (w batchWindows) Window(name string) int {
 	if !w.components.picker.Reachable(name) {
 		return 0
--- a/internal/routing/batchlimit/limiter.go
+++ b/internal/routing/batchlimit/limiter.go
@@ -32,8 +32,8 @@
 
 // Limiter sets the batch window of each engine from online load and latency; it is safe for concurrent use.
 //
-// The batch window of an engine is the number of batch streams that may run on it.
-// Two mechanisms act together. Demand: batch does not use slots that online requests
+// The batch window of an engine is the number of batch streams up to which new ones start; Keep is the number of those that
+// run already and may go on. Two mechanisms act together. Demand: batch does not use slots that online requests
 // use or used a moment ago, and an online dispatch to a full engine cancels batch
 // streams at once. Latency: when more than 1% of the online samples come close to
 // their contract, a ceiling is cut by a factor and then rises linearly.
@@ -173,7 +173,22 @@
 	}
 }
 
-// Window returns how many batch streams may run on an engine; the caller cancels those above it.
+// Keep returns how many of the batch streams that run on an engine may go on; the caller cancels those above it.
+//
+// It is never less than Window: a stream that holds a slot costs its work when it is cancelled, so it stays until known
+// online requests need the slot, or the ceiling is below it. Reserves and load that is only inferred keep new streams out.
+func (l *Limiter) Keep(name string, now time.Time) int {
+	w := l.Window(name, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.engines[name]
+	if !ok {
+		return 0
+	}
+	return max(min(int(e.ceiling), e.slots-e.online()), w)
+}
+
+// Window returns up to how many batch streams may be started on an engine.
 func (l *Limiter) Window(name string, now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/routing/batchlimit/measure_test.go
+++ b/internal/routing/batchlimit/measure_test.go
@@ -63,6 +63,7 @@
 // policy decides how many batch streams run and how many are cancelled.
 type policy interface {
 	Window(name string, now time.Time) int
+	Keep(name string, now time.Time) int
 	OnlineStarted(name string, now time.Time) int
 	OnlineEnded(name string, now time.Time)
 	SetPeerOnline(name string, n int, now time.Time) int
@@ -76,6 +77,7 @@
 type fixed int
 
 func (f fixed) Window(string, time.Time) int                                         { return int(f) }
+func (f fixed) Keep(string, time.Time) int                                           { return int(f) }
 func (f fixed) OnlineStarted(string, time.Time) int                                  { return 0 }
 func (f fixed) OnlineEnded(string, time.Time)                                        {}
 func (f fixed) SetPeerOnline(string, int, time.Time) int                             { return 0 }
@@ -97,18 +99,23 @@
 
 // simulation runs one engine with a trace and a policy.
 type simulation struct {
-	clock             *timer.Service
-	engine            *enginesim.Engine
-	policy            policy
-	random            *rand.Rand
-	running           []*item
-	paused            []*item
-	peers             int
-	firstTokens       []time.Duration
-	tokenGaps         []time.Duration
-	tokenContract     time.Duration
-	noPeers           bool
-	noReports         bool
+	clock         *timer.Service
+	engine        *enginesim.Engine
+	policy        policy
+	random        *rand.Rand
+	running       []*item
+	paused        []*item
+	peers         int
+	firstTokens   []time.Duration
+	tokenGaps     []time.Duration
+	tokenContract time.Duration
+	noPeers       bool
+	noReports     bool
+	// keeps lets running streams above the window go on up to Keep, as the executor does.
+	keeps     bool
+	completed int
+	// demand bounds the batch streams that are wanted, zero for as many as fit.
+	demand            int
 	tokens            int
 	cancels           int
 	onlineSlotSeconds float64
@@ -144,12 +151,12 @@
 func (b *simulation) online(a arrival, now time.Time) {
 	if a.own {
 		n := b.policy.OnlineStarted("e", now)
-		b.clock.After(peerDelay/2, func(time.Time) { b.stop(n) })
+		b.clock.After(peerDelay/2, func(now time.Time) { b.yield(n, now) })
 	} else {
 		b.clock.After(peerDelay/2, func(now time.Time) {
 			b.peers++
 			n := b.publishPeers(now)
-			b.clock.After(peerDelay/2, func(time.Time) { b.stop(n) })
+			b.clock.After(peerDelay/2, func(now time.Time) { b.yield(n, now) })
 		})
 	}
 	b.clock.After(peerDelay/2, func(time.Time) {
@@ -191,8 +198,8 @@
 func (b *simulation) adjust(now time.Time) {
 	b.policy.SetBatch("e", len(b.running))
 	w := b.policy.Window("e", now)
-	b.stop(len(b.running) - w)
-	for len(b.running) < w {
+	b.yield(len(b.running)-w, now)
+	for len(b.running) < w && (b.demand == 0 || len(b.running) < b.demand) {
 		b.start()
 	}
 	b.policy.SetBatch("e", len(b.running))
@@ -218,11 +225,20 @@
 		i.generated++
 		b.tokens++
 		if i.generated == itemOutputTokens {
+			b.completed++
 			b.running = slices.DeleteFunc(b.running, func(o *item) bool { return o == i })
 		}
 	})
 }
 
+// yield cancels n batch streams, or those above Keep.
+func (b *simulation) yield(n int, now time.Time) {
+	if b.keeps {
+		n = len(b.running) - b.policy.Keep("e", now)
+	}
+	b.stop(n)
+}
+
 // stop cancels the n youngest batch streams.
 func (b *simulation) stop(n int) {
 	for range min(n, len(b.running)) {
