Send no more calls to an upstream whose answer says that it leaves

Cause: a worker that leaves says so with Server-Leaving in all its answers, which nothing read.

The decision packages' simulation has upstreams that say so; a host that picks one afterwards fails the run, and ignoring the header is caught.

--- a/internal/data/answerheaders/headers.go
+++ b/internal/data/answerheaders/headers.go
@@ -14,6 +14,8 @@
 	NotRun bool
 	// Misdirected means that another upstream now has the address.
 	Misdirected bool
+	// Leaving means that the upstream takes no more calls than those on their way.
+	Leaving bool
 	// IdleTimeout is how long the upstream keeps an idle connection, zero if not given.
 	IdleTimeout time.Duration
 	// HasLoad means that Load is set.
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -61,6 +61,7 @@
 	if s.Dialect != nil {
 		x.Dialect = s.Dialect.Upstreams
 		x.Report = p.applyReport
+		x.Leaving = p.endIncarnation
 	}
 	return x
 }
@@ -111,6 +112,14 @@
 	}
 }
 
+// endIncarnation ends the incarnation of an upstream that says with an answer that it leaves: at once on this host, and
+// with urgent news on the others.
+func (p *components) endIncarnation(name string, incarnation uint64) {
+	if p.gossip.Leave(name, incarnation) {
+		p.server.Log.Info().Str("upstream", name).Uint64("incarnation", incarnation).Msg("upstream says with its answer that it leaves")
+	}
+}
+
 // applyReport applies a load report that came with an upstream's answer.
 func (p *components) applyReport(r loadreport.Report, at time.Time) {
 	p.picker.Report(r, at)
--- a/internal/product/simulation/calls_test.go
+++ b/internal/product/simulation/calls_test.go
@@ -214,6 +214,9 @@
 	if gone && t.Before(w.partitionChanged) {
 		t = w.partitionChanged
 	}
+	if h.toldOfLeave[upstreamRun{u.Name, u.Incarnation}] {
+		w.fail(u.Name, "%s picks incarnation %d, whose answer said that it leaves", h.name, u.Incarnation)
+	}
 	tooLate := gone && !h.partitioned && w.now.Sub(t) > leaveLimit
 	if tooLate && h.started.After(w.leftAt[fmt.Sprint(u.Name, "/", u.Incarnation)]) {
 		w.recordMissedLeave(h, u)
@@ -225,6 +228,18 @@
 	return u, true
 }
 
+// applyLeavingAnswer ends the incarnation of an upstream whose answer says that it leaves.
+func (h *host) applyLeavingAnswer(u upstream.Upstream) {
+	h.w.counts["leaving-answers"]++
+	h.w.logEvent(u.Name, "%s has an answer saying that incarnation %d leaves", h.name, u.Incarnation)
+	h.toldOfLeave[upstreamRun{u.Name, u.Incarnation}] = true
+	if h.w.injected == ignoreLeavingAnswer {
+		return
+	}
+	h.members.Leave(h.now(), u.Name, u.Incarnation)
+	h.applyMembership()
+}
+
 // recordMissedLeave records that a host which started after a leave picked the upstream that left; a separate test fails on these.
 func (w *simulation) recordMissedLeave(h *host, u upstream.Upstream) {
 	if slices.Contains(w.missedLeaves, u.Name) {
@@ -275,7 +290,13 @@
 			if h.partitioned || w.lost() {
 				return
 			}
-			h.after(w.delay(), func() { finish(verdict.Ran, outcome.Succeeded) })
+			leaving := f.leaving
+			h.after(w.delay(), func() {
+				if leaving && !over {
+					h.applyLeavingAnswer(u)
+				}
+				finish(verdict.Ran, outcome.Succeeded)
+			})
 		})
 	})
 }
--- a/internal/product/simulation/host_test.go
+++ b/internal/product/simulation/host_test.go
@@ -45,11 +45,20 @@
 	waiting    []*call
 	owner      *owner
 
+	// toldOfLeave are the upstreams that have told this host with an answer that they leave.
+	toldOfLeave map[upstreamRun]bool
+
 	version    uint64
 	knownTeams map[string]string
 	worker     *worker
 }
 
+// upstreamRun is one run of an upstream.
+type upstreamRun struct {
+	name        string
+	incarnation uint64
+}
+
 func hostName(i int) string { return fmt.Sprint("h", i) }
 
 // restart starts a host without any state.
@@ -63,7 +72,7 @@
 	h := &host{
 		w: w, started: w.now, index: i, name: hostName(i), boot: w.boots[i], driftPPM: int64(i-2) * 200,
 		allowances: map[string]*allowance.Allowance{}, asking: map[string]bool{},
-		knownTeams: map[string]string{}, limitedUpstreams: map[string]bool{},
+		knownTeams: map[string]string{}, limitedUpstreams: map[string]bool{}, toldOfLeave: map[upstreamRun]bool{},
 	}
 	h.members = membership.NewMembership(h.name, fmt.Sprint("d", i%3), h.boot, peers, r.Uint64())
 	h.picker = picker.NewPicker(r.Uint64())
--- a/internal/product/simulation/rules_test.go
+++ b/internal/product/simulation/rules_test.go
@@ -84,7 +84,7 @@
 				}
 			}
 			t.Logf("%d seeds, %d steps: %v", runs, steps, tally)
-			for _, k := range []string{"admitted", "received", "not-run", "may-have-run", "ran", "left", "changes", "items-completed", "items-yielded", "orders"} {
+			for _, k := range []string{"admitted", "received", "not-run", "may-have-run", "ran", "left", "leaving-answers", "changes", "items-completed", "items-yielded", "orders"} {
 				if runs > 0 && tally[k] == 0 {
 					t.Errorf("no run had any %s", k)
 				}
@@ -110,6 +110,7 @@
 	const maxSeeds = 60
 	for _, injected := range []fault{
 		forgetGrants, dropFence, keepWithdrawnKey, lostIsNotRun, skipIntent, ignoreLeave, keepLeadership, retryAnything,
+		ignoreLeavingAnswer,
 	} {
 		t.Run(string(injected), func(t *testing.T) {
 			t.Parallel()
--- a/internal/product/simulation/simulation_test.go
+++ b/internal/product/simulation/simulation_test.go
@@ -51,8 +51,10 @@
 	lostIsNotRun     fault = "lost-is-not-run"
 	skipIntent       fault = "skip-intent"
 	ignoreLeave      fault = "ignore-leave"
-	keepLeadership   fault = "keep-leadership"
-	retryAnything    fault = "retry-anything"
+	// ignoreLeavingAnswer goes on using an upstream whose answer says that it leaves.
+	ignoreLeavingAnswer fault = "ignore-leaving-answer"
+	keepLeadership      fault = "keep-leadership"
+	retryAnything       fault = "retry-anything"
 )
 
 // traceEntry is one traced event that touched an object.
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -46,6 +46,8 @@
 	Dialect dialect
 	// Report, if set, receives the loads that upstreams report with their answers.
 	Report func(r loadreport.Report, at time.Time)
+	// Leaving, if set, is told of upstreams that say with an answer that they leave, before the answer is returned.
+	Leaving func(upstream string, incarnation uint64)
 	// ConnectTimeout limits the time to connect, TLS handshake included; zero means defaultConnectTimeout.
 	ConnectTimeout time.Duration
 	// BodyReadTimeout is the longest wait for the next bytes of a response body.
@@ -144,6 +146,9 @@
 }
 
 func (e *Transport) report(c *call.Call, r answerheaders.Headers) {
+	if e.Leaving != nil && r.Leaving {
+		e.Leaving(c.Upstream.Name, c.Upstream.Incarnation)
+	}
 	if e.Report == nil || !r.HasLoad {
 		return
 	}
