Let operators take runtime profiles of a host

What an entry host spends at hundreds of hosts could not be seen by part. GET /v1/profile on the operators' address gives the profiles of the Go runtime, if the settings allow it; off by default.

--- /dev/null
+++ b/internal/measure/profile/doc.go
@@ -0,0 +1,2 @@
+// Package profile takes runtime profiles of this process for operators.
+package profile
--- a/internal/product/server/edges.go
+++ b/internal/product/server/edges.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"siskinrun/internal/config/operatorapi"
+	"siskinrun/internal/measure/profile"
 	"siskinrun/internal/wire/callerapi"
 	"siskinrun/internal/wire/metricspage"
 	"siskinrun/internal/wire/upstreamapi"
@@ -89,6 +90,9 @@
 	p.operatorServer.Handle("POST", "/v1/groups/replace", p.replace)
 	p.operatorServer.Handle("GET", "/v1/burn", p.observations.showBurn)
 	p.operatorServer.Handle("GET", "/v1/why", p.observations.showWhy)
+	if s.Settings.Fleet.Profiles {
+		p.operatorServer.Handle("GET", "/v1/profile", (&profile.Profiler{Timer: s.timer}).Serve)
+	}
 	return nil
 }
 
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -93,6 +93,8 @@
 	HeartbeatInterval duration.Duration `json:"heartbeat,omitempty"`
 	// StopTimeout bounds how long a stopping host waits for its calls; 0s waits for all of them.
 	StopTimeout duration.Duration `json:"stop-timeout,omitempty"`
+	// Profiles lets operators take runtime profiles of a host.
+	Profiles bool `json:"profiles,omitempty"`
 	// PeerSecretFile holds the secret with which hosts authenticate to each other.
 	PeerSecretFile string `json:"peer-secret-file"`
 	// UpstreamSecretFile holds the secret with which upstreams authenticate.
