Choose among few upstreams when counts are old

Cause: each of hundreds of hosts hears of the others' calls up to 150 ms late and then chose the emptiest of eight upstreams, so that the one that looked emptiest got several calls at once; seven batch runs on it hardly counted.

Change: two candidates of the own failure domain and two of all, and batch runs cost 0.7 of a share of slots.

--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -11,8 +11,8 @@
 	// maxScan is the largest pool of which all upstreams are candidates.
 	maxScan = 16
 	// localSamples and otherSamples are the numbers of random candidates of the own failure domain and of the pool.
-	localSamples = 4
-	otherSamples = 4
+	localSamples = 2
+	otherSamples = 2
 	// holderSamples is the number of candidates that probably have the prefix cached, homeSamples that of addHome.
 	holderSamples = 4
 	homeSamples   = 1
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -24,7 +24,7 @@
 	// DefaultQueueWeight is the default extra cost of a request that would wait, relative to one that would run.
 	DefaultQueueWeight = 3.0
 	// DefaultBatchWeight is the default cost of batch work in all slots, as a share of the slots.
-	DefaultBatchWeight = 0.2
+	DefaultBatchWeight = 0.7
 	// DefaultDisplacementWeight is the default cost of stopping a batch run for the request, as a share of the slots.
 	DefaultDisplacementWeight = 0.4
 	// DefaultWarmUp is the default time in which a new upstream reaches its full number of slots.
