Spread the items of a job over hosts

Cause: the first host that asked leased as many items as its upstreams have slots, and half as many again in advance, so that a job of ten filled one or two engines while hundreds of slots were free; the next online calls cut the runs there.

Change: a request leases an eighth of a window for each upstream, one at least, and items in wait count against it.

--- a/internal/jobs/executor/scheduler.go
+++ b/internal/jobs/executor/scheduler.go
@@ -15,6 +15,8 @@
 	// preemptionBackoff is how long a preempted item waits before it runs again, so that it does not stop and
 	// start in quick succession.
 	preemptionBackoff = 250 * time.Millisecond
+	// requestDivisor is the part of the window of an upstream for which one request leases items.
+	requestDivisor = 8
 	// maxUnsentOutcomes is the number of unsent outcomes of a group at which this host stops requesting items of it.
 	maxUnsentOutcomes = 1024
 )
@@ -151,13 +153,14 @@
 	free     int
 }
 
-// unreservedSlots returns the free slots, including those for prefetching, less pending and requested items.
+// unreservedSlots returns the free slots for one request, including those for prefetching, less pending and requested items.
 func (p *scheduler) unreservedSlots(now time.Time) freeSlots {
 	var r freeSlots
 	for _, n := range slices.Sorted(maps.Keys(p.upstreams)) {
 		c := p.upstreams[n]
 		if now.Before(c.claimExpires) && c.window > 0 {
-			r = append(r, upstreamSlots{upstream: c, free: c.window + prefetch(c.window) - c.usedSlots()})
+			n := c.window + prefetch(c.window) - c.usedSlots()
+			r = append(r, upstreamSlots{upstream: c, free: min(n, largestRequest(c.window))})
 		}
 	}
 	for _, t := range p.pending {
@@ -176,6 +179,12 @@
 	return (window + 1) / 2
 }
 
+// largestRequest returns the number of items up to which one request leases for an upstream. A job's items are few beside
+// the slots of a fleet: a host that leased them all at once would fill its upstreams while those of others stay idle.
+func largestRequest(window int) int {
+	return max(window/requestDivisor, 1)
+}
+
 // reserve takes up to n slots that serve a target and returns how many it took.
 func (r freeSlots) reserve(target string, n int) int {
 	got := 0
--- a/internal/jobs/executor/scheduler_test.go
+++ b/internal/jobs/executor/scheduler_test.go
@@ -141,3 +141,31 @@
 	p.finishRun(now, k, &entry.Outcome{Fence: 1, Kind: entry.Outcome_RETRY, Result: &entry.Result{Verdict: uint32(verdict.NotRun)}})
 	is.Equal(p.groups[1].outcomes[0].Result.Verdict, uint32(verdict.MayHaveRun))
 }
+
+// TestItemsOfOneJobSpreadOverHosts plays the load of a few jobs in a fleet with many free slots: a request leases so little
+// that other hosts get their part, and the next one leases more once the first items have started.
+func TestItemsOfOneJobSpreadOverHosts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	until := now.Add(time.Minute)
+	p := newScheduler(1)
+	for _, u := range []string{"u1", "u2", "u3"} {
+		p.setUpstream(u, []string{"m"}, 8, until)
+	}
+	p.groups[1].backlog = []string{"m"}
+	for i := range 4 {
+		is.Equal(totalCount(p.wants(now, 1)), 3)
+		var l []item.Item
+		for j := range 3 {
+			l = append(l, item.Item{Fence: uint64(3*i + j + 1), Target: "m", Repeatable: true, Line: []byte("{}")})
+		}
+		p.addLeased(now, 1, l, until)
+		is.Equal(totalCount(p.wants(now, 1)), 0) // the leased ones have not started
+		p.groups[1].requested = nil
+		is.Equal(len(p.assign(now)), 3)
+	}
+	for _, u := range p.upstreams {
+		is.Equal(u.started, 4)
+	}
+	is.NoErr(p.check())
+}
