Find the leader of a ledger among many hosts at once

An entry host that had not yet called the ledger's leader asked the 45 storage hosts in turn with a pause of 50 ms; 40 of them do not hold the group and cannot name its leader.

Change: hosts say by gossip that they hold a replica of a ledger, and only these are asked. All are asked before a pause. A refusal before the owner has answered names the unreachable owner. No call is sent with less than 10 ms left, so that it ends as not-run: TestProposalWithoutLeaderIsNotRun failed once beside other tests, as its last call was on its way at the end.

--- a/internal/data/gossipmessage/message.go
+++ b/internal/data/gossipmessage/message.go
@@ -55,6 +55,8 @@
 	Control bool
 	// Ledgers means that the host stores batch ledgers.
 	Ledgers bool
+	// Replica means that this run of the host has held a replica of a batch ledger.
+	Replica bool
 	// Stopping means that this run of the host accepts no new work.
 	Stopping bool
 	// Dead means that no peer could reach the host.
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -162,6 +162,14 @@
 	r.membership.AnnounceStopping()
 }
 
+// AnnounceReplica tells other hosts that this one holds a replica of a batch ledger.
+func (r *Service) AnnounceReplica() {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.membership.AnnounceReplica()
+}
+
 // AddHosts adds hosts that were not named at the start.
 func (r *Service) AddHosts(names []string) {
 	r.once.Do(r.init)
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -65,6 +65,7 @@
 			Control:       h.Control,
 			Ledgers:       h.Ledgers,
 			Stopping:      h.Stopping,
+			Replica:       h.Replica,
 		})
 	}
 	for _, a := range m.Announcements {
@@ -121,6 +122,7 @@
 		Control:       h.Control,
 		Ledgers:       h.Ledgers,
 		Stopping:      h.Stopping,
+		Replica:       h.Replica,
 	}
 }
 
--- a/internal/fleet/membership/digest.go
+++ b/internal/fleet/membership/digest.go
@@ -64,7 +64,7 @@
 	}
 	b = binary.LittleEndian.AppendUint64(b, h.Boot)
 	b = binary.LittleEndian.AppendUint64(b, h.Refutation)
-	for _, v := range []bool{h.Control, h.Ledgers, h.Stopping, h.Dead} {
+	for _, v := range []bool{h.Control, h.Ledgers, h.Replica, h.Stopping, h.Dead} {
 		b = strconv.AppendBool(b, v)
 	}
 	return b
--- a/internal/fleet/membership/hosts.go
+++ b/internal/fleet/membership/hosts.go
@@ -201,6 +201,16 @@
 	m.urgent.Hosts = append(m.urgent.Hosts, h.Host)
 }
 
+// AnnounceReplica tells other hosts that this one holds a replica of a batch ledger.
+func (m *Membership) AnnounceReplica() {
+	h := m.hosts[m.name]
+	if h.Replica {
+		return
+	}
+	h.Replica = true
+	m.urgent.Hosts = append(m.urgent.Hosts, h.Host)
+}
+
 // AddHosts adds hosts that were not named at the start.
 func (m *Membership) AddHosts(names []string) {
 	for _, n := range names {
@@ -268,6 +278,7 @@
 		m.urgent.Hosts = append(m.urgent.Hosts, h.Host)
 	}
 	h.Stopping = h.Stopping || n.Stopping
+	h.Replica = h.Replica || n.Replica
 	if h.FailureDomain == "" {
 		h.FailureDomain = n.FailureDomain
 	}
--- a/internal/limits/grant/limiter_test.go
+++ b/internal/limits/grant/limiter_test.go
@@ -299,3 +299,16 @@
 func newAward(sequence uint64) award.Award {
 	return award.Award{Sequence: sequence, Term: 1, Grant: 1, Units: 1 << 40, TTL: time.Hour, Rate: 1e9, Burst: 4e9}
 }
+
+// TestRefusalBeforeTheFirstAwardNamesTheOwner guards against telling a caller that its team has spent its rate when the
+// owner of the rate has not answered this host yet.
+func TestRefusalBeforeTheFirstAwardNamesTheOwner(t *testing.T) {
+	is := is.New(t)
+	l := newTeamLimiter(allowance.Allowance{Team: "t", Host: "h", Boot: 1}, 1)
+	now := time.Unix(1_800_000_000, 0)
+	is.Equal(refusal.Of(l.refusal(now)).Code, "rate-owner-unreachable")
+	w := newAward(1)
+	w.Burst = 5
+	l.award(now, w)
+	is.Equal(refusal.Of(l.refusal(now)).Code, "rate-exceeded")
+}
--- a/internal/limits/grant/team_limiter.go
+++ b/internal/limits/grant/team_limiter.go
@@ -24,11 +24,13 @@
 	waiters     []*waiter
 	waitingCost int64
 	unreachable bool
-	forgotten   bool
-	auditor     audit.Auditor
-	rate        int64
-	burst       int64
-	violation   error
+	// awarded is set once the owner has answered, so that a refusal can tell that the rate is spent.
+	awarded   bool
+	forgotten bool
+	auditor   audit.Auditor
+	rate      int64
+	burst     int64
+	violation error
 }
 
 // waiter is one request that waits for units.
@@ -145,6 +147,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.unreachable = false
+	t.awarded = true
 	t.allowance.Award(now, a)
 	if a.Burst > 0 {
 		t.setLimits(now, a.Rate, a.Burst)
@@ -210,7 +213,7 @@
 
 func (t *teamLimiter) refusal(now time.Time) error {
 	d, settling := t.allowance.RetryAfter(now)
-	if t.unreachable || settling {
+	if t.unreachable || settling || !t.awarded {
 		return errUnreachable.WithRetryAfter(max(d, minUnreachableRetry)).WithJitter()
 	}
 	return errExceeded.WithRetryAfter(max(d, minExceededRetry))
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -57,13 +57,33 @@
 // control hosts among the seeds.
 func (p *components) replicaHosts(group uint32) []string {
 	if group != configurationGroup {
-		return slices.Sorted(maps.Keys(p.ledgerHosts()))
+		return p.ledgerReplicaHosts()
 	}
 	l := append(slices.Clone(p.seedHosts()), slices.Sorted(maps.Keys(p.controlHosts()))...)
 	slices.Sort(l)
 	return slices.Compact(l)
 }
 
+// ledgerReplicaHosts returns the names of the hosts that have said that they hold a replica of a ledger, or of all that may
+// if none has.
+func (p *components) ledgerReplicaHosts() []string {
+	l := p.hostDomains(func(h gossipmessage.Host) bool { return h.Ledgers && h.Replica })
+	if len(l) == 0 {
+		l = p.ledgerHosts()
+	}
+	return slices.Sorted(maps.Keys(l))
+}
+
+// holdsLedger reports whether this host holds a replica of a batch ledger.
+func (p *components) holdsLedger() bool {
+	for g := uint32(1); p.control != nil && g <= p.ledgerGroups(); g++ {
+		if p.control.Holds(g) {
+			return true
+		}
+	}
+	return false
+}
+
 // callHosts returns the names of the hosts that may hold rate units of teams, which are those that take calls.
 func (p *components) callHosts() []string {
 	var l []string
@@ -126,6 +146,9 @@
 		if err := p.server.timer.Sleep(ctx, hostsInterval); err != nil {
 			return err
 		}
+		if p.holdsLedger() {
+			p.gossip.AnnounceReplica()
+		}
 		domains := map[string]string{}
 		control := slices.Clone(p.seedHosts())
 		for _, h := range p.gossip.Hosts() {
--- a/internal/state/proposal/client.go
+++ b/internal/state/proposal/client.go
@@ -19,6 +19,8 @@
 
 const (
 	retryInterval = 50 * time.Millisecond
+	// minCallTime is the time that a call to a host takes at least.
+	minCallTime = 10 * time.Millisecond
 
 	methodPropose = "control/propose"
 	methodConfirm = "control/confirm"
@@ -82,11 +84,21 @@
 	}
 }
 
-// CallLeader calls a method of a group's leader and retries only while the call has certainly not run.
+// CallLeader calls a method of a group's leader and retries only while the call has certainly not run. It asks one host
+// after the other, and pauses only once it has asked all of them.
 func (c *Client) CallLeader(ctx context.Context, group uint32, method string, body []byte) ([]byte, error) {
-	var last *refusal.Refusal
+	last := refusal.NewNotRun(statusUnavailable, codeNotLeader, "")
+	tried := map[string]bool{}
 	for {
-		h := c.leader(group)
+		h := c.untried(group, tried)
+		if h == "" || c.tooLate(ctx) {
+			if c.Timer.Sleep(ctx, retryInterval) != nil {
+				return nil, refusal.NewNotRun(statusUnavailable, "no-leader", last.Error()).WithRetryAfter(time.Second)
+			}
+			clear(tried)
+			continue
+		}
+		tried[h] = true
 		b, err := c.call(ctx, h, method, body)
 		if err == nil {
 			c.rememberLeader(group, h)
@@ -96,13 +108,32 @@
 		if last.Verdict != verdict.NotRun || !retryable(last) {
 			return nil, markOutcomeUnknown(last)
 		}
-		if c.updateLeader(group, h, last) && ctx.Err() == nil {
-			continue
-		}
-		if c.Timer.Sleep(ctx, retryInterval) != nil {
-			return nil, refusal.NewNotRun(statusUnavailable, "no-leader", last.Error()).WithRetryAfter(time.Second)
+		c.updateLeader(group, h, last)
+	}
+}
+
+// tooLate reports whether ctx ends before a call could be answered. A call that is not sent has certainly not run.
+func (c *Client) tooLate(ctx context.Context) bool {
+	d, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && d.Before(c.Timer.DeadlineIn(minCallTime))
+}
+
+// untried returns the leader, or the next control host, that was not tried, or "" if there is none.
+func (c *Client) untried(group uint32, tried map[string]bool) string {
+	for range max(len(c.hosts(group)), 1) {
+		if h := c.leader(group); !tried[h] {
+			return h
 		}
 	}
+	return ""
+}
+
+// hosts returns the control hosts of a group.
+func (c *Client) hosts(group uint32) []string {
+	if c.LiveHosts != nil {
+		return c.LiveHosts(group)
+	}
+	return c.Hosts
 }
 
 // call calls a host, or fails as not-leader if the host is unknown.
@@ -143,10 +174,7 @@
 	if l := c.leaders[group]; l != "" {
 		return l
 	}
-	l := c.Hosts
-	if c.LiveHosts != nil {
-		l = c.LiveHosts(group)
-	}
+	l := c.hosts(group)
 	if len(l) == 0 {
 		return ""
 	}
@@ -154,17 +182,15 @@
 	return l[c.next%len(l)]
 }
 
-// updateLeader forgets the leader after a refusal and reports whether the refusal named another one, which it stores.
-func (c *Client) updateLeader(group uint32, host string, r *refusal.Refusal) bool {
+// updateLeader forgets the leader after a refusal and stores another one that the refusal named.
+func (c *Client) updateLeader(group uint32, host string, r *refusal.Refusal) {
 	named := r.Code == codeNotLeader && r.Message != "" && r.Message != host
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.leaders, group)
-	if !named {
-		return false
+	if named {
+		c.setLeader(group, r.Message)
 	}
-	c.setLeader(group, r.Message)
-	return true
 }
 
 func (c *Client) rememberLeader(group uint32, host string) {
--- a/internal/state/proposal/client_test.go
+++ b/internal/state/proposal/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -134,3 +135,22 @@
 	is.Equal(refusal.Of(err).Code, "conflict")
 	is.Equal(f.calls["a"], 1)
 }
+
+// TestLeaderAmongManyHostsIsFoundWithoutPauses guards against calls that time out because most of the control hosts do not
+// hold the group and cannot name its leader.
+func TestLeaderAmongManyHostsIsFoundWithoutPauses(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	for i := range 45 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	f := newFleet(t, names...)
+	for _, n := range names {
+		f.answer(n, nil, refusal.NewNotRun(503, "not-leader", ""))
+	}
+	f.answer("h44", []byte("done"), nil)
+	f.run()
+	b, err := f.client.Propose(within(t, 500*time.Millisecond), 1, []byte("x")) // 44 pauses would take over 2 s
+	is.NoErr(err)
+	is.Equal(string(b), "done")
+}
