Wait for room while a disk is full

Change: a write that a full disk refuses is undone, and tried again every 200 ms until there is room or the host stops. The replica that waits falls silent, so another leads; reads go on. Ledger files are written the same way. Also: only hosts that know the leader of a ledger's group say that they hold a replica of it, as each storage host has the ledger's machine.

--- a/internal/jobs/filestore/filestore.go
+++ b/internal/jobs/filestore/filestore.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"siskinrun/internal/state/diskspace"
 )
 
 const (
@@ -21,6 +23,8 @@
 type Store struct {
 	// Path is the directory of the files.
 	Path string
+	// Space, if set, waits while the disk is full.
+	Space *diskspace.Waiter
 
 	mu      sync.Mutex
 	handles map[string]*os.File
@@ -56,15 +60,16 @@
 
 // Append adds bytes to the end of a file.
 func (f *Store) Append(name string, b []byte) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	h, err := f.handle(name)
-	if err != nil {
-		return err
-	}
-	f.dirty[name] = struct{}{}
-	_, err = h.Write(b)
-	return err
+	return f.Space.Do(func() error {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		h, err := f.handle(name)
+		if err != nil {
+			return err
+		}
+		f.dirty[name] = struct{}{}
+		return diskspace.Append(h, b)
+	})
 }
 
 // ReadAt fills b from an offset in a file.
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -33,6 +33,7 @@
 	"siskinrun/internal/routing/planner"
 	"siskinrun/internal/routing/rollout"
 	"siskinrun/internal/state/control"
+	"siskinrun/internal/state/diskspace"
 	"siskinrun/internal/state/proposal"
 	"siskinrun/internal/wire/callerapi"
 	"siskinrun/internal/wire/directory"
@@ -59,6 +60,8 @@
 	// seeds holds the control hosts among the seeds after a reload has changed them, nil before.
 	seeds atomic.Pointer[[]string]
 
+	// diskSpace makes writes wait while the disk is full.
+	diskSpace        *diskspace.Waiter
 	link             *rpc.Endpoint
 	control          *control.Service
 	client           *proposal.Client
@@ -99,6 +102,7 @@
 		return nil, unknownHost(s.Name)
 	}
 	p := &components{server: s, host: h, seed: newSeed(), started: s.timer.Now()}
+	p.diskSpace = p.newDiskSpace(g.Context())
 	for _, f := range []func() error{p.buildLink, p.buildState, p.buildLimits, p.buildRouting, p.buildBatch} {
 		if err := f(); err != nil {
 			return nil, err
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -74,10 +74,10 @@
 	return slices.Sorted(maps.Keys(l))
 }
 
-// holdsLedger reports whether this host holds a replica of a batch ledger.
+// holdsLedger reports whether this host holds a replica of a batch ledger: only such hosts know the leader of its group.
 func (p *components) holdsLedger() bool {
 	for g := uint32(1); p.control != nil && g <= p.ledgerGroups(); g++ {
-		if p.control.Holds(g) {
+		if p.control.Lead(g).Leader != "" {
 			return true
 		}
 	}
--- a/internal/product/server/state.go
+++ b/internal/product/server/state.go
@@ -1,8 +1,12 @@
 package server
 
 import (
+	"context"
 	"path/filepath"
 	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
 
 	"siskinrun/internal/base/statemachine"
 	"siskinrun/internal/config/configstore"
@@ -12,6 +16,7 @@
 	"siskinrun/internal/jobs/ledger"
 	"siskinrun/internal/product/settings"
 	"siskinrun/internal/state/control"
+	"siskinrun/internal/state/diskspace"
 	"siskinrun/internal/state/proposal"
 	"siskinrun/internal/wire/directory"
 )
@@ -62,6 +67,20 @@
 	return nil
 }
 
+// fullDiskPause is the time between two tries of a write that a full disk refuses.
+const fullDiskPause = 200 * time.Millisecond
+
+// newDiskSpace returns what makes writes wait while the disk is full, until the host stops. The replica that waits falls
+// silent, so that another one leads, and goes on once there is room.
+func (p *components) newDiskSpace(ctx context.Context) *diskspace.Waiter {
+	s := p.server
+	return &diskspace.Waiter{Pause: func(refused error) error {
+		metrics.GetOrRegisterCounter("full-disk-pauses", s.metrics).Inc(1)
+		s.Log.Warn().Err(refused).Msg("disk is full, write waits for room")
+		return s.timer.Sleep(ctx, fullDiskPause)
+	}}
+}
+
 // buildControl creates the state machines of a host with a data folder and the groups that replicate them.
 func (p *components) buildControl(data string) error {
 	s := p.server
@@ -76,6 +95,7 @@
 		if err != nil {
 			return err
 		}
+		f.Space = p.diskSpace
 		p.ledgers[g] = ledger.NewLedger(f)
 		m[g] = p.ledgers[g]
 	}
@@ -84,6 +104,7 @@
 		Folder:   data,
 		Hosts:    s.Settings.ControlHosts(),
 		Machines: m,
+		Space:    p.diskSpace,
 		Link:     p.link,
 		Timer:    s.timer,
 		Log:      s.Log,
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -19,6 +19,7 @@
 	"siskinrun/internal/base/statemachine"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/state/disk"
+	"siskinrun/internal/state/diskspace"
 	"siskinrun/internal/state/formation"
 	"siskinrun/internal/state/groupstatus"
 	"siskinrun/internal/state/identity"
@@ -66,6 +67,8 @@
 	Log zerolog.Logger
 	// Metrics counts proposals, leadership changes and sent packets.
 	Metrics metrics.Registry
+	// Space, if set, waits while the disk is full.
+	Space *diskspace.Waiter
 	// Seed seeds the random election timeouts.
 	Seed uint64
 	// SnapshotBytes, if set, replaces the default log size that triggers a snapshot.
@@ -213,6 +216,7 @@
 		if err != nil {
 			return nil, err
 		}
+		f.Space = c.Space
 		d, err := newDriver(g.Context(), c, n, m, f)
 		if err != nil {
 			return nil, errors.Wrapf(err, "group %d", n)
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"siskinrun/internal/state/diskspace"
 )
 
 const (
@@ -18,6 +20,9 @@
 
 // Disk is a folder of append-only files.
 type Disk struct {
+	// Space, if set, waits while the disk is full.
+	Space *diskspace.Waiter
+
 	folder string
 	mu     sync.Mutex
 	open   map[string]*os.File
@@ -80,12 +85,13 @@
 
 // Append appends b to a file and creates it if it does not exist.
 func (d *Disk) Append(name string, b []byte) error {
-	f, err := d.openFile(name)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(b)
-	return err
+	return d.Space.Do(func() error {
+		f, err := d.openFile(name)
+		if err != nil {
+			return err
+		}
+		return diskspace.Append(f, b)
+	})
 }
 
 // Sync makes the bytes of a file durable.
--- /dev/null
+++ b/internal/state/diskspace/doc.go
@@ -0,0 +1,2 @@
+// Package diskspace lets writers wait while their disk is full.
+package diskspace
