--- a/internal/jobs/filestore/filestore.go
+++ b/internal/jobs/filestore/filestore.go
@@ -43,6 +43,10 @@
 
 // Create creates an empty file, replacing any existing one.
 func (f *Store) Create(name string) error {
+	return f.Space.Do(func() error { return f.create(name) })
+}
+
+func (f *Store) create(name string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.remove(name); err != nil {
