Begin an exchange with the same digest everywhere

The benchmark of the gossip and the cost probe played full digests, which a large fleet no longer sends first.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -81,10 +81,7 @@
 // lists the hosts only if the peer knows other ones.
 func (r *Service) exchangeWith(ctx context.Context, peer string) bool {
 	r.mu.Lock()
-	q := r.membership.Digest()
-	if !r.membership.Small() {
-		q = r.membership.CompactDigest()
-	}
+	q := r.membership.FirstDigest()
 	r.mu.Unlock()
 	a, ok := r.sendDigest(ctx, peer, q)
 	if !ok || !a.Mismatch {
--- a/internal/fleet/gossip/service_test.go
+++ b/internal/fleet/gossip/service_test.go
@@ -224,13 +224,20 @@
 }
 
 func (s *simulatedFleet) exchange(from, to *membership.Membership) {
-	q := from.Digest()
+	if s.sendDigest(from, to, from.FirstDigest()) {
+		s.sendDigest(from, to, from.Digest())
+	}
+}
+
+// sendDigest exchanges one digest for an answer and reports whether it was a mismatch.
+func (s *simulatedFleet) sendDigest(from, to *membership.Membership, q gossipmessage.Message) bool {
 	b, _ := encode(q)
 	a := to.Answer(s.now, q)
 	c, _ := encode(a)
 	from.ApplyAnswer(s.now, s.now, a)
 	s.messages += 2
 	s.bytes += len(b) + len(c)
+	return a.Mismatch
 }
 
 func BenchmarkUpstreams(b *testing.B) {
--- a/internal/fleet/membership/digest.go
+++ b/internal/fleet/membership/digest.go
@@ -14,6 +14,15 @@
 	return gossipmessage.Message{From: m.name, Hosts: m.sortedHosts()}
 }
 
+// FirstDigest returns the digest that begins an exchange: a compact one in a large fleet. If the answer is a mismatch, the
+// exchange goes on with Digest.
+func (m *Membership) FirstDigest() gossipmessage.Message {
+	if m.Small() {
+		return m.Digest()
+	}
+	return m.CompactDigest()
+}
+
 // CompactDigest returns a digest that names no hosts. A peer that knows the same hosts answers it like a full one, any other
 // with the hosts that it knows.
 func (m *Membership) CompactDigest() gossipmessage.Message {
--- a/internal/measure/costprobe/membership.go
+++ b/internal/measure/costprobe/membership.go
@@ -110,11 +110,18 @@
 }
 
 func (f *fleet) exchange(from, to *membership.Membership) {
-	q := from.Digest()
+	if f.sendDigest(from, to, from.FirstDigest()) {
+		f.sendDigest(from, to, from.Digest())
+	}
+}
+
+// sendDigest exchanges one digest for an answer and reports whether it was a mismatch.
+func (f *fleet) sendDigest(from, to *membership.Membership, q gossipmessage.Message) bool {
 	a := to.Answer(f.now, q)
 	from.ApplyAnswer(f.now, f.now, a)
 	for _, n := range []gossipmessage.Message{q, a} {
 		f.hostRecords += len(n.Hosts)
 		f.upstreamRecords += len(n.Announcements) + len(n.Reports) + len(n.Counts)
 	}
+	return a.Mismatch
 }
