Pause again between replicas that know no leader

Change: only among more hosts than can be replicas is there no pause, as when nobody has yet said that it holds the group.

--- a/internal/state/proposal/client.go
+++ b/internal/state/proposal/client.go
@@ -19,6 +19,8 @@
 
 const (
 	retryInterval = 50 * time.Millisecond
+	// maxReplicas is the number of hosts up to which all may be taken for replicas of the group.
+	maxReplicas = 9
 	// minCallTime is the time that a call to a host takes at least.
 	minCallTime = 10 * time.Millisecond
 
@@ -84,18 +86,23 @@
 	}
 }
 
-// CallLeader calls a method of a group's leader and retries only while the call has certainly not run. It asks one host
-// after the other, and pauses only once it has asked all of them.
+// CallLeader calls a method of a group's leader and retries only while the call has certainly not run. It pauses after a
+// host that knows no leader. Among many hosts most do not hold the group, so it pauses only once it has asked all of them.
 func (c *Client) CallLeader(ctx context.Context, group uint32, method string, body []byte) ([]byte, error) {
 	last := refusal.NewNotRun(statusUnavailable, codeNotLeader, "")
 	tried := map[string]bool{}
+	pause := false
 	for {
-		h := c.untried(group, tried)
-		if h == "" || c.tooLate(ctx) {
+		h := ""
+		if !pause && !c.tooLate(ctx) {
+			h = c.untried(group, tried)
+		}
+		if h == "" {
 			if c.Timer.Sleep(ctx, retryInterval) != nil {
 				return nil, refusal.NewNotRun(statusUnavailable, "no-leader", last.Error()).WithRetryAfter(time.Second)
 			}
 			clear(tried)
+			pause = false
 			continue
 		}
 		tried[h] = true
@@ -108,7 +115,8 @@
 		if last.Verdict != verdict.NotRun || !retryable(last) {
 			return nil, markOutcomeUnknown(last)
 		}
-		c.updateLeader(group, h, last)
+		known := c.updateLeader(group, h, last)
+		pause = !known && len(c.hosts(group)) <= maxReplicas
 	}
 }
 
@@ -182,8 +190,8 @@
 	return l[c.next%len(l)]
 }
 
-// updateLeader forgets the leader after a refusal and stores another one that the refusal named.
-func (c *Client) updateLeader(group uint32, host string, r *refusal.Refusal) {
+// updateLeader forgets the leader after a refusal, stores another one that the refusal named and reports whether it did.
+func (c *Client) updateLeader(group uint32, host string, r *refusal.Refusal) bool {
 	named := r.Code == codeNotLeader && r.Message != "" && r.Message != host
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -191,6 +199,7 @@
 	if named {
 		c.setLeader(group, r.Message)
 	}
+	return named
 }
 
 func (c *Client) rememberLeader(group uint32, host string) {
