--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -139,25 +139,6 @@
 	m.renewOwnCounts(now)
 }
 
-// renewOwnCounts gives the counts of this host a new origin before they expire at peers. In a large fleet, where no answer
-// carries them, they are pushed again.
-func (m *Membership) renewOwnCounts(now time.Time) {
-	for n, c := range m.ownCounts {
-		if now.Sub(c.createdAt) < countRenewalAge {
-			continue
-		}
-		if c.total == (total{}) {
-			delete(m.ownCounts, n)
-			continue
-		}
-		c.origin = m.nextOrigin()
-		c.createdAt = now
-		if !m.Small() {
-			m.changedCounts[n] = struct{}{}
-		}
-	}
-}
-
 func (m *Membership) apply(now, sent time.Time, a gossipmessage.Message) {
 	for _, n := range a.Announcements {
 		c := &announcement{origin: n.Origin, createdAt: sent.Add(-n.Age), upstream: n.Upstream}
@@ -180,37 +161,6 @@
 	}
 }
 
-func (m *Membership) applyCount(sent time.Time, n gossipmessage.Count) {
-	if n.Origin.Host == m.name || n.Age < 0 || n.InFlight < 0 || n.Batch < 0 {
-		return
-	}
-	l := m.counts[n.Upstream]
-	if l == nil {
-		l = map[string]*count{}
-		m.counts[n.Upstream] = l
-	}
-	old := l[n.Origin.Host]
-	if old != nil && !originAfter(n.Origin, old.origin) {
-		return
-	}
-	c := &count{origin: n.Origin, createdAt: sent.Add(-n.Age), total: total{n.InFlight, n.Batch}}
-	l[n.Origin.Host] = c
-	if old != nil {
-		m.adjustTotal(n.Upstream, total{-old.online, -old.batch})
-	}
-	m.adjustTotal(n.Upstream, c.total)
-}
-
-// adjustTotal changes the sum of the peers' counts at an upstream.
-func (m *Membership) adjustTotal(upstream string, by total) {
-	if by == (total{}) {
-		return
-	}
-	t := m.peerTotals[upstream]
-	m.peerTotals[upstream] = total{t.online + by.online, t.batch + by.batch}
-	m.changedLoads[upstream] = struct{}{}
-}
-
 func (m *Membership) addAnnouncements(now time.Time, a *gossipmessage.Message, lacks, former func(gossipmessage.Origin) bool) {
 	for _, r := range m.announcements {
 		unknown := r.upstream.Leaving && former(r.origin)
@@ -228,22 +178,6 @@
 	}
 }
 
-func (m *Membership) addCounts(now time.Time, a *gossipmessage.Message, lacks func(gossipmessage.Origin) bool) {
-	add := func(n string, c *count) {
-		if lacks(c.origin) && now.Sub(c.createdAt) <= CountExpiry {
-			a.Counts = append(a.Counts, c.news(now, n))
-		}
-	}
-	for n, c := range m.ownCounts {
-		add(n, c)
-	}
-	for n, l := range m.counts {
-		for _, c := range l {
-			add(n, c)
-		}
-	}
-}
-
 // originAfter reports whether a is later than b, where both come from the same host.
 func originAfter(a, b gossipmessage.Origin) bool {
 	return a.Boot > b.Boot || a.Boot == b.Boot && a.Sequence > b.Sequence
@@ -279,7 +213,3 @@
 	}
 	return l[:maxItemsPerMessage]
 }
-
-func (c *count) news(now time.Time, upstream string) gossipmessage.Count {
-	return gossipmessage.Count{Origin: c.origin, Age: now.Sub(c.createdAt), Upstream: upstream, InFlight: c.online, Batch: c.batch}
-}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -88,18 +88,6 @@
 	report     loadreport.Report
 }
 
-type count struct {
-	origin    gossipmessage.Origin
-	createdAt time.Time
-	total
-}
-
-// total is a number of requests at one upstream.
-type total struct {
-	online int
-	batch  int
-}
-
 // NewMembership returns the view of a host that knows only the names of its peers.
 func NewMembership(name, failureDomain string, boot uint64, peers []string, seed uint64) *Membership {
 	m := &Membership{
@@ -176,40 +164,6 @@
 	m.changedLoads[r.Upstream] = struct{}{}
 }
 
-// SetInFlight sets the number of online requests that this host has in flight at an upstream.
-func (m *Membership) SetInFlight(now time.Time, name string, n int) {
-	t := m.ownTotal(name)
-	t.online = n
-	m.setOwnTotal(now, name, t)
-}
-
-// SetBatch sets the number of batch requests that this host has in flight at an upstream.
-func (m *Membership) SetBatch(now time.Time, name string, n int) {
-	t := m.ownTotal(name)
-	t.batch = n
-	m.setOwnTotal(now, name, t)
-}
-
-// ownTotal returns the requests that this host has in flight at an upstream.
-func (m *Membership) ownTotal(name string) total {
-	if c := m.ownCounts[name]; c != nil {
-		return c.total
-	}
-	return total{}
-}
-
-func (m *Membership) setOwnTotal(now time.Time, name string, t total) {
-	c := m.ownCounts[name]
-	if c == nil && t == (total{}) || c != nil && c.total == t && now.Sub(c.createdAt) < countRenewalAge {
-		return
-	}
-	m.ownCounts[name] = &count{origin: m.nextOrigin(), createdAt: now, total: t}
-	m.changedCounts[name] = struct{}{}
-	if m.occupancies[name] != nil {
-		m.changedLoads[name] = struct{}{}
-	}
-}
-
 // Incarnation returns the known incarnation of an upstream, or zero.
 func (m *Membership) Incarnation(name string) uint64 {
 	if a := m.announcements[name]; a != nil {
