Go on with the round of neighbors when hosts come

Cause, found in reading: each host that joined, and each message with a host of unknown failure domain, began the round of exchanges anew, so that a host contacted its first neighbors only while others joined.

Change: the positions stay, and only a changed domain makes the neighbors stale. The new test fails on the code before (the round restarts 40 times).

--- a/internal/fleet/membership/hosts.go
+++ b/internal/fleet/membership/hosts.go
@@ -164,7 +164,7 @@
 	h := &host{Host: gossipmessage.Host{Name: name}}
 	m.hosts[name] = h
 	m.peers = append(m.peers, name)
-	m.neighbors = nil
+	m.neighbors.stale = true
 	m.sortedNames = nil
 	return h
 }
@@ -182,7 +182,7 @@
 			h.deadSince = now
 		case now.Sub(h.deadSince) > deadHostRetention:
 			delete(m.hosts, n)
-			m.neighbors = nil
+			m.neighbors.stale = true
 			m.sortedNames = nil
 			m.peers = slices.DeleteFunc(m.peers, func(o string) bool { return o == n })
 			m.nextIndex = 0
@@ -194,9 +194,12 @@
 	if n.Boot < h.Boot || n.Boot == h.Boot && n.Refutation < h.Refutation {
 		return
 	}
-	if h.FailureDomain != n.FailureDomain {
-		m.neighbors = nil
-	}
+	d := h.FailureDomain
+	defer func() {
+		if h.FailureDomain != d {
+			m.neighbors.stale = true
+		}
+	}()
 	if n.Boot > h.Boot {
 		h.Host = gossipmessage.Host{
 			Name:          h.Name,
--- a/internal/fleet/membership/large_test.go
+++ b/internal/fleet/membership/large_test.go
@@ -111,3 +111,18 @@
 	m.Prune(start.Add(membership.CountExpiry + time.Millisecond))
 	is.Equal(fmt.Sprint(m.PeersInFlight("u"), m.PeersBatch("u")), "0 0")
 }
+
+// TestHostsThatComeDoNotRestartTheRound guards against a host that exchanges with its first neighbors only while others
+// join one after the other.
+func TestHostsThatComeDoNotRestartTheRound(t *testing.T) {
+	is := is.New(t)
+	m := newFleet(1, largeFleet).views[0]
+	contacted := map[string]bool{}
+	for i := range 40 {
+		for _, n := range m.Targets() {
+			contacted[n] = true
+		}
+		m.AddHosts([]string{fmt.Sprint("late-", i)})
+	}
+	is.True(len(contacted) > 12)
+}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -53,8 +53,7 @@
 	hosts     map[string]*host
 	peers     []string
 	nextIndex int
-	// neighbors are nil if the hosts or their failure domains have changed since they were computed.
-	neighbors *neighbors
+	neighbors neighbors
 	// sortedNames are the names of hosts in order, nil if hosts have come or gone since they were sorted.
 	sortedNames []string
 
@@ -102,6 +101,7 @@
 		changedLoads:  map[string]struct{}{},
 		ownCounts:     map[string]*count{},
 		changedCounts: map[string]struct{}{},
+		neighbors:     neighbors{stale: true},
 	}
 	for _, p := range peers {
 		if p != name {
--- a/internal/fleet/membership/neighbors.go
+++ b/internal/fleet/membership/neighbors.go
@@ -16,15 +16,17 @@
 type neighbors struct {
 	domain []string
 	fleet  []string
+	// stale means that hosts have come, gone or moved since the neighbors were computed.
+	stale bool
 	// nextDomain and nextFleet are the positions of the next exchange.
 	nextDomain int
 	nextFleet  int
 }
 
-// neighborhood returns the neighbors of this host and computes them if hosts have come, gone or moved since.
+// neighborhood returns the current neighbors of this host.
 func (m *Membership) neighborhood() *neighbors {
-	if m.neighbors != nil {
-		return m.neighbors
+	if !m.neighbors.stale {
+		return &m.neighbors
 	}
 	d := m.hosts[m.name].FailureDomain
 	var domain, fleet []string
@@ -34,8 +36,10 @@
 			domain = append(domain, n)
 		}
 	}
-	m.neighbors = &neighbors{domain: followers(m.name, domain), fleet: followers(m.name, fleet)}
-	return m.neighbors
+	m.neighbors.domain = followers(m.name, domain)
+	m.neighbors.fleet = followers(m.name, fleet)
+	m.neighbors.stale = false
+	return &m.neighbors
 }
 
 // followers returns the hosts that follow the named one at distances that are powers of two on the ring of hosts.
