Pass occupancies on through one host of each failure domain

Most of it is what hosts do without calls: an entry host got 27 to 40 messages with occupancies a second, one from each driver of its domain every 150 ms, and looked for urgent news every 20 ms.

Change: drivers tell one relay host of their domain, which tells the domain and the relay hosts of the others, every 100 ms. A push of urgent news is scheduled when there is some.

The tests of the driver's relays now say what a relay host sends and a driver does not; that a domain has one relay host replaces that each driver has one partner in each other domain.

--- a/internal/fleet/gossip/direct_test.go
+++ b/internal/fleet/gossip/direct_test.go
@@ -79,8 +79,8 @@
 	}
 	r := &Service{
 		Link: s, Name: "h0", FailureDomain: "d0", Boot: 1, Timer: timer.NewManual(time.Unix(1_800_000_000, 0)),
-		Driver:        func(string) string { return "h0" },
-		RemoteDrivers: func() []string { return []string{"h1", "h2"} },
+		Driver:           func(string) string { return "h0" },
+		RemoteRelayHosts: func() []string { return []string{"h1", "h2"} },
 	}
 	r.Register()
 	r.group = group.NewGroup(t.Context())
@@ -96,8 +96,8 @@
 	is.NoErr(err)
 }
 
-// TestDriverRelaysCounts checks that the driver of an upstream relays the sum of the calls begun here and elsewhere to the
-// hosts of its failure domain and to one driver of each other, and to no others.
+// TestDriverRelaysCounts checks that the driver of an upstream, as the relay host of its failure domain, relays the sum of the
+// calls begun here and elsewhere to the hosts of the domain and to the relay host of each other, and to no others.
 func TestDriverRelaysCounts(t *testing.T) {
 	is := is.New(t)
 	r, s, hosts := newDriverOf60(t)
@@ -122,13 +122,13 @@
 	is.True(!r.relays.pending())
 }
 
-// TestDriverForwardsOccupanciesOfOtherDomains checks that occupancies of another failure domain reach the hosts of this one,
-// with the age that they had, and that those of this domain are not sent on.
-func TestDriverForwardsOccupanciesOfOtherDomains(t *testing.T) {
+// TestRelayHostForwardsOccupancies checks that occupancies reach the hosts of the failure domain with the age that they had,
+// and that only those of its own drivers reach the relay hosts of other domains.
+func TestRelayHostForwardsOccupancies(t *testing.T) {
 	for _, c := range []struct {
 		from string
 		sent int
-	}{{"h1", 19}, {"h3", 0}} {
+	}{{"h1", 19}, {"h3", 21}} {
 		t.Run(c.from, func(t *testing.T) {
 			is := is.New(t)
 			r, s, hosts := newDriverOf60(t)
@@ -141,9 +141,6 @@
 			is.Equal(len(s.to), c.sent)
 			is.Equal(r.Peers("v"), 4)
 			is.Equal(r.PeersBatch("v"), 1)
-			if c.sent == 0 {
-				return
-			}
 			n, err := decode(s.last)
 			is.NoErr(err)
 			is.Equal(n.Occupancies, []gossipmessage.Occupancy{{Upstream: "v", Age: 70 * time.Millisecond, Online: 4, Batch: 1}})
@@ -151,6 +148,23 @@
 	}
 }
 
+// TestDriverTellsOnlyItsRelayHost checks that a driver sends its sums to the relay host of its failure domain alone, and
+// that it passes on nothing of others.
+func TestDriverTellsOnlyItsRelayHost(t *testing.T) {
+	is := is.New(t)
+	r, s, hosts := newDriverOf60(t)
+	r.RelayHost = func() string { return "h6" }
+	pushTo(t, r, "h1", gossipmessage.Message{From: "h1", Hosts: hosts, Occupancies: []gossipmessage.Occupancy{{Upstream: "v", Online: 4}}})
+	r.Busy("u", 1)
+	r.flush(t.Context())
+	r.sendRelays(t.Context())
+	is.NoErr(r.group.Wait())
+	is.Equal(s.to, []string{"h6"})
+	n, err := decode(s.last)
+	is.NoErr(err)
+	is.Equal(n.Occupancies, []gossipmessage.Occupancy{{Upstream: "u", Online: 1}})
+}
+
 // TestOccupancyExcludesOwnCalls checks that a host does not take its own calls for those of others.
 func TestOccupancyExcludesOwnCalls(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -16,7 +16,7 @@
 	r.mu.Lock()
 	r.periodsPassed++
 	if r.periodsPassed < r.membership.ExchangePeriods() {
-		r.mu.Unlock()
+		r.unlock()
 		return
 	}
 	r.periodsPassed = 0
@@ -26,7 +26,7 @@
 	}
 	r.publishLoads()
 	l := r.membership.Targets()
-	r.mu.Unlock()
+	r.unlock()
 	for _, p := range l {
 		r.startExchange(p, func(ctx context.Context) { r.exchangeOrProbe(ctx, p) })
 	}
@@ -59,19 +59,19 @@
 	suspected := !r.membership.Alive(peer)
 	r.membership.Suspect(peer)
 	l := r.membership.RandomPeers(probePeers, peer)
-	r.mu.Unlock()
+	r.unlock()
 	if suspected {
 		return
 	}
 	if r.confirmedAlive(ctx, peer, l) {
 		r.mu.Lock()
 		r.membership.MarkAlive(peer)
-		r.mu.Unlock()
+		r.unlock()
 		return
 	}
 	r.mu.Lock()
 	dead := r.membership.DeclareDead(peer)
-	r.mu.Unlock()
+	r.unlock()
 	if dead {
 		r.Log.Warn().Str("peer", peer).Msg("host does not answer")
 	}
@@ -113,7 +113,7 @@
 	r.membership.MarkAlive(peer)
 	r.membership.ApplyAnswer(r.Timer.Now(), sent, a)
 	r.publishLoads()
-	r.mu.Unlock()
+	r.unlock()
 	r.publishUpstreams(false)
 	return a, true
 }
@@ -171,6 +171,7 @@
 // flush pushes urgent news to a few random peers. In a large fleet, counts go to the drivers of their upstreams instead.
 func (r *Service) flush(context.Context) {
 	r.mu.Lock()
+	r.flushDue = false
 	n, ok := r.membership.TakeUrgent(r.Timer.Now())
 	if !ok {
 		r.mu.Unlock()
@@ -188,7 +189,7 @@
 	if len(n.Announcements)+len(n.Counts)+len(n.Hosts) > 0 {
 		l = r.membership.RandomPeersFor(n, f)
 	}
-	r.mu.Unlock()
+	r.unlock()
 	r.push(n, l...)
 	for h, c := range r.byDriver(direct) {
 		if h == r.Name {
@@ -249,7 +250,7 @@
 	r.mu.Lock()
 	r.membership.MarkAlive(from)
 	a := r.membership.Answer(r.Timer.Now(), q)
-	r.mu.Unlock()
+	r.unlock()
 	r.countMessage("received", len(body))
 	b, err := encode(a)
 	r.countMessage("sent", len(b))
@@ -266,7 +267,7 @@
 	r.membership.ApplyPush(r.Timer.Now(), n)
 	r.publishLoads()
 	large := !r.membership.Small()
-	r.mu.Unlock()
+	r.unlock()
 	if large {
 		r.queueReceived(from, n)
 	}
--- a/internal/fleet/gossip/loads.go
+++ b/internal/fleet/gossip/loads.go
@@ -38,7 +38,7 @@
 func (r *Service) Busy(name string, n int) {
 	r.once.Do(r.init)
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.membership.SetInFlight(r.Timer.Now(), name, n)
 	r.publishLoads()
 }
@@ -47,7 +47,7 @@
 func (r *Service) BusyBatch(name string, n int) {
 	r.once.Do(r.init)
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.membership.SetBatch(r.Timer.Now(), name, n)
 	r.publishLoads()
 }
--- a/internal/fleet/gossip/relay.go
+++ b/internal/fleet/gossip/relay.go
@@ -31,6 +31,17 @@
 type receivedOccupancy struct {
 	gossipmessage.Occupancy
 	at time.Time
+	// remote says that another failure domain sent it.
+	remote bool
+}
+
+// relayed are the occupancies to pass on.
+type relayed struct {
+	// changed are the upstreams that this host drives.
+	changed []string
+	// local and remote come from drivers of this failure domain and from other domains.
+	local  []gossipmessage.Occupancy
+	remote []gossipmessage.Occupancy
 }
 
 // add queues upstreams whose occupancy has changed.
@@ -46,7 +57,7 @@
 }
 
 // forward queues occupancies received now.
-func (r *relayQueue) forward(now time.Time, l []gossipmessage.Occupancy) {
+func (r *relayQueue) forward(now time.Time, l []gossipmessage.Occupancy, remote bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.received == nil {
@@ -54,7 +65,7 @@
 	}
 	for _, o := range l {
 		if _, ok := r.received[o.Upstream]; ok || len(r.received) < maxRelays {
-			r.received[o.Upstream] = receivedOccupancy{o, now}
+			r.received[o.Upstream] = receivedOccupancy{o, now, remote}
 		}
 	}
 }
@@ -76,20 +87,25 @@
 	return true
 }
 
-// drain removes and returns the changed upstreams, and the received occupancies with their current ages.
-func (r *relayQueue) drain(now time.Time) (changed []string, received []gossipmessage.Occupancy) {
+// drain removes and returns what is queued, the received occupancies with their current ages.
+func (r *relayQueue) drain(now time.Time) relayed {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var l relayed
 	for n := range r.changed {
-		changed = append(changed, n)
+		l.changed = append(l.changed, n)
 	}
 	for _, o := range r.received {
 		o.Age += now.Sub(o.at)
-		received = append(received, o.Occupancy)
+		if o.remote {
+			l.remote = append(l.remote, o.Occupancy)
+			continue
+		}
+		l.local = append(l.local, o.Occupancy)
 	}
 	clear(r.changed)
 	clear(r.received)
-	return changed, received
+	return l
 }
 
 // queueRenewals queues the occupied upstreams that this host drives, if their renewal is due.
@@ -110,24 +126,39 @@
 	}
 }
 
-// sendRelays pushes the occupancies of the upstreams that this host drives to the other hosts of its failure domain and to
-// one driver of each other domain, and those of other domains to its own.
+// sendRelays pushes the occupancies of the upstreams that this host drives to the relay host of its failure domain. The
+// relay host pushes those of all drivers there to the other hosts of the domain and to the relay hosts of the others, and
+// what it hears from these to its own domain.
 func (r *Service) sendRelays(context.Context) {
-	names, received := r.relays.drain(r.Timer.Now())
+	q := r.relays.drain(r.Timer.Now())
 	r.mu.Lock()
-	own := r.membership.Occupancies(names)
+	local := append(q.local, r.membership.Occupancies(q.changed)...)
 	domain := r.membership.DomainPeers()
 	r.mu.Unlock()
-	if len(own)+len(received) > 0 {
-		r.push(gossipmessage.Message{From: r.Name, Occupancies: append(received, own...)}, domain...)
+	if h := r.relayHost(); h != r.Name {
+		if len(local) > 0 && h != "" {
+			r.push(gossipmessage.Message{From: r.Name, Occupancies: local}, h)
+		}
+		return
+	}
+	if len(local)+len(q.remote) > 0 {
+		r.push(gossipmessage.Message{From: r.Name, Occupancies: append(q.remote, local...)}, domain...)
 	}
-	if len(own) > 0 && r.RemoteDrivers != nil {
-		r.push(gossipmessage.Message{From: r.Name, Occupancies: own}, r.RemoteDrivers()...)
+	if len(local) > 0 && r.RemoteRelayHosts != nil {
+		r.push(gossipmessage.Message{From: r.Name, Occupancies: local}, r.RemoteRelayHosts()...)
 	}
 }
 
-// queueReceived queues what a driver passes on of a message: its own upstreams with new counts, and the occupancies of
-// another failure domain.
+// relayHost returns the relay host of this failure domain, this host if none is set.
+func (r *Service) relayHost() string {
+	if r.RelayHost == nil {
+		return r.Name
+	}
+	return r.RelayHost()
+}
+
+// queueReceived queues what this host passes on of a message: the upstreams that it drives with new counts and, on a relay
+// host, the occupancies of drivers and of other relay hosts.
 func (r *Service) queueReceived(from string, n gossipmessage.Message) {
 	if r.Driver == nil {
 		return
@@ -137,10 +168,11 @@
 			r.relays.add(c.Upstream)
 		}
 	}
+	if len(n.Occupancies) == 0 || r.relayHost() != r.Name {
+		return
+	}
 	r.mu.Lock()
 	near := r.membership.SameDomain(from)
 	r.mu.Unlock()
-	if !near && len(n.Occupancies) > 0 {
-		r.relays.forward(r.Timer.Now(), n.Occupancies)
-	}
+	r.relays.forward(r.Timer.Now(), n.Occupancies, !near)
 }
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -21,8 +21,8 @@
 const (
 	// ExchangePeriod is the time between exchanges with peers in a small fleet.
 	ExchangePeriod = 200 * time.Millisecond
-	// RelayPeriod is the time for which a driver batches occupancies for other hosts.
-	RelayPeriod = 150 * time.Millisecond
+	// RelayPeriod is the time for which a driver or a relay host batches occupancies.
+	RelayPeriod = 100 * time.Millisecond
 	// FlushPeriod is the time for which urgent news is batched before it is pushed.
 	FlushPeriod = 20 * time.Millisecond
 
@@ -58,8 +58,10 @@
 	Expiry time.Duration
 	// Driver, if set, returns the host that drives the batch work of an upstream; it needs the counts there at once.
 	Driver func(upstream string) string
-	// RemoteDrivers, if set, returns one driver of each other failure domain, to which this host sends occupancies.
-	RemoteDrivers func() []string
+	// RelayHost, if set, returns the host that passes occupancies on in this failure domain.
+	RelayHost func() string
+	// RemoteRelayHosts, if set, returns the relay host of each other failure domain.
+	RemoteRelayHosts func() []string
 	// Seed seeds the random choice of peers.
 	Seed uint64
 	// Timer provides the time and the periodic calls.
@@ -82,6 +84,9 @@
 	current     atomic.Pointer[[]upstream.Upstream]
 	group       *group.Group
 	relays      relayQueue
+	flushes     chan struct{}
+	// flushDue says that a push of urgent news is scheduled.
+	flushDue bool
 	// periodsPassed counts the periods since the last exchange.
 	periodsPassed int
 }
@@ -110,15 +115,8 @@
 	r.group = g
 	r.mu.Unlock()
 	periods := make(chan struct{}, 1)
-	flushes := make(chan struct{}, 1)
 	stopPeriods := r.Timer.Every(ExchangePeriod, func(time.Time) { signal(periods) })
 	defer stopPeriods()
-	stopFlushes := r.Timer.Every(FlushPeriod, func(time.Time) {
-		if r.hasUrgent() {
-			signal(flushes)
-		}
-	})
-	defer stopFlushes()
 	due := make(chan struct{}, 1)
 	stopRelays := r.Timer.Every(RelayPeriod, func(time.Time) {
 		r.queueRenewals()
@@ -134,23 +132,26 @@
 		return runOnSignal(ctx, periods, r.exchange)
 	})
 	r.group.Go("flush", func(ctx context.Context) error {
-		return runOnSignal(ctx, flushes, r.flush)
+		return runOnSignal(ctx, r.flushes, r.flush)
 	})
 	return r.group.Wait()
 }
 
-// hasUrgent reports whether there is urgent news to push.
-func (r *Service) hasUrgent() bool {
-	r.mu.Lock()
+// unlock unlocks the view and has urgent news pushed after FlushPeriod.
+func (r *Service) unlock() {
 	defer r.mu.Unlock()
-	return r.membership.HasUrgent()
+	if r.flushDue || !r.membership.HasUrgent() {
+		return
+	}
+	r.flushDue = true
+	r.Timer.After(FlushPeriod, func(time.Time) { signal(r.flushes) })
 }
 
 // AnnounceStopping tells other hosts that this one accepts no more work.
 func (r *Service) AnnounceStopping() {
 	r.once.Do(r.init)
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.membership.AnnounceStopping()
 }
 
@@ -158,7 +159,7 @@
 func (r *Service) AnnounceReplica() {
 	r.once.Do(r.init)
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.membership.AnnounceReplica()
 }
 
@@ -175,7 +176,7 @@
 	r.once.Do(r.init)
 	r.mu.Lock()
 	ok := r.membership.Announce(r.Timer.Now(), u)
-	r.mu.Unlock()
+	r.unlock()
 	r.publishUpstreams(false)
 	return ok
 }
@@ -185,7 +186,7 @@
 	r.once.Do(r.init)
 	r.mu.Lock()
 	ok := r.membership.Leave(r.Timer.Now(), name, incarnation)
-	r.mu.Unlock()
+	r.unlock()
 	r.publishUpstreams(false)
 	return ok
 }
@@ -230,6 +231,7 @@
 		r.Metrics = metrics.NewRegistry()
 	}
 	r.exchanging = map[string]bool{}
+	r.flushes = make(chan struct{}, 1)
 	r.membership = membership.NewMembership(r.Name, r.FailureDomain, r.Boot, r.Link.Names(), r.Seed)
 	r.membership.Open = r.Open
 	r.membership.SetSelf(r.Self)
--- a/internal/jobs/assignment/assignment.go
+++ b/internal/jobs/assignment/assignment.go
@@ -24,6 +24,8 @@
 	Hosts []host.Host
 
 	byUpstream map[string]string
+	// relays holds the relay host of each failure domain.
+	relays map[string]string
 }
 
 // NewAssignment assigns upstreams to as few of the live hosts as can run their batch work. Every other host of the fleet
@@ -33,10 +35,12 @@
 	for _, u := range upstreams {
 		inDomain[u.FailureDomain]++
 	}
-	a := &Assignment{byUpstream: make(map[string]string, len(upstreams))}
+	a := &Assignment{byUpstream: make(map[string]string, len(upstreams)), relays: map[string]string{}}
 	for d, l := range byDomain(live) {
 		n := max((inDomain[d]+upstreamsPerHost-1)/upstreamsPerHost, minHostsPerDomain)
-		a.Hosts = append(a.Hosts, firstByHash(l, n)...)
+		chosen := firstByHash(l, n)
+		a.Hosts = append(a.Hosts, chosen...)
+		a.relays[d] = chosen[0].Name
 	}
 	for _, u := range upstreams {
 		a.byUpstream[u.Name] = a.HostFor(u)
@@ -49,15 +53,19 @@
 	return a.byUpstream[upstream]
 }
 
-// RemoteHosts returns one of the hosts of each failure domain but that of the given host.
-func (a *Assignment) RemoteHosts(from host.Host) []string {
+// RelayHost returns the chosen host that passes on what the others of a failure domain say, or an empty string if none is
+// chosen there.
+func (a *Assignment) RelayHost(domain string) string {
+	return a.relays[domain]
+}
+
+// RemoteRelayHosts returns the relay hosts of all failure domains but the given one.
+func (a *Assignment) RemoteRelayHosts(domain string) []string {
 	var l []string
-	for d, hosts := range byDomain(a.Hosts) {
-		if d == from.FailureDomain {
-			continue
+	for d, h := range a.relays {
+		if d != domain {
+			l = append(l, h)
 		}
-		best := slices.MaxFunc(hosts, func(x, y host.Host) int { return cmp.Compare(score(from.Name, x), score(from.Name, y)) })
-		l = append(l, best.Name)
 	}
 	return l
 }
--- a/internal/jobs/assignment/assignment_test.go
+++ b/internal/jobs/assignment/assignment_test.go
@@ -111,12 +111,15 @@
 	}
 }
 
-func TestRemoteHostsAreOneOfEachOtherDomain(t *testing.T) {
+func TestEachDomainHasOneRelayHost(t *testing.T) {
 	is := is.New(t)
 	a := NewAssignment(hosts(5, 50), upstreams(155, 5))
 	seen := map[string]bool{}
-	for _, n := range a.RemoteHosts(host.Host{Name: "h2-7", FailureDomain: "d2"}) {
+	for _, n := range a.RemoteRelayHosts("d2") {
 		seen[n[:2]] = true
+		is.Equal(a.RelayHost("d"+n[1:2]), n)
 	}
 	is.Equal(seen, map[string]bool{"h0": true, "h1": true, "h3": true, "h4": true})
+	is.Equal(a.RelayHost("d2")[:2], "h2")
+	is.Equal(a.RelayHost("elsewhere"), "")
 }
--- a/internal/limits/grant/limiter.go
+++ b/internal/limits/grant/limiter.go
@@ -26,13 +26,13 @@
 	// ShortTTL is how long a host may spend a grant that takes it over its share of the burst (rate.HostShare).
 	ShortTTL = 250 * time.Millisecond
 
-	askInterval = 20 * time.Millisecond
+	askInterval = 50 * time.Millisecond
 	callTimeout = 300 * time.Millisecond
 	maxWaiters  = 256
 	// overrunShare is the fraction of the allowed overrun that is added to the burst of a bucket.
 	overrunShare = 0.7
 	// idleGroupTicks is the number of ticks between checks of a group of which this host limits no team.
-	idleGroupTicks = 5
+	idleGroupTicks = 2
 	methodAsk      = "grant/ask"
 	methodFence    = "grant/fence"
 )
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -162,16 +162,17 @@
 func (p *components) buildLimits() error {
 	s := p.server
 	p.gossip = &gossip.Service{
-		Link:          p.link,
-		Name:          s.Name,
-		FailureDomain: p.host.FailureDomain,
-		Seed:          p.seed,
-		Timer:         s.timer,
-		Log:           s.Log,
-		Metrics:       p.childMetrics("roster"),
-		Open:          s.Settings.UsesSeeds(),
-		Driver:        p.batchHost,
-		RemoteDrivers: p.remoteBatchHosts,
+		Link:             p.link,
+		Name:             s.Name,
+		FailureDomain:    p.host.FailureDomain,
+		Seed:             p.seed,
+		Timer:            s.timer,
+		Log:              s.Log,
+		Metrics:          p.childMetrics("roster"),
+		Open:             s.Settings.UsesSeeds(),
+		Driver:           p.batchHost,
+		RelayHost:        p.relayHost,
+		RemoteRelayHosts: p.remoteRelayHosts,
 		Self: gossipmessage.Host{
 			Label:   p.host.Label,
 			Control: p.host.Stores(settings.KeepsConfiguration),
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -131,13 +131,22 @@
 	return a.HostOf(name)
 }
 
-// remoteBatchHosts returns one host of each other failure domain that runs batch items there.
-func (p *components) remoteBatchHosts() []string {
+// relayHost returns the host that passes occupancies on in this failure domain, or "" if it is not known.
+func (p *components) relayHost() string {
+	a := p.assignment.Load()
+	if a == nil {
+		return ""
+	}
+	return a.RelayHost(p.host.FailureDomain)
+}
+
+// remoteRelayHosts returns the hosts that pass occupancies on in the other failure domains.
+func (p *components) remoteRelayHosts() []string {
 	a := p.assignment.Load()
 	if a == nil {
 		return nil
 	}
-	return a.RemoteHosts(host.Host{Name: p.server.Name, FailureDomain: p.host.FailureDomain})
+	return a.RemoteRelayHosts(p.host.FailureDomain)
 }
 
 // updateHosts passes the hosts known to the gossip to the configuration distribution until ctx ends.
