Wake the timers only for an earlier one, and sort hosts only when they change

Each timer that was added woke the timers' goroutine, also behind earlier ones; every half second the configuration's relays were ranked again from the list of all hosts though nobody had come or gone.

--- a/internal/base/timer/service.go
+++ b/internal/base/timer/service.go
@@ -110,11 +110,18 @@
 	s.seq++
 	e := &entry{at: s.firstDue(n, d, every), seq: s.seq, interval: every, call: f}
 	heap.Push(&s.due, e)
+	if s.due[0] == e {
+		s.signal()
+	}
+	return func() { s.remove(e) }
+}
+
+// signal makes Run look at the earliest entry again.
+func (s *Service) signal() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
-	return func() { s.remove(e) }
 }
 
 // firstDue returns when an entry is due for the first time.
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -151,6 +151,8 @@
 
 // updateHosts passes the hosts known to the gossip to the configuration distribution until ctx ends.
 func (p *components) updateHosts(ctx context.Context) error {
+	var last []gossipmessage.Host
+	var lastSeeds []string
 	for {
 		if err := p.server.timer.Sleep(ctx, hostsInterval); err != nil {
 			return err
@@ -158,18 +160,32 @@
 		if p.holdsLedger() {
 			p.gossip.AnnounceReplica()
 		}
-		domains := map[string]string{}
-		control := slices.Clone(p.seedHosts())
-		for _, h := range p.gossip.Hosts() {
-			if h.Dead {
-				continue
-			}
-			domains[h.Name] = h.FailureDomain
-			if h.Control {
-				control = append(control, h.Name)
-			}
+		l := p.gossip.Hosts()
+		for i := range l {
+			l[i].Sequence = 0
+		}
+		s := p.seedHosts()
+		if slices.Equal(l, last) && slices.Equal(s, lastSeeds) {
+			continue
+		}
+		last, lastSeeds = l, s
+		p.setDistributionHosts(l)
+	}
+}
+
+// setDistributionHosts tells the configuration distribution the live hosts and the control hosts among them.
+func (p *components) setDistributionHosts(l []gossipmessage.Host) {
+	domains := map[string]string{}
+	control := slices.Clone(p.seedHosts())
+	for _, h := range l {
+		if h.Dead {
+			continue
+		}
+		domains[h.Name] = h.FailureDomain
+		if h.Control {
+			control = append(control, h.Name)
 		}
-		slices.Sort(control)
-		p.distribution.SetHosts(domains, slices.Compact(control))
 	}
+	slices.Sort(control)
+	p.distribution.SetHosts(domains, slices.Compact(control))
 }
