--- a/internal/fleet/gossip/relay.go
+++ b/internal/fleet/gossip/relay.go
@@ -15,8 +15,8 @@
 	occupancyRenewal = time.Second
 )
 
-// relayQueue holds the occupancies that this host passes on: those of the upstreams that it drives, and those that the
-// driver of another failure domain sent.
+// relayQueue holds the occupancies that this host passes on: those of the upstreams that it drives and, on a relay host, those
+// that drivers and other relay hosts have sent.
 //
 // It serves a large fleet with most slots taken, where every host would know only its own calls and several would
 // choose the same upstream while others are free.
@@ -28,6 +28,7 @@
 	renewedAt time.Time
 }
 
+// receivedOccupancy is an occupancy and when this host received it.
 type receivedOccupancy struct {
 	gossipmessage.Occupancy
 	at time.Time
--- a/internal/state/proposal/client.go
+++ b/internal/state/proposal/client.go
@@ -128,7 +128,10 @@
 
 // untried returns the leader, or the next control host, that was not tried, or "" if there is none.
 func (c *Client) untried(group uint32, tried map[string]bool) string {
-	for range max(len(c.hosts(group)), 1) {
+	if h := c.leader(group); !tried[h] {
+		return h
+	}
+	for range c.hosts(group) {
 		if h := c.leader(group); !tried[h] {
 			return h
 		}
