Take a batch item back from an upstream that stays silent

Change: the headers of a streamed item must come within the silence that is allowed between two events.

--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -50,7 +50,7 @@
 	Leaving func(upstream string, incarnation uint64)
 	// ConnectTimeout limits the time to connect, TLS handshake included; zero means defaultConnectTimeout.
 	ConnectTimeout time.Duration
-	// BodyReadTimeout is the longest wait for the next bytes of a response body.
+	// BodyReadTimeout is the longest wait for the next bytes of a response body, and for the headers of a streamed batch item.
 	BodyReadTimeout time.Duration
 	// Dial, if set, replaces net.Dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -92,7 +92,7 @@
 }
 
 func (e *Transport) roundTrip(k *conn, c *call.Call) (*answer.Answer, error) {
-	_ = k.SetDeadline(e.Timer.Deadline(c.Deadline))
+	_ = k.SetDeadline(e.Timer.Deadline(e.headerDeadline(c)))
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
 	q.Header.SetMethod(c.Method)
@@ -132,6 +132,16 @@
 	return a, nil
 }
 
+// headerDeadline returns until when the headers of the answer to a call must come. A streamed batch item has no caller whose
+// patience ends: a silent upstream may hold it no longer before its first event than between two.
+func (e *Transport) headerDeadline(c *call.Call) time.Time {
+	silent := e.Timer.Now().Add(e.BodyReadTimeout)
+	if c.Batch && c.Stream && e.BodyReadTimeout > 0 && silent.Before(c.Deadline) {
+		return silent
+	}
+	return c.Deadline
+}
+
 // refuseNotRun discards the answer to a call that the upstream did not run. It keeps the connection if the body is
 // short.
 func (e *Transport) refuseNotRun(a *answer.Answer, r answerheaders.Headers) error {
