Tell the version of an upstream and what a call resumes

Change: announcements carry the version of the upstream's software, and the line of a call has upstream-version, first-event and resumes. What hosts of the former build pass on without a version takes none away; two versions in one incarnation leave it without one. No decision uses it yet.

Measured: tests of the packages touched pass; TestVersionOfAnIncarnation is new.

--- a/internal/data/call/call.go
+++ b/internal/data/call/call.go
@@ -53,6 +53,8 @@
 	IdempotencyKey string
 	// Offset is the number of the first event to send when a stream is resumed.
 	Offset int
+	// Resumes is the ID of the call that received the first event of the stream that this call resumes, or empty.
+	Resumes string
 	// Arrived is when the request was read.
 	Arrived time.Time
 	// ClientTimeout is the timeout that the caller gave, or zero.
--- a/internal/data/callrecord/record.go
+++ b/internal/data/callrecord/record.go
@@ -16,6 +16,12 @@
 	Route string
 	// Upstream is the upstream that answered last, or empty.
 	Upstream string
+	// UpstreamVersion is the software version of that upstream, empty if it is not known.
+	UpstreamVersion string
+	// FirstEvent is the number of the first event that the last attempt asked for, zero for a stream from its start.
+	FirstEvent int
+	// Resumes is the ID of the earlier call whose stream this one goes on with, empty for a stream from its start.
+	Resumes string
 	// Batch marks a call of a batch item.
 	Batch bool
 	// Status is the HTTP status of the answer or refusal.
--- a/internal/data/upstream/upstream.go
+++ b/internal/data/upstream/upstream.go
@@ -7,6 +7,8 @@
 	Engine = "engine"
 	// Service is the kind of an upstream that serves plain calls.
 	Service = "service"
+	// Unversioned is the version of all upstreams that announce themselves without one.
+	Unversioned = "unversioned"
 )
 
 // Upstream is one announced back end.
@@ -21,6 +23,8 @@
 	Kind string `json:"kind"`
 	// Service is the name of the service, which routes refer to.
 	Service string `json:"service"`
+	// Version is the version of the upstream's software, empty if it is not known.
+	Version string `json:"version,omitempty"`
 	// Models are the loaded models as model@version or model@version+adapter.
 	Models []string `json:"models,omitempty"`
 	// Role is the role of an engine, such as mixed, prefill or decode.
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -265,7 +265,7 @@
 // sameUpstream reports whether two upstreams agree in everything but Age and Beat.
 func sameUpstream(a, b upstream.Upstream) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.Kind == b.Kind && a.Service == b.Service && a.Role == b.Role && a.Slots == b.Slots &&
+		a.Kind == b.Kind && a.Service == b.Service && a.Version == b.Version && a.Role == b.Role && a.Slots == b.Slots &&
 		a.Fencing == b.Fencing && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving &&
 		slices.Equal(a.Models, b.Models)
 }
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -143,6 +143,7 @@
 		Incarnation:    u.Incarnation,
 		Leaving:        u.Leaving,
 		Beat:           u.Sequence,
+		Version:        u.Version,
 	}
 }
 
@@ -163,6 +164,7 @@
 			Incarnation:   a.Incarnation,
 			Leaving:       a.Leaving,
 			Sequence:      a.Beat,
+			Version:       a.Version,
 		},
 	}
 }
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -79,6 +79,8 @@
 	origin    gossipmessage.Origin
 	createdAt time.Time
 	upstream  upstream.Upstream
+	// disputed says that announcements of this incarnation named different versions.
+	disputed bool
 }
 
 type load struct {
@@ -255,6 +257,7 @@
 func (m *Membership) store(now time.Time, a *announcement) {
 	old := m.announcements[a.upstream.Name]
 	a.fillFrom(old)
+	a.settleVersion(old)
 	m.announcements[a.upstream.Name] = a
 	if old == nil || !sameContent(a.upstream, old.upstream) {
 		m.version++
@@ -275,6 +278,22 @@
 	a.upstream = u
 }
 
+// settleVersion keeps the version that earlier announcements of the incarnation named, or none if they differ: a process
+// has one version, so one of them is wrong.
+func (a *announcement) settleVersion(old *announcement) {
+	if old == nil || a.upstream.Incarnation != old.upstream.Incarnation {
+		return
+	}
+	x, y := a.upstream.Version, old.upstream.Version
+	a.disputed = old.disputed || x != "" && y != "" && x != y
+	switch {
+	case a.disputed:
+		a.upstream.Version = ""
+	case x == "":
+		a.upstream.Version = y
+	}
+}
+
 func (a *announcement) news(now time.Time) gossipmessage.Announcement {
 	return gossipmessage.Announcement{Origin: a.origin, Age: now.Sub(a.createdAt), Upstream: a.upstream}
 }
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -406,3 +406,30 @@
 		})
 	}
 }
+
+func TestVersionOfAnIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		want     string
+	}{
+		{"the same each time", []string{"v1", "v1"}, "v1"},
+		{"a host that knows no version repeats it", []string{"v1", ""}, "v1"},
+		{"named later", []string{"", "v1"}, "v1"},
+		{"two versions", []string{"v1", "v2", "v1"}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := membership.NewMembership("a", "d", 1, nil, 1)
+			now := time.Unix(100, 0)
+			for i, v := range c.versions {
+				now = now.Add(membership.RenewalAge)
+				m.Announce(now, upstream.Upstream{Name: "u", Address: "x", Service: "s", Incarnation: 1, Sequence: uint64(i + 1), Version: v})
+			}
+			is.Equal(m.Upstreams(now)[0].Version, c.want)
+			m.Announce(now, upstream.Upstream{Name: "u", Address: "x", Service: "s", Incarnation: 2, Version: "v3"})
+			m.Announce(now, upstream.Upstream{Name: "u", Address: "x", Service: "s", Incarnation: 1, Sequence: 9, Version: "v1"})
+			is.Equal(m.Upstreams(now)[0].Version, "v3")
+		})
+	}
+}
--- a/internal/fleet/membership/precedence.go
+++ b/internal/fleet/membership/precedence.go
@@ -10,7 +10,8 @@
 )
 
 // supersedes reports whether announcement a replaces b for the same upstream name. The newer incarnation wins; within
-// one, a leave, then the higher Beat if both have one, then the lower address that is not empty, then the later one.
+// one, a leave, then the higher Beat if both have one, then the lower address that is not empty, then the one with a
+// version, then the later one.
 func supersedes(a, b *announcement) bool {
 	if b == nil {
 		return true
@@ -28,6 +29,9 @@
 	if x.Address != y.Address {
 		return x.Address != "" && (y.Address == "" || x.Address < y.Address)
 	}
+	if y.Version == "" && x.Version != "" && !b.disputed {
+		return true
+	}
 	return a.createdAt.Sub(b.createdAt) > ageTolerance
 }
 
@@ -55,7 +59,7 @@
 // sameContent reports whether two announcements agree in everything but Age and Beat.
 func sameContent(a, b upstream.Upstream) bool {
 	return a.Address == b.Address && a.FailureDomain == b.FailureDomain && a.Kind == b.Kind &&
-		a.Service == b.Service && a.Role == b.Role && a.Slots == b.Slots && a.Fencing == b.Fencing &&
+		a.Service == b.Service && a.Version == b.Version && a.Role == b.Role && a.Slots == b.Slots && a.Fencing == b.Fencing &&
 		a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && slices.Equal(a.Models, b.Models)
 }
 
--- a/internal/wire/accounting/recorder.go
+++ b/internal/wire/accounting/recorder.go
@@ -33,6 +33,9 @@
 		Str("team", r.Team).
 		Str("route", r.Route).
 		Str("upstream", r.Upstream).
+		Str("upstream-version", r.UpstreamVersion).
+		Str("resumes", r.Resumes).
+		Int("first-event", r.FirstEvent).
 		Bool("batch", r.Batch).
 		Int("status", r.Status).
 		Str("code", r.Code).
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -38,6 +38,8 @@
 	}
 	c.Record.Attempts++
 	c.Record.Upstream = u.Name
+	c.Record.UpstreamVersion = u.Version
+	c.Record.FirstEvent = c.Offset
 	d.Picker.Started(u.Name)
 	d.Observer.Begin(u.Name, c)
 	return &attempt{dispatcher: d, upstream: u, call: c, started: d.Timer.Now()}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -114,4 +114,6 @@
 	s.attempt = t
 	s.call.Record.Attempts = c.Record.Attempts
 	s.call.Record.Upstream = c.Record.Upstream
+	s.call.Record.UpstreamVersion = c.Record.UpstreamVersion
+	s.call.Record.FirstEvent = c.Record.FirstEvent
 }
--- a/internal/wire/pipeline/tracker.go
+++ b/internal/wire/pipeline/tracker.go
@@ -67,6 +67,7 @@
 		r := &t.call.Record
 		r.ID = t.call.ID
 		r.Batch = t.call.Batch
+		r.Resumes = t.call.Resumes
 		r.EndedAt = t.pipeline.Timer.Now()
 		r.Total = r.EndedAt.Sub(t.call.Arrived)
 		if f != nil {
--- a/internal/wire/upstreamapi/message.go
+++ b/internal/wire/upstreamapi/message.go
@@ -10,7 +10,10 @@
 	"siskinrun/internal/data/upstream"
 )
 
-const maxNameBytes = 128
+const (
+	maxNameBytes    = 128
+	maxVersionBytes = 128
+)
 
 // validate returns an error if an announcement is invalid.
 func validate(u upstream.Upstream) error {
@@ -26,6 +29,9 @@
 	if u.Service == "" || u.FailureDomain == "" {
 		return errors.New("the field service or failure-domain is missing")
 	}
+	if len(u.Version) > maxVersionBytes {
+		return errors.New("the field version is too long")
+	}
 	if u.Slots < 1 || u.Age < 0 {
 		return errors.New("slots must be positive and age must not be negative")
 	}
--- a/internal/wire/upstreamapi/server.go
+++ b/internal/wire/upstreamapi/server.go
@@ -120,6 +120,9 @@
 	if err := validate(u); err != nil {
 		return err
 	}
+	if u.Version == "" {
+		u.Version = upstream.Unversioned
+	}
 	return a.Registry.Announce(u)
 }
 
