--- /dev/null
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/timer"
+	"siskinrun/internal/data/sse"
+	"siskinrun/platform/wire"
+)
+
+const (
+	// platformNetwork is the prefix of the addresses of the hosts and workers of a platformFleet.
+	platformNetwork = "127.0.15."
+	platformControl = platformNetwork + "11"
+	platformTimeout = time.Minute
+	streamPath      = "/ask/"
+	streamHost      = "desk.example"
+)
+
+// platformEntries are the entry hosts of a platformFleet, each in a failure domain of its own.
+var platformEntries = []string{platformNetwork + "31", platformNetwork + "32", platformNetwork + "33"}
+
+// platformFleet is one control host and three entry hosts that speak the platform's wire formats, with stand-in workers.
+type platformFleet struct {
+	t         testing.TB
+	folder    string
+	program   string
+	processes map[string]*exec.Cmd
+	logs      map[string]*bytes.Buffer
+	timer     *timer.Service
+	group     *group.Group
+	http      *http.Client
+}
+
+const platformSettings = `{"site": "s",
+  "fleet": {"dialect": "platform", "trusted-network": true, "seeds": ["` + platformControl + `:7440"], "forming": true,
+    "ledger-groups": 1, "freshness-lease": "3500ms", "losses": 1, "finish-withdrawn": true, "drain": "500ms",
+    "hosts": {"%[1]s": {"failure-domain": "%[2]s", %[3]s "peers": "%[1]s:7440", "operators": "%[1]s:7441"}}},
+  "limits": {"header-bytes": 16384, "body-bytes": 4194304, "file-bytes": 4194304, "concurrency": 4096,
+    "read-timeout": "30s", "stream-silence": "5s", "connect-timeout": "250ms", "memory-bytes": 200000000}}`
+
+const platformConfiguration = `{"version": 7, "routes": [
+  {"name": "ask", "host": "` + streamHost + `", "path_prefix": "` + streamPath + `", "route_type": "streaming",
+    "timeout_ms": 8000, "target_latency_ms": 300, "service": "lm", "max_attempts": 3, "public": true, "sticky": true,
+    "resumable": true, "gap_target_ms": 400}],
+  "services": [{"name": "lm", "health_path": "/healthz", "max_conns": 200, "protocol": "h1", "engine": {"slots": 8}}],
+  "limits": {}}`
+
+// newPlatformFleet starts the hosts and installs a configuration with one resumable route. They stop with the test.
+func newPlatformFleet(t testing.TB) (*platformFleet, context.Context) {
+	t.Helper()
+	f := &platformFleet{
+		t: t, folder: t.TempDir(), processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
+		timer: timer.NewService(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	f.program = filepath.Join(f.folder, "siskinrun")
+	out, err := exec.Command("go", "build", "-o", f.program, ".").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	f.group = group.NewGroup(ctx)
+	f.group.Go("timer", f.timer.Run)
+	t.Cleanup(func() {
+		for n := range f.processes {
+			f.kill(n)
+		}
+		cancel()
+		_ = f.group.Wait()
+		for n, l := range f.logs {
+			if t.Failed() {
+				t.Logf("%s:\n%s", n, l)
+			}
+		}
+	})
+	f.write(platformControl, "a", `"control": "`+platformControl+`:7442", "keeps": ["configuration"], "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
+	for i, h := range platformEntries {
+		f.write(h, string(rune('a'+i)), `"callers": "`+h+`:7443", "readiness": "`+h+`:7444",`)
+	}
+	f.start(platformControl)
+	for _, h := range platformEntries {
+		f.start(h)
+	}
+	f.await(ctx, "configuration", func() error {
+		return f.post(ctx, wire.PathConfigReplace, platformConfiguration)
+	})
+	return f, ctx
+}
+
+func (f *platformFleet) write(host, domain, rest string) {
+	f.t.Helper()
+	s := fmt.Sprintf(platformSettings, host, domain, rest)
+	is.New(f.t).NoErr(os.WriteFile(filepath.Join(f.folder, host+".json"), []byte(s), 0o600))
+}
+
+func (f *platformFleet) start(host string) {
+	f.t.Helper()
+	c := exec.Command(f.program, "serve", "--base", filepath.Join(f.folder, host+".json"), "--host", host)
+	if f.logs[host] == nil {
+		f.logs[host] = &bytes.Buffer{}
+	}
+	c.Stdout, c.Stderr = f.logs[host], f.logs[host]
+	is.New(f.t).NoErr(c.Start())
+	f.processes[host] = c
+}
+
+func (f *platformFleet) kill(host string) {
+	if c := f.processes[host]; c != nil {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+		delete(f.processes, host)
+	}
+}
+
+// await repeats try until it returns nil, and fails the test when ctx ends first.
+func (f *platformFleet) await(ctx context.Context, what string, try func() error) {
+	f.t.Helper()
+	for {
+		err := try()
+		if err == nil {
+			return
+		}
+		if f.timer.Sleep(ctx, pollInterval) != nil {
+			f.t.Fatalf("%s: %v", what, err)
+		}
+	}
+}
+
+// post sends a message of a worker or the operator to the control host.
+func (f *platformFleet) post(ctx context.Context, path, body string) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+platformControl+":7442"+path, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r, err := f.http.Do(q)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(r.Body)
+		return errors.Newf("status %d: %s", r.StatusCode, b)
+	}
+	return nil
+}
+
+// ready returns an error unless every entry host is ready.
+func (f *platformFleet) ready(ctx context.Context) error {
+	for _, h := range platformEntries {
+		if f.processes[h] == nil {
+			continue
+		}
+		q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h+":7444"+wire.PathReady, nil)
+		if err != nil {
+			return err
+		}
+		r, err := f.http.Do(q)
+		if err != nil {
+			return err
+		}
+		_ = r.Body.Close()
+		if r.StatusCode != http.StatusOK {
+			return errors.Newf("%s: status %d", h, r.StatusCode)
+		}
+	}
+	return nil
+}
+
+// streamRequest is one attempt of a client at a stream.
+type streamRequest struct {
+	id string
+	// resumes is the attempt that received the first event, and after the number of the last event received, if any.
+	resumes string
+	after   int
+	// prompt lists the parts of the prompt.
+	prompt string
+}
+
+// clientStream is an open answer to a streamRequest.
+type clientStream struct {
+	status int
+	body   io.ReadCloser
+	events *bufio.Reader
+	// last is the number of the last event read, and data what the events hold.
+	last int
+	data []string
+}
+
+// open sends an attempt to an entry host and returns its answer once the headers have come.
+func (f *platformFleet) open(ctx context.Context, host string, s streamRequest) (*clientStream, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+streamPath+"1", strings.NewReader("x"))
+	if err != nil {
+		return nil, err
+	}
+	q.Host = streamHost
+	q.Header.Set(wire.AttemptID, s.id)
+	q.Header.Set(wire.Deadline, "5000")
+	if s.prompt != "" {
+		q.Header.Set(wire.PromptPrefix, s.prompt)
+	}
+	if s.resumes != "" {
+		q.Header.Set(wire.Resumes, s.resumes)
+		q.Header.Set(wire.LastEventID, strconv.Itoa(s.after))
+	}
+	r, err := f.http.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	return &clientStream{status: r.StatusCode, body: r.Body, events: bufio.NewReader(r.Body), last: s.after}, nil
+}
+
+// read reads up to n events, and returns io.EOF at the end of the whole answer.
+func (c *clientStream) read(n int) error {
+	for range n {
+		e, err := sse.Read(c.events)
+		if err != nil {
+			return err
+		}
+		if int(e.ID) != c.last+1 {
+			return errors.Newf("event %d follows event %d", e.ID, c.last)
+		}
+		c.last = int(e.ID)
+		c.data = append(c.data, string(e.Data()))
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrun/platform/wire"
+)
+
+const (
+	heartbeatInterval = 200 * time.Millisecond
+	// workerEvents is the number of events of each stream, and workerStep the time between two.
+	workerEvents = 20
+	workerStep   = 20 * time.Millisecond
+	workerSlots  = 64
+)
+
+// platformWorker is a stand-in worker whose events name its version.
+type platformWorker struct {
+	fleet   *platformFleet
+	id      string
+	service string
+	version string
+	address string
+	// deadly is the part of a prompt on which the worker ends when it begins to write.
+	deadly string
+	// ended is called when the worker ends by itself.
+	ended func(w *platformWorker)
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	stop     context.CancelFunc
+	runs     []workerRun
+}
+
+// workerRun is a request that the worker began to run.
+type workerRun struct {
+	id     string
+	prompt string
+}
+
+// startWorker starts a worker of the service lm and returns once the control host knows it.
+func (f *platformFleet) startWorker(ctx context.Context, id, version string) *platformWorker {
+	f.t.Helper()
+	w := &platformWorker{fleet: f, id: id, service: "lm", version: version}
+	w.start(ctx)
+	f.await(ctx, "heartbeat", func() error { return w.beat(ctx, 1) })
+	return w
+}
+
+// start makes the worker serve and send heartbeats until it crashes.
+func (w *platformWorker) start(ctx context.Context) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(w.fleet.t).NoErr(err)
+	ctx, stop := context.WithCancel(ctx)
+	w.mu.Lock()
+	w.listener, w.conns, w.stop = l, map[net.Conn]bool{}, stop
+	w.address = l.Addr().String()
+	w.mu.Unlock()
+	w.fleet.group.Go("worker", func(context.Context) error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			w.track(c, true)
+			w.fleet.group.Go("worker-connection", func(context.Context) error {
+				defer w.track(c, false)
+				w.serve(ctx, c)
+				return nil
+			})
+		}
+	})
+	w.fleet.group.Go("heartbeats", func(context.Context) error {
+		defer func() { _ = l.Close() }()
+		for n := 2; ; n++ {
+			if w.fleet.timer.Sleep(ctx, heartbeatInterval) != nil {
+				return nil
+			}
+			_ = w.beat(ctx, n)
+		}
+	})
+}
+
+func (w *platformWorker) track(c net.Conn, open bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !open {
+		delete(w.conns, c)
+		_ = c.Close()
+		return
+	}
+	w.conns[c] = true
+}
+
+func (w *platformWorker) beat(ctx context.Context, n int) error {
+	return w.fleet.post(ctx, wire.PathHeartbeat+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":%q,"slots":%d,`+
+		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":1}`, w.service, w.address, w.version, workerSlots, n))
+}
+
+// crash closes all connections of the worker at once; it sends nothing more.
+func (w *platformWorker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stop()
+	_ = w.listener.Close()
+	for c := range w.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// ran returns the requests that the worker began to run.
+func (w *platformWorker) ran() []workerRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.runs)
+}
+
+// serve answers the requests of one connection.
+func (w *platformWorker) serve(ctx context.Context, c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		if q.Header.Get(wire.ExpectedInstance) != w.id {
+			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		if !w.run(ctx, c, q) {
+			return
+		}
+	}
+}
+
+// run streams the events after the last one that the request names, and reports whether the connection stays open.
+func (w *platformWorker) run(ctx context.Context, c net.Conn, q *http.Request) bool {
+	p := q.Header.Get(wire.PromptPrefix)
+	w.mu.Lock()
+	w.runs = append(w.runs, workerRun{q.Header.Get(wire.AttemptID), p})
+	w.mu.Unlock()
+	if w.fleet.timer.Sleep(ctx, workerStep) != nil {
+		return false
+	}
+	h := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Signature: " + w.id + "\r\n" +
+		wire.AttemptID + ": " + q.Header.Get(wire.AttemptID) + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+	if _, err := io.WriteString(c, h); err != nil {
+		return false
+	}
+	if w.deadly != "" && strings.Contains(p, w.deadly) {
+		w.crash()
+		w.ended(w)
+		return false
+	}
+	after, _ := strconv.Atoi(q.Header.Get(wire.LastEventID))
+	for n := after + 1; n <= workerEvents; n++ {
+		e := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, w.version, n)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+			return false
+		}
+		if w.fleet.timer.Sleep(ctx, workerStep) != nil {
+			return false
+		}
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
