Let a stream go on only at the version that began it

Cause: the choice of upstream knew services and models only. What began a stream was state of the answer on one host, and was not kept even there. The class of fault: a choice that must stay what it was is made anew, from state that the second chooser does not have.

Change: the first event binds a call to the service and the software version that sent it. Resumptions inside the answer pick among upstreams of that version. The host tells three hosts, in three failure domains, ranked by rendezvous hashing of the call's ID; any host can rank them, so a host at which a caller takes the stream up asks six of them at once, the first that knows tells, and 250 ms is the longest wait. A version that is not known goes on nowhere.

The first event waits for no message. The fixture of the dispatcher's tests now names versions, as announcements do.

--- a/internal/data/call/call.go
+++ b/internal/data/call/call.go
@@ -6,6 +6,7 @@
 	"siskinrun/internal/data/callrecord"
 	"siskinrun/internal/data/inlineitem"
 	"siskinrun/internal/data/route"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 )
 
@@ -55,6 +56,8 @@
 	Offset int
 	// Resumes is the ID of the call that received the first event of the stream that this call resumes, or empty.
 	Resumes string
+	// Start is the software that began the stream, which alone may go on with it; zero before the first event.
+	Start streamstart.Start
 	// Arrived is when the request was read.
 	Arrived time.Time
 	// ClientTimeout is the timeout that the caller gave, or zero.
--- a/internal/data/demand/demand.go
+++ b/internal/data/demand/demand.go
@@ -4,6 +4,8 @@
 type Demand struct {
 	// Service is the name under which upstreams announce themselves.
 	Service string
+	// Version is the software version that the upstream must have, empty for any.
+	Version string
 	// Model is model@version or model@version+adapter. It omits @version for any version and is empty for plain services.
 	Model string
 	// PrefixHashes holds the chained hashes of the blocks of the prompt.
--- /dev/null
+++ b/internal/data/streamstart/doc.go
@@ -0,0 +1,2 @@
+// Package streamstart describes what began a stream.
+package streamstart
--- /dev/null
+++ b/internal/fleet/rendezvous/doc.go
@@ -0,0 +1,2 @@
+// Package rendezvous ranks hosts for a key by rendezvous hashing over failure domains.
+package rendezvous
--- /dev/null
+++ b/internal/fleet/rendezvous/ranking_test.go
@@ -0,0 +1,73 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/host"
+	"siskinrun/internal/fleet/rendezvous"
+)
+
+func hosts(n, domains int) []host.Host {
+	var l []host.Host
+	for i := range n {
+		l = append(l, host.Host{Name: fmt.Sprint("h", i), FailureDomain: fmt.Sprint("d", i%domains)})
+	}
+	return l
+}
+
+func TestFirst(t *testing.T) {
+	for _, c := range []struct {
+		name                       string
+		hosts, domains, n, domainN int
+	}{
+		{"three domains", 9, 3, 3, 3},
+		{"more domains than copies", 80, 5, 3, 3},
+		{"one domain", 4, 1, 3, 1},
+		{"fewer hosts than copies", 2, 2, 3, 2},
+		{"twice the domains", 9, 3, 6, 3},
+		{"no host", 0, 1, 3, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := hosts(c.hosts, c.domains)
+			names := rendezvous.Ranking{Hosts: l}.First("k", c.n)
+			is.Equal(len(names), min(c.n, c.hosts))
+			domains := map[string]bool{}
+			for _, n := range names {
+				i := slices.IndexFunc(l, func(h host.Host) bool { return h.Name == n })
+				domains[l[i].FailureDomain] = true
+			}
+			is.Equal(len(domains), c.domainN)
+			slices.Reverse(l)
+			is.Equal(rendezvous.Ranking{Hosts: l}.First("k", c.n), names)
+		})
+	}
+}
+
+func TestLossOfAHostMovesFewKeys(t *testing.T) {
+	is := is.New(t)
+	l := hosts(9, 3)
+	moved := 0
+	for i := range 1000 {
+		k := fmt.Sprint("k", i)
+		a := rendezvous.Ranking{Hosts: l}.First(k, 3)
+		b := rendezvous.Ranking{Hosts: l[1:]}.First(k, 3)
+		for _, n := range a {
+			if n != "h0" && !slices.Contains(b, n) {
+				moved++
+			}
+		}
+	}
+	is.Equal(moved, 0)
+}
+
+func BenchmarkFirst(b *testing.B) {
+	r := rendezvous.Ranking{Hosts: hosts(320, 15)}
+	for b.Loop() {
+		r.First("9c41d07be2a35f68", 3)
+	}
+}
--- /dev/null
+++ b/internal/fleet/streamindex/doc.go
@@ -0,0 +1,2 @@
+// Package streamindex holds what began each of the latest streams, in bounded memory.
+package streamindex
--- /dev/null
+++ b/internal/fleet/streamindex/index.go
@@ -0,0 +1,49 @@
+package streamindex
+
+import (
+	"time"
+
+	"siskinrun/internal/data/streamstart"
+)
+
+const (
+	// Lifetime is the least time for which an entry is kept, unless there are too many.
+	Lifetime = time.Minute
+	// maxEntries is the maximum number of entries in one generation.
+	maxEntries = 1 << 14
+)
+
+// Index maps the ID of the call that received a stream's first event to what began the stream. It keeps two generations:
+// once the young one is old or full, it replaces the other.
+type Index struct {
+	young   map[string]streamstart.Start
+	old     map[string]streamstart.Start
+	rotated time.Time
+}
+
+// NewIndex returns an empty index.
+func NewIndex() *Index {
+	return &Index{young: map[string]streamstart.Start{}}
+}
+
+// Add adds an entry.
+func (x *Index) Add(now time.Time, call string, s streamstart.Start) {
+	if len(x.young) >= maxEntries || now.Sub(x.rotated) >= Lifetime {
+		x.old, x.young, x.rotated = x.young, map[string]streamstart.Start{}, now
+	}
+	x.young[call] = s
+}
+
+// Find returns what began the stream of a call.
+func (x *Index) Find(call string) (streamstart.Start, bool) {
+	if s, ok := x.young[call]; ok {
+		return s, true
+	}
+	s, ok := x.old[call]
+	return s, ok
+}
+
+// Len returns the number of entries.
+func (x *Index) Len() int {
+	return len(x.young) + len(x.old)
+}
--- /dev/null
+++ b/internal/fleet/streamregistry/registry.go
@@ -0,0 +1,181 @@
+package streamregistry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/host"
+	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/base/timer"
+	"siskinrun/internal/data/streamstart"
+	"siskinrun/internal/fleet/rendezvous"
+	"siskinrun/internal/fleet/streamindex"
+	"siskinrun/internal/fleet/streammessage"
+	"siskinrun/pkg/refusal"
+)
+
+const (
+	// copies is the number of hosts, in different failure domains if possible, that keep each record.
+	copies = 3
+	// askedHosts is the number of hosts that are asked for a record; more than copies, since hosts come and go.
+	askedHosts = 2 * copies
+	// findTimeout bounds a search, which a caller waits for.
+	findTimeout = 250 * time.Millisecond
+
+	methodRecord = "streams/record"
+	methodFind   = "streams/find"
+)
+
+// transport calls other hosts.
+type transport interface {
+	Handle(method string, h rpc.Handler)
+	Call(ctx context.Context, to, method string, body []byte) ([]byte, error)
+	Send(ctx context.Context, to, method string, body []byte) bool
+}
+
+// Registry records what began each stream on a few hosts, and finds it from any host.
+type Registry struct {
+	// Link carries the messages between hosts.
+	Link transport
+	// Name is the name of this host.
+	Name string
+	// Hosts returns the live hosts that keep records.
+	Hosts func() []host.Host
+	// Group runs the messages.
+	Group *group.Group
+	// Timer is the clock.
+	Timer *timer.Service
+	// Metrics counts records and searches.
+	Metrics metrics.Registry
+
+	mu    sync.Mutex
+	index *streamindex.Index
+}
+
+// Register registers the handlers of peers' messages and must be called before the link runs.
+func (r *Registry) Register() {
+	r.index = streamindex.NewIndex()
+	r.Link.Handle(methodRecord, r.handleRecord)
+	r.Link.Handle(methodFind, r.handleFind)
+}
+
+// Record tells the hosts that keep the record of a call what began its stream, without waiting for them.
+func (r *Registry) Record(call string, s streamstart.Start) {
+	if !s.Known() {
+		return
+	}
+	r.add(call, s)
+	b, err := proto.Marshal(&streammessage.Record{Call: call, Service: s.Service, Version: s.Version})
+	if err != nil {
+		return // cannot happen: the strings come from valid announcements and headers
+	}
+	r.count("recorded")
+	for _, h := range r.ranking().First(call, copies) {
+		if h == r.Name {
+			continue
+		}
+		r.Group.Go("record-stream", func(ctx context.Context) error {
+			r.Link.Send(ctx, h, methodRecord, b)
+			return nil
+		})
+	}
+}
+
+// Find returns what began the stream of a call, as far as any reachable host knows.
+func (r *Registry) Find(ctx context.Context, call string) (streamstart.Start, bool) {
+	s, ok := r.known(call)
+	if !ok && call != "" {
+		s, ok = r.ask(ctx, call)
+	}
+	if !ok {
+		r.count("unknown")
+		return s, false
+	}
+	r.count("found")
+	return s, true
+}
+
+// ask asks other hosts at once and returns the first record.
+func (r *Registry) ask(ctx context.Context, call string) (streamstart.Start, bool) {
+	b, err := proto.Marshal(&streammessage.Query{Call: call})
+	if err != nil {
+		return streamstart.Start{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	l := r.ranking().First(call, askedHosts)
+	found := make(chan streamstart.Start, len(l))
+	for _, h := range l {
+		r.Group.Go("find-stream", func(context.Context) error {
+			found <- r.askHost(ctx, h, b)
+			return nil
+		})
+	}
+	for range l {
+		select {
+		case s := <-found:
+			if s.Known() {
+				return s, true
+			}
+		case <-ctx.Done():
+			return streamstart.Start{}, false
+		}
+	}
+	return streamstart.Start{}, false
+}
+
+// askHost returns what one host knows, nothing if it does not answer.
+func (r *Registry) askHost(ctx context.Context, h string, query []byte) streamstart.Start {
+	if h == r.Name {
+		return streamstart.Start{}
+	}
+	b, err := r.Link.Call(ctx, h, methodFind, query)
+	a := &streammessage.Record{}
+	if err != nil || proto.Unmarshal(b, a) != nil {
+		return streamstart.Start{}
+	}
+	return streamstart.Start{Service: a.Service, Version: a.Version}
+}
+
+func (r *Registry) handleRecord(_ context.Context, _ string, body []byte) ([]byte, error) {
+	m := &streammessage.Record{}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return nil, refusal.NewNotRun(400, "malformed-record", err.Error())
+	}
+	r.add(m.Call, streamstart.Start{Service: m.Service, Version: m.Version})
+	return nil, nil
+}
+
+func (r *Registry) handleFind(_ context.Context, _ string, body []byte) ([]byte, error) {
+	q := &streammessage.Query{}
+	if err := proto.Unmarshal(body, q); err != nil {
+		return nil, refusal.NewNotRun(400, "malformed-query", err.Error())
+	}
+	s, _ := r.known(q.Call)
+	return proto.Marshal(&streammessage.Record{Service: s.Service, Version: s.Version})
+}
+
+func (r *Registry) ranking() rendezvous.Ranking {
+	return rendezvous.Ranking{Hosts: r.Hosts()}
+}
+
+func (r *Registry) add(call string, s streamstart.Start) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.index.Add(r.Timer.Now(), call, s)
+}
+
+func (r *Registry) known(call string) (streamstart.Start, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.index.Find(call)
+}
+
+func (r *Registry) count(name string) {
+	metrics.GetOrRegisterCounter(name, r.Metrics).Inc(1)
+}
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -20,6 +20,7 @@
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/fleet/gossip"
+	"siskinrun/internal/fleet/streamregistry"
 	"siskinrun/internal/jobs/assignment"
 	"siskinrun/internal/jobs/batch"
 	"siskinrun/internal/jobs/executor"
@@ -71,6 +72,7 @@
 	authenticator    *keyauth.Authenticator
 	directory        *directory.Directory
 	gossip           *gossip.Service
+	streams          *streamregistry.Registry
 	rateLimiter      *grant.Limiter
 	rollout          *rollout.Rollout
 	planner          *planner.Planner
@@ -180,6 +182,14 @@
 		},
 	}
 	p.gossip.Register()
+	p.streams = &streamregistry.Registry{
+		Link:    p.link,
+		Name:    s.Name,
+		Hosts:   p.recordHosts,
+		Timer:   s.timer,
+		Metrics: p.childMetrics("streams"),
+	}
+	p.streams.Register()
 	p.rateLimiter = &grant.Limiter{
 		Link:          p.link,
 		Client:        leaderClient{p.client},
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -122,6 +122,26 @@
 	return entry
 }
 
+// recordHosts returns the hosts that keep the records of streams: those that take calls, unless they are dead, or all if
+// there are none. A host that is only suspected stays among them, since hosts suspect others at different times.
+func (p *components) recordHosts() []host.Host {
+	var entry, all []host.Host
+	for _, h := range p.gossip.Hosts() {
+		if h.Dead {
+			continue
+		}
+		d := host.Host{Name: h.Name, FailureDomain: h.FailureDomain}
+		all = append(all, d)
+		if !h.Control && !h.Ledgers {
+			entry = append(entry, d)
+		}
+	}
+	if len(entry) == 0 {
+		return all
+	}
+	return entry
+}
+
 // batchHost returns the host that runs the batch items of an upstream, or "" if it is not known.
 func (p *components) batchHost(name string) string {
 	a := p.assignment.Load()
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -27,6 +27,7 @@
 func (p *components) buildPipeline(g *group.Group) {
 	s := p.server
 	p.observations = p.newObservations()
+	p.streams.Group = g
 	x := p.newTransport()
 	p.pipeline = &pipeline.Pipeline{
 		Identifier:    &keyWatcher{authenticator: p.authenticator, group: g},
@@ -41,6 +42,8 @@
 		Dispatcher:     p.newDispatcher(x, g),
 		Recorder:       &accounting.Recorder{Log: s.Log, Metrics: s.metrics, Sinks: []func(callrecord.Record){p.observations.add}},
 		Jobs:           p.batch,
+		Streams:        p.streams,
+		Upstreams:      p.picker,
 		Timer:          s.timer,
 		DefaultTimeout: callTimeout,
 	}
@@ -74,6 +77,7 @@
 		RetryBudget:   retry.NewBudget(),
 		Transport:     x,
 		Observer:      p.inflight,
+		Streams:       p.streams,
 		Canceller:     &cancelclient.Client{Transport: x, Group: g, Timer: s.timer},
 		Timer:         s.timer,
 	}
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -94,8 +94,7 @@
 }
 
 // best returns the allowed candidate with the least score, a random one of equals, and records the prompt as sent to it.
-func (c *Picker) best(list []candidate, d *demand.Demand, now time.Time) *member {
-	p := c.pools[poolKey{d.Service, d.Model}]
+func (c *Picker) best(p *pool, list []candidate, d *demand.Demand, now time.Time) *member {
 	var best *member
 	least, prompts := 0.0, 0.0
 	ties := 0
@@ -210,7 +209,8 @@
 	return best
 }
 
-// serves reports whether the upstream serves the service and model of a demand.
+// serves reports whether the upstream serves the service, software version and model of a demand.
 func (m *member) serves(d *demand.Demand) bool {
-	return m.upstream.Service == d.Service && slices.Contains(m.models, d.Model)
+	return m.upstream.Service == d.Service && (d.Version == "" || m.upstream.Version == d.Version) &&
+		slices.Contains(m.models, d.Model)
 }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -100,13 +100,13 @@
 	defer c.mu.Unlock()
 	c.advance(now)
 	c.sweep(now)
-	p, ok := c.pools[poolKey{d.Service, d.Model}]
+	p, ok := c.pools[poolOf(&d)]
 	if !ok {
 		return upstream.Upstream{}, false
 	}
 	m := c.probe(p, &d, now)
 	if m == nil {
-		m = c.best(c.sample(p, &d), &d, now)
+		m = c.best(p, c.sample(p, &d), &d, now)
 	}
 	if m == nil {
 		m = c.scan(p, &d, now)
@@ -120,6 +120,18 @@
 	return m.upstream, true
 }
 
+// Serves reports whether any upstream that takes new work meets a demand, however busy it is.
+func (c *Picker) Serves(d demand.Demand) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.pools[poolOf(&d)]
+	return ok
+}
+
+func poolOf(d *demand.Demand) poolKey {
+	return poolKey{service: d.Service, model: d.Model, version: d.Version}
+}
+
 // Started counts a request that was sent to an upstream.
 func (c *Picker) Started(name string) {
 	c.mu.Lock()
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -14,6 +14,8 @@
 type poolKey struct {
 	service string
 	model   string
+	// version is the software version, empty for the pool of all versions.
+	version string
 }
 
 // pool holds the upstreams that can serve one model of one service.
@@ -121,7 +123,13 @@
 }
 
 func (c *Picker) addToPool(m *member, model string) {
-	k := poolKey{m.upstream.Service, model}
+	c.addToPoolOf(m, poolKey{service: m.upstream.Service, model: model})
+	if v := m.upstream.Version; v != "" {
+		c.addToPoolOf(m, poolKey{service: m.upstream.Service, model: model, version: v})
+	}
+}
+
+func (c *Picker) addToPoolOf(m *member, k poolKey) {
 	p, ok := c.pools[k]
 	if !ok {
 		p = &pool{domains: make(map[string][]*member)}
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/outcome"
 	"siskinrun/internal/data/route"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/affinity"
 	"siskinrun/pkg/refusal"
@@ -56,6 +57,11 @@
 	End(upstream string, c *call.Call)
 }
 
+// streams remembers what began the stream of a call, for hosts at which the caller takes it up again.
+type streams interface {
+	Record(call string, s streamstart.Start)
+}
+
 // Dispatcher sends calls to upstreams.
 type Dispatcher struct {
 	// FailureDomain is the failure domain of this host.
@@ -70,6 +76,8 @@
 	Canceller canceller
 	// Observer is told of each attempt.
 	Observer observer
+	// Streams is told what began each stream that may be resumed.
+	Streams streams
 	// PlainStreams says that the end of its body ends a stream, and that a broken stream is not resumed on its own
 	// upstream, but only on another one and only if the call may be repeated.
 	PlainStreams bool
@@ -107,6 +115,7 @@
 func (d *Dispatcher) demand(c *call.Call) demand.Demand {
 	q := demand.Demand{
 		Service:       c.RouteConfig.Service,
+		Version:       c.Start.Version,
 		Model:         c.Model,
 		FailureDomain: d.FailureDomain,
 		Batch:         c.Batch,
--- a/internal/wire/dispatch/dispatch_test.go
+++ b/internal/wire/dispatch/dispatch_test.go
@@ -19,6 +19,7 @@
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/outcome"
 	"siskinrun/internal/data/route"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/retry"
 	"siskinrun/internal/standin/answertext"
@@ -43,7 +44,7 @@
 
 func (f *firstPicker) Pick(_ time.Time, d demand.Demand) (upstream.Upstream, bool) {
 	for _, u := range f.upstreams {
-		if u.Service == d.Service && !slices.Contains(d.Tried, u.Name) {
+		if u.Service == d.Service && (d.Version == "" || u.Version == d.Version) && !slices.Contains(d.Tried, u.Name) {
 			return u, true
 		}
 	}
@@ -64,6 +65,11 @@
 func (nopObserver) Gap(string, *call.Call, time.Duration)   {}
 func (nopObserver) End(string, *call.Call)                  {}
 
+// nopStreams remembers nothing.
+type nopStreams struct{}
+
+func (nopStreams) Record(string, streamstart.Start) {}
+
 // fixture is a dispatcher with two engines and two services as its upstreams.
 type fixture struct {
 	dispatcher *dispatch.Dispatcher
@@ -103,6 +109,7 @@
 		b.engines = append(b.engines, e)
 		b.services = append(b.services, s)
 		for _, u := range []upstream.Upstream{e.Upstream, s.Upstream} {
+			u.Version = upstream.Unversioned
 			u.Address = e.Listener.Addr().String()
 			if u.Kind == upstream.Service {
 				u.Address = s.Listener.Addr().String()
@@ -118,6 +125,7 @@
 		RetryBudget: retry.NewBudget(),
 		Transport:   x,
 		Observer:    nopObserver{},
+		Streams:     nopStreams{},
 		Canceller:   &cancelclient.Client{Transport: x, Group: g, Timer: b.timer},
 		Timer:       b.timer,
 	}
@@ -302,3 +310,44 @@
 	is.Equal(f.Verdict, verdict.MayHaveRun)
 	is.Equal(f.Status, 502)
 }
+
+func TestStreamGoesOnAtItsVersionOnly(t *testing.T) {
+	for _, c := range []struct {
+		name, first, second string
+		goesOn              bool
+	}{
+		{"the same version", "v1", "v1", true},
+		{"another version", "v1", "v2", false},
+		{"two unknown versions", "", "", false},
+		{"an unknown version", "v1", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newFixture(t)
+			for i, u := range b.picker.upstreams {
+				b.picker.upstreams[i].Version = map[string]string{"engine-a": c.first, "engine-b": c.second}[u.Name]
+			}
+			is.NoErr(b.engines[0].Faults.Set(faultinjection.Die, 3))
+			q := b.completion(true)
+			a, err := b.dispatcher.Serve(context.Background(), q)
+			is.NoErr(err)
+			_ = b.engines[0].Listener.Close()
+			_, err = io.ReadAll(a.Body)
+			is.Equal(err == nil, c.goesOn)
+			is.Equal(q.Record.Upstream == "engine-b", c.goesOn)
+		})
+	}
+}
+
+// Nothing of the answer has reached the caller before its first event, so any version may send it.
+func TestStreamBeforeItsFirstEventMayChangeVersion(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	for i, u := range b.picker.upstreams {
+		b.picker.upstreams[i].Version = u.Name
+	}
+	_ = b.engines[0].Listener.Close()
+	a, err := b.dispatcher.Serve(context.Background(), b.completion(true))
+	is.NoErr(err)
+	is.Equal(streamedText(t, a.Body), answertext.Answer("m", "p", tokens))
+}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/wire/relay"
 	"siskinrun/pkg/refusal"
@@ -16,6 +18,8 @@
 	eventStream = "text/event-stream"
 	// maxResumes limits the resumptions of one stream.
 	maxResumes = 4
+	// recordRenewal is the time after which the record of a stream that goes on is renewed, before it expires.
+	recordRenewal = 30 * time.Second
 )
 
 // stream holds the state of one relayed stream.
@@ -25,11 +29,16 @@
 	attempt    *attempt
 	resumes    int
 	lastEvent  time.Time
+	// recordedAt is when other hosts were last told what began the stream.
+	recordedAt time.Time
 }
 
 // relayStream wraps an event stream so that it resumes after a lost connection.
 func (d *Dispatcher) relayStream(ctx context.Context, c *call.Call, a *answer.Answer, t *attempt) *answer.Answer {
 	s := &stream{dispatcher: d, call: c, attempt: t, lastEvent: d.Timer.Now()}
+	if c.Start.Known() {
+		s.recordedAt = s.lastEvent
+	}
 	r := &relay.Reader{
 		Context:      ctx,
 		Answer:       a,
@@ -51,12 +60,26 @@
 	s.lastEvent = n
 	c := s.call
 	c.Record.Events++
+	s.recordStart(n)
 	if c.Record.Events > 1 {
 		c.Record.MaxEventGap = max(c.Record.MaxEventGap, g)
 		s.dispatcher.Observer.Gap(s.attempt.upstream.Name, c, g)
 	}
 }
 
+// recordStart binds the stream to the software that sent its first event, and keeps the record of it alive.
+func (s *stream) recordStart(now time.Time) {
+	c := s.call
+	if c.Record.Events == 1 && !c.Start.Known() {
+		c.Start = streamstart.Start{Service: s.attempt.upstream.Service, Version: s.attempt.upstream.Version}
+	}
+	if !c.RouteConfig.Repeatable || !c.Start.Known() || now.Sub(s.recordedAt) < recordRenewal {
+		return
+	}
+	s.recordedAt = now
+	s.dispatcher.Streams.Record(cmp.Or(c.Resumes, c.ID), c.Start)
+}
+
 // resume reopens the stream at an offset, on the same upstream first.
 func (s *stream) resume(ctx context.Context, offset int) (*answer.Answer, error) {
 	d := s.dispatcher
@@ -72,6 +95,9 @@
 	if err == nil {
 		return a, nil
 	}
+	if c.Record.Events > 0 && !c.Start.Known() {
+		return nil, err
+	}
 	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, s.call.Record.Attempts) {
 		return nil, err
 	}
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -11,9 +11,11 @@
 	"siskinrun/internal/data/call"
 	"siskinrun/internal/data/callrecord"
 	"siskinrun/internal/data/configuration"
+	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/inlinejob"
 	"siskinrun/internal/data/key"
 	"siskinrun/internal/data/route"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
 )
@@ -55,6 +57,16 @@
 	Submit(ctx context.Context, j inlinejob.Job) error
 }
 
+// streams finds what began the stream of an earlier call.
+type streams interface {
+	Find(ctx context.Context, call string) (streamstart.Start, bool)
+}
+
+// upstreams tells which demands any upstream meets.
+type upstreams interface {
+	Serves(d demand.Demand) bool
+}
+
 // recorder logs and counts finished calls.
 type recorder interface {
 	Record(r callrecord.Record)
@@ -80,6 +92,10 @@
 	Jobs jobs
 	// Dispatcher sends the call to an upstream.
 	Dispatcher dispatcher
+	// Streams finds what began the streams that callers take up again.
+	Streams streams
+	// Upstreams tells whether any upstream can go on with a stream.
+	Upstreams upstreams
 	// Recorder receives the record of each finished call.
 	Recorder recorder
 	// Timer is the clock.
@@ -116,6 +132,9 @@
 	if c.RouteConfig.Jobs {
 		return p.submit(ctx, c)
 	}
+	if err := p.bindStream(ctx, c); err != nil {
+		return nil, err
+	}
 	if err := p.admit(ctx, c); err != nil {
 		return nil, err
 	}
