Begin an item anew where its text was made by other software

Change: the text kept for an item names the service and version; a run at other software, or at one that is not known, begins the item anew, and its text takes the place of the former one. Texts that an earlier build of siskinrun stored name none and are not gone on with.

--- a/internal/data/item/item.go
+++ b/internal/data/item/item.go
@@ -1,5 +1,7 @@
 package item
 
+import "siskinrun/internal/data/streamstart"
+
 // Item is one line of a job's input, leased to a host.
 type Item struct {
 	// Job is the ID of the job.
@@ -26,4 +28,6 @@
 	NextEvent uint64
 	// Text is the output before that event.
 	Text []byte
+	// Start is the software that made the text.
+	Start streamstart.Start
 }
--- a/internal/data/itemanswer/answer.go
+++ b/internal/data/itemanswer/answer.go
@@ -1,5 +1,7 @@
 package itemanswer
 
+import "siskinrun/internal/data/streamstart"
+
 // Answer is an upstream's answer to a batch item, possibly incomplete.
 type Answer struct {
 	// Status is the HTTP status.
@@ -10,4 +12,6 @@
 	NextEvent uint64
 	// Text is the output before that event.
 	Text []byte
+	// Start is the software that made the text.
+	Start streamstart.Start
 }
--- a/internal/jobs/executor/end.go
+++ b/internal/jobs/executor/end.go
@@ -26,8 +26,8 @@
 	t.pendingSince = now
 	t.item.Preemptions++
 	t.notBefore = now.Add(preemptionBackoff)
-	if g := o.GetProgress(); g.GetNext() > t.item.NextEvent {
-		t.item.NextEvent, t.item.Text = g.GetNext(), g.GetText()
+	if g := o.GetProgress(); g.GetNext() > t.item.NextEvent || g != nil && startOf(g) != t.item.Start {
+		t.item.NextEvent, t.item.Text, t.item.Start = g.GetNext(), g.GetText(), startOf(g)
 	}
 	if o.Progress != nil || t.preemptedOutcome == nil {
 		t.preemptedOutcome = o
--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -6,6 +6,7 @@
 
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/data/item"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/jobs/assignment"
 	"siskinrun/internal/jobs/entry"
@@ -171,9 +172,15 @@
 		Line:       l.Line,
 		NextEvent:  l.Progress.GetNext(),
 		Text:       l.Progress.GetText(),
+		Start:      startOf(l.Progress),
 	}
 }
 
+// startOf returns the software that made the text of p.
+func startOf(p *entry.Progress) streamstart.Start {
+	return streamstart.Start{Service: p.GetService(), Version: p.GetVersion()}
+}
+
 // heartbeat renews the session with a group while this host has tasks or outcomes of it.
 func (d *Executor) heartbeat(ctx context.Context, g uint32) error {
 	for {
--- a/internal/jobs/executor/outcome.go
+++ b/internal/jobs/executor/outcome.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		o := outcomeOfError(fence, refusal.Of(err), stopped)
 		if a.NextEvent > 0 {
-			o.Progress = &entry.Progress{Next: a.NextEvent, Text: a.Text}
+			o.Progress = &entry.Progress{Next: a.NextEvent, Text: a.Text, Service: a.Start.Service, Version: a.Start.Version}
 		}
 		return o
 	}
--- a/internal/jobs/ledger/inline.go
+++ b/internal/jobs/ledger/inline.go
@@ -141,12 +141,18 @@
 	}
 }
 
-// updateProgress keeps the partial output of an item whose run ended early, if it extends the output kept before.
+// sameSoftware reports whether the same service and version made two partial outputs.
+func sameSoftware(a, b *entry.Progress) bool {
+	return a.Service == b.Service && a.Version == b.Version
+}
+
+// updateProgress keeps the partial output of an item whose run ended early, if it extends the output kept before. The
+// output of other software takes its place, since the run that made it had to begin anew.
 func (n *inlineItems) updateProgress(i uint32, p *entry.Progress) {
 	if n == nil || p == nil || p.Next == 0 || len(p.Text) > maxProgressBytes {
 		return
 	}
-	if o := n.progress[i]; o != nil && o.Next >= p.Next {
+	if o := n.progress[i]; o != nil && sameSoftware(o, p) && o.Next >= p.Next {
 		return
 	}
 	p.Index = i
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -15,6 +15,7 @@
 	"siskinrun/internal/data/item"
 	"siskinrun/internal/data/itemanswer"
 	"siskinrun/internal/data/itemline"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
@@ -43,7 +44,8 @@
 	Timer *timer.Service
 }
 
-// Run sends an item to the named upstream. Its error is a refusal whose verdict tells whether the item may have run.
+// Run sends an item to the named upstream. It goes on with the text so far if the upstream has the software that made it,
+// and begins anew otherwise. Its error is a refusal whose verdict tells whether the item may have run.
 func (r *Runner) Run(ctx context.Context, name string, i item.Item) (itemanswer.Answer, error) {
 	u, ok := r.upstream(name)
 	if !ok {
@@ -53,6 +55,10 @@
 	if err := json.Unmarshal(i.Line, &l); err != nil {
 		return itemanswer.Answer{}, refusal.NewNotRun(400, "bad-item", err.Error())
 	}
+	s := streamstart.Start{Service: u.Service, Version: u.Version}
+	if !s.Known() || s != i.Start {
+		i.NextEvent, i.Text, i.Start = 0, nil, s
+	}
 	c := r.call(i, l)
 	a, err := r.Pipeline.Batch(ctx, u, c)
 	if err != nil {
@@ -77,7 +83,7 @@
 func (r *Runner) collectStream(i item.Item, a *answer.Answer) (itemanswer.Answer, error) {
 	o := newOutput(i)
 	if err := o.readEvents(a.Body); err != nil {
-		return itemanswer.Answer{NextEvent: o.next, Text: o.text}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
+		return itemanswer.Answer{NextEvent: o.next, Text: o.text, Start: i.Start}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
 	}
 	return itemanswer.Answer{Status: a.Status, Body: o.text}, nil
 }
