Wait for an upstream's announcement before a stream goes on at it again

Cause: an upstream that ends may come back under its name with another version and serve before its announcement has reached every host, and the name is all that a worker checks.

Change: an attempt whose connection ended early is told apart from one that the upstream refused (outcome broken). Where a connection broke or failed, an upstream takes up no bound stream until it has announced itself since. New streams begin there as before.

What the guard can't see: a beat of the former process that comes seconds late, and a host to which no connection broke.

--- a/internal/data/outcome/outcome.go
+++ b/internal/data/outcome/outcome.go
@@ -6,7 +6,7 @@
 const (
 	// Succeeded means that the upstream sent its complete answer.
 	Succeeded Outcome = iota
-	// Failed means that the upstream refused or broke the connection, or answered with an error of its own.
+	// Failed means that the upstream refused, or answered with an error of its own.
 	Failed
 	// TimedOut means that the upstream did not answer in time.
 	TimedOut
@@ -14,9 +14,11 @@
 	Unreachable
 	// Cancelled means that this side ended the exchange, which is no evidence about the upstream.
 	Cancelled
+	// Broken means that the connection ended before the complete answer, as when the upstream's process ends.
+	Broken
 )
 
-var names = [...]string{"succeeded", "failed", "timed-out", "unreachable", "cancelled"}
+var names = [...]string{"succeeded", "failed", "timed-out", "unreachable", "cancelled", "broken"}
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
--- a/internal/routing/picker/member.go
+++ b/internal/routing/picker/member.go
@@ -29,10 +29,13 @@
 type member struct {
 	upstream upstream.Upstream
 	// models are the sorted names under which the upstream is found; the empty name stands for any model.
-	models  []string
-	slots   float64
-	added   time.Time
-	warming bool
+	models []string
+	slots  float64
+	added  time.Time
+	// announcedAt is when the upstream last announced itself, brokenAt when a connection to it last broke or failed.
+	announcedAt time.Time
+	brokenAt    time.Time
+	warming     bool
 
 	own   int
 	peers int
@@ -65,6 +68,12 @@
 	m.models = slices.Compact(m.models)
 }
 
+// versionCertain reports whether the upstream has announced itself since a connection to it last broke: it may have come
+// back under its name with another version.
+func (m *member) versionCertain() bool {
+	return m.brokenAt.IsZero() || m.announcedAt.After(m.brokenAt)
+}
+
 func (m *member) observeLatency(latency time.Duration, at time.Time) {
 	m.latencyAt = at
 	if m.latency == 0 {
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -124,6 +124,9 @@
 }
 
 func (c *Picker) allowed(m *member, d *demand.Demand) bool {
+	if d.Version != "" && !m.versionCertain() {
+		return false
+	}
 	return !slices.Contains(d.Tried, m.upstream.Name) && c.Ejection.Allowed(m.upstream.Name)
 }
 
@@ -180,6 +183,9 @@
 func (c *Picker) probe(p *pool, d *demand.Demand, now time.Time) *member {
 	for range probeAttempts {
 		m := p.all[c.random.IntN(len(p.all))]
+		if d.Version != "" && !m.versionCertain() {
+			continue
+		}
 		if c.Ejection.Allowed(m.upstream.Name) || slices.Contains(d.Tried, m.upstream.Name) {
 			continue
 		}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -156,6 +156,9 @@
 	m.own = max(m.own-1, 0)
 	m.history.Set(m.knownRequests(), at)
 	c.Ejection.Observe(name, o, latency, at)
+	if o == outcome.Broken || o == outcome.Unreachable {
+		m.brokenAt = at
+	}
 	if o == outcome.Succeeded && latency > 0 {
 		m.observeLatency(latency, at)
 	}
@@ -267,6 +270,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.Ejection.MarkAlive(name, at)
+	if m, ok := c.members[name]; ok && at.After(m.announcedAt) {
+		m.announcedAt = at
+	}
 }
 
 // MarkReachable records a successful connection to an upstream.
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
 	"siskinrun/internal/data/outcome"
@@ -20,6 +22,8 @@
 	statusBadGateway = 502
 	// codeUnreachable is the code of an attempt that sent nothing, usually for lack of a connection.
 	codeUnreachable = "upstream-unreachable"
+	// codeLost is the code of an attempt whose connection ended before the answer.
+	codeLost = "upstream-lost"
 )
 
 // attempt is one attempt to run a call on one upstream.
@@ -76,11 +80,23 @@
 		return outcome.Unreachable
 	case refusal.Of(err).Code == "upstream-timeout":
 		return outcome.TimedOut
+	case broken(err):
+		return outcome.Broken
 	default:
 		return outcome.Failed
 	}
 }
 
+// broken reports whether an attempt failed because its connection ended before the whole answer.
+func broken(err error) bool {
+	var n interface{ Timeout() bool }
+	if errors.As(err, &n) && n.Timeout() {
+		return false
+	}
+	var f *refusal.Refusal
+	return !errors.As(err, &f) || f.Code == codeLost
+}
+
 // buffer reads a short body whole before it is passed on, so that the call can be retried if the body is truncated.
 func (t *attempt) buffer(ctx context.Context, a *answer.Answer) error {
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
