Tell the parts of the prompts of calls whose upstream was lost

Change: calls and batch items carry the hash of each part but the last, the same wherever the part stands and whatever its tokens are; the chained hashes that choose an upstream stay. A call that lost upstreams before their answer began logs how many (lost-unanswered) and its parts (prompt-parts). An attempt knows whether its headers and its first event or byte have come, and why a stream broke. No decision uses it yet.

--- a/internal/data/call/call.go
+++ b/internal/data/call/call.go
@@ -42,6 +42,8 @@
 	Items func() ([]inlineitem.Item, error)
 	// PrefixHashes holds the chained hashes of the parts of the prompt, if the caller gave them.
 	PrefixHashes []uint64
+	// Parts holds the hash of each part of the prompt that other calls may share, without what stands before it.
+	Parts []uint64
 	// Prompt is the prompt text, whose prefix may be in a cache.
 	Prompt []byte
 	// MaxTokens is the maximum number of tokens to generate.
--- a/internal/data/callrecord/record.go
+++ b/internal/data/callrecord/record.go
@@ -22,6 +22,10 @@
 	FirstEvent int
 	// Resumes is the ID of the earlier call whose stream this one goes on with, empty for a stream from its start.
 	Resumes string
+	// Parts are the hashes of the parts of the prompt that other calls may share.
+	Parts []uint64
+	// Lost is the number of attempts whose upstream was lost before it began its answer.
+	Lost int
 	// Batch marks a call of a batch item.
 	Batch bool
 	// Status is the HTTP status of the answer or refusal.
--- a/internal/data/itemline/line.go
+++ b/internal/data/itemline/line.go
@@ -16,6 +16,8 @@
 	Host string `json:"host,omitempty"`
 	// Headers are the headers of an inline item as pairs of name and value.
 	Headers [][2]string `json:"headers,omitempty"`
+	// Parts are the hashes of the parts of the item's prompt that other calls may share.
+	Parts []uint64 `json:"parts,omitempty"`
 	// Raw is the body of an inline item.
 	Raw []byte `json:"raw,omitempty"`
 	// Inline marks an item that was submitted within its job. Its runs are identified by the owner's name for it.
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -152,6 +152,7 @@
 		Headers: l.Headers,
 		Body:    l.Raw,
 		Offset:  int(i.NextEvent),
+		Parts:   l.Parts,
 		Arrived: r.Timer.Now(),
 	}
 	c.Record.Team = i.Team
--- a/internal/wire/accounting/recorder.go
+++ b/internal/wire/accounting/recorder.go
@@ -1,6 +1,7 @@
 package accounting
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,6 +30,9 @@
 	if r.Verdict == verdict.MayHaveRun || r.Status >= minErrorStatus {
 		e = a.Log.Warn()
 	}
+	if r.Lost > 0 {
+		e = e.Int("lost-unanswered", r.Lost).Strs("prompt-parts", hexadecimal(r.Parts))
+	}
 	e.Str("request-id", r.ID).
 		Str("team", r.Team).
 		Str("route", r.Route).
@@ -54,6 +58,18 @@
 	}
 }
 
+// maxLoggedParts is the maximum number of parts of a prompt in a line.
+const maxLoggedParts = 16
+
+// hexadecimal returns the hashes of parts of a prompt as they are logged.
+func hexadecimal(parts []uint64) []string {
+	var l []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		l = append(l, strconv.FormatUint(p, 16))
+	}
+	return l
+}
+
 func (a *Recorder) count(r callrecord.Record) {
 	p := "online."
 	if r.Batch {
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -33,7 +33,10 @@
 	call       *call.Call
 	started    time.Time
 	latency    time.Duration
-	once       sync.Once
+	// headers says that the headers of the answer have come, begun that some of its body has.
+	headers bool
+	begun   bool
+	once    sync.Once
 }
 
 func (d *Dispatcher) begin(u upstream.Upstream, c *call.Call) *attempt {
@@ -52,6 +55,7 @@
 // answered records the time to the start of the answer.
 func (t *attempt) answered() {
 	t.latency = t.dispatcher.Timer.Now().Sub(t.started)
+	t.headers = true
 	t.dispatcher.Observer.First(t.upstream.Name, t.call, t.latency)
 }
 
@@ -63,6 +67,9 @@
 		d.Picker.Finished(t.upstream.Name, o, t.latency, d.Timer.Now())
 		d.RetryBudget.Observe(o)
 		d.Observer.End(t.upstream.Name, t.call)
+		if o == outcome.Broken && !t.begun {
+			t.call.Record.Lost++
+		}
 		if o == outcome.Cancelled {
 			d.Canceller.Cancel(t.upstream, t.call.ID)
 		}
@@ -100,6 +107,7 @@
 // buffer reads a short body whole before it is passed on, so that the call can be retried if the body is truncated.
 func (t *attempt) buffer(ctx context.Context, a *answer.Answer) error {
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	t.begun = len(b) > 0
 	if err != nil {
 		t.end(ctx, err)
 		_ = a.Body.Close()
@@ -127,6 +135,7 @@
 // Read implements io.Reader.Read.
 func (w *attemptBody) Read(p []byte) (int, error) {
 	n, err := w.Reader.Read(p)
+	w.attempt.begun = w.attempt.begun || n > 0
 	if err != nil {
 		w.attempt.end(context.Background(), err)
 	}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -60,6 +60,7 @@
 	s.lastEvent = n
 	c := s.call
 	c.Record.Events++
+	s.attempt.begun = true
 	s.recordStart(n)
 	if c.Record.Events > 1 {
 		c.Record.MaxEventGap = max(c.Record.MaxEventGap, g)
@@ -81,16 +82,16 @@
 }
 
 // resume reopens the stream at an offset, on the same upstream first.
-func (s *stream) resume(ctx context.Context, offset int) (*answer.Answer, error) {
+func (s *stream) resume(ctx context.Context, offset int, cause error) (*answer.Answer, error) {
 	d := s.dispatcher
 	s.resumes++
 	if s.resumes > maxResumes {
 		return nil, refusal.NewMayHaveRun(502, "stream-lost", "the stream exceeded its limit of resumptions")
 	}
+	u := s.attempt.upstream
+	s.attempt.end(ctx, cause)
 	c := *s.call
 	c.Offset = offset
-	u := s.attempt.upstream
-	s.attempt.end(ctx, refusal.NewMayHaveRun(502, "upstream-lost", "the stream was interrupted"))
 	a, err := s.resumeOnSame(ctx, u, &c)
 	if err == nil {
 		return a, nil
@@ -142,4 +143,5 @@
 	s.call.Record.Upstream = c.Record.Upstream
 	s.call.Record.UpstreamVersion = c.Record.UpstreamVersion
 	s.call.Record.FirstEvent = c.Record.FirstEvent
+	s.call.Record.Lost = c.Record.Lost
 }
--- a/internal/wire/pipeline/tracker.go
+++ b/internal/wire/pipeline/tracker.go
@@ -68,6 +68,7 @@
 		r.ID = t.call.ID
 		r.Batch = t.call.Batch
 		r.Resumes = t.call.Resumes
+		r.Parts = t.call.Parts
 		r.EndedAt = t.pipeline.Timer.Now()
 		r.Total = r.EndedAt.Sub(t.call.Arrived)
 		if f != nil {
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -23,8 +23,8 @@
 	Context context.Context
 	// Answer is the open stream, at first the original one.
 	Answer *answer.Answer
-	// Resume reopens the stream at the given event; an error ends the stream.
-	Resume func(ctx context.Context, offset int) (*answer.Answer, error)
+	// Resume reopens the stream at the given event after cause broke it; an error ends the stream.
+	Resume func(ctx context.Context, offset int, cause error) (*answer.Answer, error)
 	// EndsWithBody says that the end of the body ends the stream, and that its first event may have any number.
 	EndsWithBody bool
 	// Event, if set, is called for each event that is passed on.
@@ -116,7 +116,7 @@
 		r.finish(cause)
 		return
 	}
-	a, err := r.Resume(r.Context, r.next)
+	a, err := r.Resume(r.Context, r.next, cause)
 	if err != nil {
 		r.finish(errors.CombineErrors(err, cause))
 		return
