Play a prompt that crashes each upstream, which fails

The test plays it with four processes of siskinrun in the platform's wire formats and six stand-in workers that crash on the part and come back: it stands at any place but the last, sound requests share the caller and all other parts, and one host is killed and starts again meanwhile.

--- /dev/null
+++ b/cmd/siskinrun/crashing_prompt_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/group"
+)
+
+const (
+	deadlyPart = "dead01"
+	// crashWorkers is the number of workers, each back workerReturn after it has crashed.
+	crashWorkers = 6
+	workerReturn = time.Second
+	// crashesBorne is the number of crashes after which the part must be known, and learning the time to tell all hosts.
+	crashesBorne = 5
+	learning     = 3 * time.Second
+	// maxLateSends is the number of requests with the part that may still reach workers after that.
+	maxLateSends = 3
+)
+
+// crashes are the times at which workers crashed and at which they got requests with the deadly part.
+type crashes struct {
+	mu    sync.Mutex
+	ended []time.Time
+	sends []time.Time
+}
+
+func (c *crashes) add(l *[]time.Time, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*l = append(*l, at)
+}
+
+// late returns the number of sends later than learning after the last crash that is borne.
+func (c *crashes) late() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ended) < crashesBorne {
+		return 0
+	}
+	n := 0
+	for _, s := range c.sends {
+		if s.After(c.ended[crashesBorne-1].Add(learning)) {
+			n++
+		}
+	}
+	return n
+}
+
+// crashFleet is a fleet whose workers crash on one part of a prompt and come back.
+type crashFleet struct {
+	*platformFleet
+	crashes crashes
+}
+
+func (f *crashFleet) startWorkers(ctx context.Context) {
+	for i := range crashWorkers {
+		w := f.startWorker(ctx, fmt.Sprint("i-", i), "v1")
+		w.mu.Lock()
+		w.deadly = deadlyPart
+		w.received = func(prompt string) {
+			if isDeadly(prompt) {
+				f.crashes.add(&f.crashes.sends, f.timer.Now())
+			}
+		}
+		w.ended = func(w *platformWorker) {
+			f.crashes.add(&f.crashes.ended, f.timer.Now())
+			f.group.Go("return", func(context.Context) error {
+				if f.timer.Sleep(ctx, workerReturn) == nil {
+					w.restart(ctx)
+				}
+				return nil
+			})
+		}
+		w.mu.Unlock()
+	}
+}
+
+// traffic sends requests to the entry hosts in turn until ctx ends and returns how many of them were answered whole.
+type traffic struct {
+	fleet  *crashFleet
+	name   string
+	every  time.Duration
+	prompt func(n int) string
+
+	mu       sync.Mutex
+	sent     int
+	answered int
+	statuses map[int]int
+}
+
+func (r *traffic) run(ctx context.Context) error {
+	r.statuses = map[int]int{}
+	g := group.NewGroup(ctx)
+	for n := 0; ; n++ {
+		if r.fleet.timer.Sleep(ctx, r.every) != nil {
+			return g.Wait()
+		}
+		host := platformEntries[n%len(platformEntries)]
+		g.Go("request", func(ctx context.Context) error {
+			r.send(ctx, host, n)
+			return nil
+		})
+	}
+}
+
+func (r *traffic) send(ctx context.Context, host string, n int) {
+	s, err := r.fleet.open(ctx, host, streamRequest{id: fmt.Sprint(r.name, "-", n), prompt: r.prompt(n)})
+	if err != nil {
+		return
+	}
+	defer func() { _ = s.body.Close() }()
+	begun := s.status == http.StatusOK && s.read(1) == nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	r.statuses[s.status]++
+	if begun {
+		r.answered++
+	}
+}
+
+// counts returns the requests sent and answered so far.
+func (r *traffic) counts() (sent, answered int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent, r.answered
+}
+
+// TestPromptThatCrashesUpstreamsIsStopped guards against requests that share one part ending one upstream after the other.
+func TestPromptThatCrashesUpstreamsIsStopped(t *testing.T) {
+	is := is.New(t)
+	p, ctx := newPlatformFleet(t)
+	f := &crashFleet{platformFleet: p}
+	f.startWorkers(ctx)
+	f.await(ctx, "readiness", func() error { return f.ready(ctx) })
+	sound := &traffic{fleet: f, name: "sound", every: 15 * time.Millisecond, prompt: func(n int) string {
+		return fmt.Sprintf("caller:100,topic%d:50,s%d:10", n%5, n)
+	}}
+	deadly := &traffic{fleet: f, name: "deadly", every: 150 * time.Millisecond, prompt: func(n int) string {
+		if n%2 == 0 {
+			return fmt.Sprintf("caller:100,%s:%d,topic%d:50,d%d:10", deadlyPart, n, n%5, n)
+		}
+		return fmt.Sprintf("caller:100,topic%d:50,%s:7,d%d:10", n%5, deadlyPart, n)
+	}}
+	traffic, stop := context.WithCancel(ctx)
+	g := group.NewGroup(traffic)
+	g.Go("sound", sound.run)
+	g.Go("deadly", deadly.run)
+	f.await(ctx, "five crashes", func() error { return f.crashes.enough() })
+	is.NoErr(f.timer.Sleep(ctx, 2*learning))
+	s0, a0 := sound.counts()
+	f.kill(platformEntries[1])
+	is.NoErr(f.timer.Sleep(ctx, 200*time.Millisecond))
+	f.start(platformEntries[1])
+	is.NoErr(f.timer.Sleep(ctx, 6*time.Second))
+	s1, a1 := sound.counts()
+	stop()
+	_ = g.Wait()
+	t.Logf("%d crashes, %d late sends, %d of %d sound requests begun after them, statuses %v and %v",
+		len(f.crashes.ended), f.crashes.late(), a1-a0, s1-s0, sound.statuses, deadly.statuses)
+	is.True(f.crashes.late() <= maxLateSends)
+	is.True(2*(a1-a0) >= s1-s0)
+}
+
+func (c *crashes) enough() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ended) < crashesBorne {
+		return fmt.Errorf("%d crashes", len(c.ended))
+	}
+	return nil
+}
+
+// isDeadly reports whether a prompt holds the deadly part before its last one.
+func isDeadly(prompt string) bool {
+	return slices.Contains(partIDs(prompt), deadlyPart)
+}
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -33,8 +33,12 @@
 	service string
 	version string
 	address string
+	// born numbers the runs of the worker.
+	born int
 	// deadly is the part of a prompt on which the worker ends when it begins to write.
 	deadly string
+	// received, if set, is called with the prompt of each request.
+	received func(prompt string)
 	// ended is called when the worker ends by itself.
 	ended func(w *platformWorker)
 
@@ -54,7 +58,7 @@
 // startWorker starts a worker of the service lm and returns once the control host knows it.
 func (f *platformFleet) startWorker(ctx context.Context, id, version string) *platformWorker {
 	f.t.Helper()
-	w := &platformWorker{fleet: f, id: id, service: "lm", version: version}
+	w := &platformWorker{fleet: f, id: id, service: "lm", version: version, born: 1}
 	w.start(ctx)
 	f.await(ctx, "heartbeat", func() error { return w.beat(ctx, 1) })
 	return w
@@ -106,8 +110,20 @@
 }
 
 func (w *platformWorker) beat(ctx context.Context, n int) error {
+	w.mu.Lock()
+	address, born := w.address, w.born
+	w.mu.Unlock()
 	return w.fleet.post(ctx, wire.PathHeartbeat+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":%q,"slots":%d,`+
-		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":1}`, w.service, w.address, w.version, workerSlots, n))
+		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":%d}`, w.service, address, w.version, workerSlots, n, born))
+}
+
+// restart lets a worker that has crashed serve again under its name, as a new run.
+func (w *platformWorker) restart(ctx context.Context) {
+	w.mu.Lock()
+	w.born++
+	w.mu.Unlock()
+	w.start(ctx)
+	_ = w.beat(ctx, 1)
 }
 
 // crash closes all connections of the worker at once; it sends nothing more.
@@ -148,12 +164,26 @@
 	}
 }
 
+// partIDs returns the IDs of the parts of a prompt but the last.
+func partIDs(prompt string) []string {
+	var l []string
+	for e := range strings.SplitSeq(prompt, ",") {
+		id, _, _ := strings.Cut(e, ":")
+		l = append(l, id)
+	}
+	return l[:len(l)-1]
+}
+
 // run streams the events after the last one that the request names, and reports whether the connection stays open.
 func (w *platformWorker) run(ctx context.Context, c net.Conn, q *http.Request) bool {
 	p := q.Header.Get(wire.PromptPrefix)
 	w.mu.Lock()
 	w.runs = append(w.runs, workerRun{q.Header.Get(wire.AttemptID), p})
+	received, deadly := w.received, w.deadly
 	w.mu.Unlock()
+	if received != nil {
+		received(p)
+	}
 	if w.fleet.timer.Sleep(ctx, workerStep) != nil {
 		return false
 	}
@@ -162,7 +192,7 @@
 	if _, err := io.WriteString(c, h); err != nil {
 		return false
 	}
-	if w.deadly != "" && strings.Contains(p, w.deadly) {
+	if deadly != "" && slices.Contains(partIDs(p), deadly) {
 		w.crash()
 		w.ended(w)
 		return false
