Keep prompts that crash upstreams away from them

Cause: a call whose upstream is lost counted against the upstream only. No host connected the losses of several upstreams, so each retry, each new call and each host offered the same prompt to the next one. The class of fault: what ended a shared resource is handed on to its next copy, since the blame stays with the copy.

Change: quarantine weighs the parts of prompts. A call that is lost before its answer begins is evidence against its parts, an answer that has begun speaks for them. The part is checked before the call waits for a slot and before each attempt, also of retries, resumptions and batch items; a call ends after two lost upstreams. Callers get 503 at once with no time to come back; it has not run.

--- a/internal/jobs/executor/outcome_test.go
+++ b/internal/jobs/executor/outcome_test.go
@@ -21,6 +21,7 @@
 		{"rate exceeded", refusal.NewNotRun(429, "rate-exceeded", ""), entry.Outcome_YIELD},
 		{"rate owner unreachable", refusal.NewNotRun(503, "rate-owner-unreachable", ""), entry.Outcome_YIELD},
 		{"upstream unreachable", refusal.NewNotRun(503, "upstream-unreachable", ""), entry.Outcome_YIELD},
+		{"quarantined prompt", refusal.NewNotRun(503, refusal.CodeCrashingPrompt, ""), entry.Outcome_YIELD},
 		{"bad item", refusal.NewNotRun(400, "bad-item", ""), entry.Outcome_RETRY},
 		{"unknown route", refusal.NewNotRun(404, "unknown-route", ""), entry.Outcome_RETRY},
 		{"answer lost", refusal.NewMayHaveRun(502, "upstream-lost", ""), entry.Outcome_RETRY},
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -91,7 +91,7 @@
 // backOff waits after a refusal of an item that was not sent, so that it is not retried at once.
 func (r *Runner) backOff(ctx context.Context, err error) {
 	f := refusal.Of(err)
-	if f.Verdict == verdict.NotRun {
+	if f.Verdict == verdict.NotRun && f.Code != refusal.CodeCrashingPrompt {
 		_ = r.Timer.Sleep(ctx, min(max(f.RetryAfter, minBackoff), maxBackoff))
 	}
 }
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -32,6 +32,7 @@
 	"siskinrun/internal/routing/inflight"
 	"siskinrun/internal/routing/picker"
 	"siskinrun/internal/routing/planner"
+	"siskinrun/internal/routing/promptguard"
 	"siskinrun/internal/routing/rollout"
 	"siskinrun/internal/state/control"
 	"siskinrun/internal/state/diskspace"
@@ -73,6 +74,7 @@
 	directory        *directory.Directory
 	gossip           *gossip.Service
 	streams          *streamregistry.Registry
+	guard            *promptguard.Guard
 	rateLimiter      *grant.Limiter
 	rollout          *rollout.Rollout
 	planner          *planner.Planner
@@ -190,6 +192,15 @@
 		Metrics: p.childMetrics("streams"),
 	}
 	p.streams.Register()
+	p.guard = &promptguard.Guard{
+		Link:    p.link,
+		Name:    s.Name,
+		Hosts:   p.recordHostNames,
+		Timer:   s.timer,
+		Log:     s.Log,
+		Metrics: p.childMetrics("prompts"),
+	}
+	p.guard.Register()
 	p.rateLimiter = &grant.Limiter{
 		Link:          p.link,
 		Client:        leaderClient{p.client},
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -142,6 +142,15 @@
 	return entry
 }
 
+// recordHostNames returns the names of recordHosts.
+func (p *components) recordHostNames() []string {
+	var l []string
+	for _, h := range p.recordHosts() {
+		l = append(l, h.Name)
+	}
+	return l
+}
+
 // batchHost returns the host that runs the batch items of an upstream, or "" if it is not known.
 func (p *components) batchHost(name string) string {
 	a := p.assignment.Load()
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -43,6 +43,7 @@
 		Recorder:       &accounting.Recorder{Log: s.Log, Metrics: s.metrics, Sinks: []func(callrecord.Record){p.observations.add}},
 		Jobs:           p.batch,
 		Streams:        p.streams,
+		Guard:          p.guard,
 		Upstreams:      p.picker,
 		Timer:          s.timer,
 		DefaultTimeout: callTimeout,
@@ -78,6 +79,7 @@
 		Transport:     x,
 		Observer:      p.inflight,
 		Streams:       p.streams,
+		Guard:         p.guard,
 		Canceller:     &cancelclient.Client{Transport: x, Group: g, Timer: s.timer},
 		Timer:         s.timer,
 	}
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -59,6 +59,15 @@
 	t.dispatcher.Observer.First(t.upstream.Name, t.call, t.latency)
 }
 
+// begin records that the answer has begun, which speaks for the parts of its prompt.
+func (t *attempt) begin() {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	t.dispatcher.Guard.Began(t.call.Parts)
+}
+
 // end reports the outcome of the attempt once, and cancels the call at the upstream if it was given up.
 func (t *attempt) end(ctx context.Context, err error) {
 	t.once.Do(func() {
@@ -69,6 +78,7 @@
 		d.Observer.End(t.upstream.Name, t.call)
 		if o == outcome.Broken && !t.begun {
 			t.call.Record.Lost++
+			d.Guard.Lost(t.upstream, t.call.Parts, t.headers)
 		}
 		if o == outcome.Cancelled {
 			d.Canceller.Cancel(t.upstream, t.call.ID)
@@ -107,7 +117,9 @@
 // buffer reads a short body whole before it is passed on, so that the call can be retried if the body is truncated.
 func (t *attempt) buffer(ctx context.Context, a *answer.Answer) error {
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
-	t.begun = len(b) > 0
+	if len(b) > 0 || err == nil {
+		t.begin()
+	}
 	if err != nil {
 		t.end(ctx, err)
 		_ = a.Body.Close()
@@ -135,7 +147,9 @@
 // Read implements io.Reader.Read.
 func (w *attemptBody) Read(p []byte) (int, error) {
 	n, err := w.Reader.Read(p)
-	w.attempt.begun = w.attempt.begun || n > 0
+	if n > 0 {
+		w.attempt.begin()
+	}
 	if err != nil {
 		w.attempt.end(context.Background(), err)
 	}
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -23,6 +23,9 @@
 	// maxUnreachable is the number of attempts of a call after which an unreachable upstream also uses the retry
 	// budget. Earlier ones do not, since they put no load on an upstream.
 	maxUnreachable = 6
+	// maxLost is the number of attempts that one call may lose with upstreams before their answers begin, if other calls
+	// may have the same part in their prompts: it may be what ends them.
+	maxLost = 2
 )
 
 // picker picks upstreams and is told the outcome of the calls on them.
@@ -62,6 +65,13 @@
 	Record(call string, s streamstart.Start)
 }
 
+// guard keeps prompts that end upstreams away from them.
+type guard interface {
+	Blocks(parts []uint64) bool
+	Began(parts []uint64)
+	Lost(u upstream.Upstream, parts []uint64, answering bool)
+}
+
 // Dispatcher sends calls to upstreams.
 type Dispatcher struct {
 	// FailureDomain is the failure domain of this host.
@@ -78,6 +88,8 @@
 	Observer observer
 	// Streams is told what began each stream that may be resumed.
 	Streams streams
+	// Guard tells which prompts no upstream may get.
+	Guard guard
 	// PlainStreams says that the end of its body ends a stream, and that a broken stream is not resumed on its own
 	// upstream, but only on another one and only if the call may be repeated.
 	PlainStreams bool
@@ -101,6 +113,9 @@
 
 // ServeOn sends a call once, to the given upstream.
 func (d *Dispatcher) ServeOn(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
+	if d.Guard.Blocks(c.Parts) {
+		return nil, errCrashingPrompt
+	}
 	s := &delivery{dispatcher: d, call: c}
 	a, t, err := s.try(ctx, u)
 	if err != nil {
@@ -143,6 +158,9 @@
 	d := s.dispatcher
 	var last error
 	for n := 1; ; n++ {
+		if d.Guard.Blocks(s.call.Parts) {
+			return nil, nil, s.crashingPrompt()
+		}
 		u, ok := s.pick()
 		if !ok {
 			return nil, nil, s.noUpstream(last)
@@ -161,6 +179,9 @@
 		if ctx.Err() == nil && f.Code == codeUnreachable && n < maxUnreachable {
 			continue
 		}
+		if s.call.Record.Lost >= maxLost && len(s.call.Parts) > 0 {
+			return nil, nil, last
+		}
 		if ctx.Err() != nil || !d.RetryBudget.Allow(d.Timer.Now(), f.Verdict, s.call.RouteConfig, n, s.runs) {
 			return nil, nil, last
 		}
@@ -199,6 +220,17 @@
 	return f.WithRetryAfter(max(f.RetryAfter, minRetryAfter))
 }
 
+// errCrashingPrompt refuses a prompt that ends upstreams. It names no time to come back.
+var errCrashingPrompt = refusal.NewNotRun(503, refusal.CodeCrashingPrompt, "upstreams end when they begin to answer this prompt")
+
+// crashingPrompt refuses a call whose prompt was put in quarantine, with the worst verdict of its attempts.
+func (s *delivery) crashingPrompt() error {
+	if s.verdict == verdict.NotRun {
+		return errCrashingPrompt
+	}
+	return refusal.NewMayHaveRun(statusBadGateway, refusal.CodeCrashingPrompt, errCrashingPrompt.Message)
+}
+
 func (s *delivery) noUpstream(last error) error {
 	if last != nil {
 		return last
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -60,7 +60,7 @@
 	s.lastEvent = n
 	c := s.call
 	c.Record.Events++
-	s.attempt.begun = true
+	s.attempt.begin()
 	s.recordStart(n)
 	if c.Record.Events > 1 {
 		c.Record.MaxEventGap = max(c.Record.MaxEventGap, g)
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -67,6 +67,11 @@
 	Serves(d demand.Demand) bool
 }
 
+// guard tells which prompts no upstream may get.
+type guard interface {
+	Blocks(parts []uint64) bool
+}
+
 // recorder logs and counts finished calls.
 type recorder interface {
 	Record(r callrecord.Record)
@@ -96,6 +101,8 @@
 	Streams streams
 	// Upstreams tells whether any upstream can go on with a stream.
 	Upstreams upstreams
+	// Guard tells which prompts to refuse before they wait for a slot.
+	Guard guard
 	// Recorder receives the record of each finished call.
 	Recorder recorder
 	// Timer is the clock.
@@ -132,6 +139,9 @@
 	if c.RouteConfig.Jobs {
 		return p.submit(ctx, c)
 	}
+	if p.Guard.Blocks(c.Parts) {
+		return nil, refusal.NewNotRun(503, refusal.CodeCrashingPrompt, "upstreams end when they begin to answer this prompt")
+	}
 	if err := p.bindStream(ctx, c); err != nil {
 		return nil, err
 	}
