End a stream after two upstreams that were lost before its first event

Change: the limit holds for resumptions too, and a resumed attempt counts on from the ones before it.

--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -179,7 +179,7 @@
 		if ctx.Err() == nil && f.Code == codeUnreachable && n < maxUnreachable {
 			continue
 		}
-		if s.call.Record.Lost >= maxLost && len(s.call.Parts) > 0 {
+		if lostTooOften(s.call) {
 			return nil, nil, last
 		}
 		if ctx.Err() != nil || !d.RetryBudget.Allow(d.Timer.Now(), f.Verdict, s.call.RouteConfig, n, s.runs) {
@@ -188,6 +188,11 @@
 	}
 }
 
+// lostTooOften reports whether a call has lost as many upstreams as it may.
+func lostTooOften(c *call.Call) bool {
+	return c.Record.Lost >= maxLost && len(c.Parts) > 0
+}
+
 func (s *delivery) pick() (upstream.Upstream, bool) {
 	return s.dispatcher.Picker.Pick(s.dispatcher.Timer.Now(), s.demand)
 }
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -43,6 +43,7 @@
 		Context:      ctx,
 		Answer:       a,
 		EndsWithBody: d.PlainStreams,
+		Repeatable:   c.RouteConfig.Repeatable,
 		Resume:       s.resume,
 		Event:        s.event,
 		Done:         func(err error) { s.attempt.end(ctx, err) },
@@ -90,6 +91,10 @@
 	}
 	u := s.attempt.upstream
 	s.attempt.end(ctx, cause)
+	s.call.Record.Lost = s.attempt.call.Record.Lost
+	if lostTooOften(s.call) {
+		return nil, refusal.NewMayHaveRun(502, codeLost, "upstreams were lost before they began to answer: "+cause.Error())
+	}
 	c := *s.call
 	c.Offset = offset
 	a, err := s.resumeOnSame(ctx, u, &c)
