Take an empty stream without an end of its own for a lost one

Where an upstream ends before the first event of such a stream, what is left looks like a whole, empty answer: callers got it as a success, an item was completed with no text, and it was no evidence against the prompt.

Change: such a stream without any event is broken off if it may begin again elsewhere, as is the run of an item. Where it may not, it is passed on as it came. One that ends between two events is whole: nothing tells it from one.

--- a/internal/data/answer/answer.go
+++ b/internal/data/answer/answer.go
@@ -14,6 +14,8 @@
 	Upstream string
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int
+	// Unframed means that only the end of the connection ends the body.
+	Unframed bool
 	// Body returns io.EOF only after the complete body.
 	Body io.ReadCloser
 }
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -82,7 +82,11 @@
 // collectStream collects the output of an inline item, and returns the partial output if the stream is cut.
 func (r *Runner) collectStream(i item.Item, a *answer.Answer) (itemanswer.Answer, error) {
 	o := newOutput(i)
-	if err := o.readEvents(a.Body); err != nil {
+	err := o.readEvents(a.Body)
+	if err == nil && a.Unframed && o.next == 0 {
+		err = io.ErrUnexpectedEOF // an upstream that was lost before it began leaves the same
+	}
+	if err != nil {
 		return itemanswer.Answer{NextEvent: o.next, Text: o.text, Start: i.Start}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
 	}
 	return itemanswer.Answer{Status: a.Status, Body: o.text}, nil
--- a/internal/jobs/runner/version_test.go
+++ b/internal/jobs/runner/version_test.go
@@ -110,3 +110,26 @@
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(a.Body), "s/v1-1\n"))
 }
+
+// emptyPipeline answers with a stream that has no event and no end of its own.
+type emptyPipeline struct{}
+
+func (emptyPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
+	return &answer.Answer{
+		Status: 200, ContentType: eventStream, Length: -1, Unframed: true, Body: io.NopCloser(strings.NewReader("")),
+	}, nil
+}
+
+// TestEmptyUnframedStreamCompletesNoItem guards against an empty result where the upstream was lost before it began.
+func TestEmptyUnframedStreamCompletesNoItem(t *testing.T) {
+	is := is.New(t)
+	b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
+	is.NoErr(err)
+	r := &Runner{
+		Pipeline:  emptyPipeline{},
+		Timer:     timer.NewService(),
+		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "a", Service: "s", Version: "v1"}} },
+	}
+	_, err = r.Run(t.Context(), "a", item.Item{Line: b})
+	is.True(err != nil)
+}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -27,6 +27,8 @@
 	Resume func(ctx context.Context, offset int, cause error) (*answer.Answer, error)
 	// EndsWithBody says that the end of the body ends the stream, and that its first event may have any number.
 	EndsWithBody bool
+	// Repeatable says that the stream may begin again at another upstream.
+	Repeatable bool
 	// Event, if set, is called for each event that is passed on.
 	Event func(offset int)
 	// Done, if set, is called once when the stream has ended, with its error or nil.
@@ -70,7 +72,7 @@
 	}
 	e, err := sse.Read(r.in)
 	if err == io.EOF && r.EndsWithBody {
-		r.finish(nil)
+		r.end()
 		return
 	}
 	if err != nil {
@@ -101,6 +103,16 @@
 	}
 }
 
+// end ends the stream with its body, unless that has neither an event nor an end of its own: an upstream that was lost
+// before it began leaves the same.
+func (r *Reader) end() {
+	if r.Answer.Unframed && !r.started && r.Repeatable {
+		r.resume(io.ErrUnexpectedEOF)
+		return
+	}
+	r.finish(nil)
+}
+
 // drain reads the rest of the body so that the connection can be reused.
 func (r *Reader) drain() {
 	_, _ = io.CopyN(io.Discard, r.in, maxDrainBytes)
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -182,6 +182,7 @@
 		Status:      p.StatusCode(),
 		ContentType: string(p.Header.ContentType()),
 		Length:      max(p.Header.ContentLength(), -1),
+		Unframed:    p.Header.ContentLength() == lengthIdentity,
 	}
 	for n, v := range p.Header.All() {
 		if s := string(n); EndToEnd(s) && !strings.EqualFold(s, "content-type") && !e.dialect().Private(s) {
