Soak streams over versions and a crashing prompt in the platform's formats

Four processes of siskinrun with eight stand-in workers; hosts are killed and suspended, workers crash and come back under their names, some with another version; clients break streams off and take them up at other hosts twice; a prompt crashes workers all the while. A host that has just started compares the evidence of crashes every 100 ms until another host has answered.

--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -25,14 +26,18 @@
 )
 
 const (
-	// platformNetwork is the prefix of the addresses of the hosts and workers of a platformFleet.
-	platformNetwork = "127.0.15."
-	platformControl = platformNetwork + "11"
 	platformTimeout = time.Minute
 	streamPath      = "/ask/"
 	streamHost      = "desk.example"
 )
 
+// platformNetwork is the prefix of the addresses of the hosts of a platformFleet, so that several test runs may go on beside
+// each other.
+var (
+	platformNetwork = cmp.Or(os.Getenv("SISKINRUN_TEST_NETWORK"), "127.0.15.")
+	platformControl = platformNetwork + "11"
+)
+
 // platformEntries are the entry hosts of a platformFleet, each in a failure domain of its own.
 var platformEntries = []string{platformNetwork + "31", platformNetwork + "32", platformNetwork + "33"}
 
@@ -48,7 +53,7 @@
 	http      *http.Client
 }
 
-const platformSettings = `{"site": "s",
+var platformSettings = `{"site": "s",
   "fleet": {"dialect": "platform", "trusted-network": true, "seeds": ["` + platformControl + `:7440"], "forming": true,
     "ledger-groups": 1, "freshness-lease": "3500ms", "losses": 1, "finish-withdrawn": true, "drain": "500ms",
     "hosts": {"%[1]s": {"failure-domain": "%[2]s", %[3]s "peers": "%[1]s:7440", "operators": "%[1]s:7441"}}},
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -111,10 +111,10 @@
 
 func (w *platformWorker) beat(ctx context.Context, n int) error {
 	w.mu.Lock()
-	address, born := w.address, w.born
+	address, born, version := w.address, w.born, w.version
 	w.mu.Unlock()
 	return w.fleet.post(ctx, wire.PathHeartbeat+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":%q,"slots":%d,`+
-		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":%d}`, w.service, address, w.version, workerSlots, n, born))
+		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":%d}`, w.service, address, version, workerSlots, n, born))
 }
 
 // restart lets a worker that has crashed serve again under its name, as a new run.
@@ -179,7 +179,7 @@
 	p := q.Header.Get(wire.PromptPrefix)
 	w.mu.Lock()
 	w.runs = append(w.runs, workerRun{q.Header.Get(wire.AttemptID), p})
-	received, deadly := w.received, w.deadly
+	received, deadly, version := w.received, w.deadly, w.version
 	w.mu.Unlock()
 	if received != nil {
 		received(p)
@@ -199,7 +199,7 @@
 	}
 	after, _ := strconv.Atoi(q.Header.Get(wire.LastEventID))
 	for n := after + 1; n <= workerEvents; n++ {
-		e := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, w.version, n)
+		e := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, version, n)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
 			return false
 		}
--- a/internal/routing/promptguard/guard.go
+++ b/internal/routing/promptguard/guard.go
@@ -27,6 +27,8 @@
 const (
 	// compareInterval is the time between two comparisons with random hosts, which reach a host that missed the news.
 	compareInterval = time.Second
+	// firstCompareInterval is the same time on a host that has just started and knows nothing.
+	firstCompareInterval = 100 * time.Millisecond
 	// comparedHosts is the number of hosts of one comparison.
 	comparedHosts = 2
 	// callTimeout bounds a message to another host.
@@ -66,7 +68,9 @@
 	logged     int
 	// active says that any part is quarantined, for readers without the lock.
 	active atomic.Bool
-	group  *group.Group
+	// compared says that another host has answered a comparison.
+	compared atomic.Bool
+	group    *group.Group
 }
 
 // Register registers the handlers of peers' messages and must be called before the link runs.
@@ -85,7 +89,7 @@
 	w.Go("compare-crashes", func(ctx context.Context) error {
 		for {
 			g.compareAll(ctx)
-			if err := g.Timer.Sleep(ctx, compareInterval); err != nil {
+			if err := g.Timer.Sleep(ctx, g.pause()); err != nil {
 				return err
 			}
 		}
@@ -93,6 +97,14 @@
 	return w.Wait()
 }
 
+// pause returns the time until the next comparison, which is short until another host has answered one.
+func (g *Guard) pause() time.Duration {
+	if !g.compared.Load() {
+		return firstCompareInterval
+	}
+	return compareInterval
+}
+
 // Blocks reports whether a prompt with these parts must not reach an upstream.
 func (g *Guard) Blocks(parts []uint64) bool {
 	if len(parts) == 0 || !g.active.Load() {
@@ -200,6 +212,7 @@
 	if err != nil {
 		return nil
 	}
+	g.compared.Store(g.compared.Load() || method == methodCompare)
 	e, err := decode(b)
 	if err != nil || len(e.Losses)+len(e.Good) == 0 {
 		return nil
