Pass on no event again that a caller has when it takes a stream up

Inside one answer events were checked already.

Change: the first event is the one after the caller's last; earlier ones are dropped. A stream of which nothing is left may end without an event.

Measured: TestStreamTakenUpGoesOnAfterTheLastEvent; the case of an upstream that begins anew failed before.

--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -44,6 +44,7 @@
 		Answer:       a,
 		EndsWithBody: d.PlainStreams,
 		Repeatable:   c.RouteConfig.Repeatable,
+		First:        c.Offset,
 		Resume:       s.resume,
 		Event:        s.event,
 		Done:         func(err error) { s.attempt.end(ctx, err) },
--- a/internal/wire/dispatch/unframed_test.go
+++ b/internal/wire/dispatch/unframed_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
 )
@@ -122,3 +123,29 @@
 	is.True(refusal.Of(err) != nil)
 	is.Equal(b.guard.lost, []bool{true, true})
 }
+
+// TestStreamTakenUpGoesOnAfterTheLastEvent says what callers get that name the last event they have.
+func TestStreamTakenUpGoesOnAfterTheLastEvent(t *testing.T) {
+	for _, c := range []struct {
+		name, text, want string
+	}{
+		{"the rest", events(4, 5), events(4, 5)},
+		{"an upstream that begins anew", events(1, 5), events(4, 5)},
+		{"nothing is left", "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newFixture(t)
+			b.dispatcher.PlainStreams = true
+			b.picker.upstreams = []upstream.Upstream{startScripted(t, "x", script{text: unframedHeaders + c.text})}
+			q := b.streamed(true)
+			q.Offset, q.Resumes = 4, "c0"
+			q.Start = streamstart.Start{Service: "desk", Version: "v1"}
+			a, err := b.dispatcher.Serve(context.Background(), q)
+			is.NoErr(err)
+			got, err := io.ReadAll(a.Body)
+			is.NoErr(err)
+			is.Equal(string(got), c.want)
+		})
+	}
+}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -27,6 +27,8 @@
 	Resume func(ctx context.Context, offset int, cause error) (*answer.Answer, error)
 	// EndsWithBody says that the end of the body ends the stream, and that its first event may have any number.
 	EndsWithBody bool
+	// First is the number of the first event that the caller asked for, zero for a stream from its start.
+	First int
 	// Repeatable says that the stream may begin again at another upstream.
 	Repeatable bool
 	// Event, if set, is called for each event that is passed on.
@@ -68,6 +70,7 @@
 // fetch reads the next event, and resumes the stream if it is broken.
 func (r *Reader) fetch() {
 	if r.in == nil {
+		r.next, r.numbered = r.First, r.First > 0
 		r.in = bufio.NewReader(r.Answer.Body)
 	}
 	e, err := sse.Read(r.in)
@@ -106,7 +109,7 @@
 // end ends the stream with its body, unless that has neither an event nor an end of its own: an upstream that was lost
 // before it began leaves the same.
 func (r *Reader) end() {
-	if r.Answer.Unframed && !r.started && r.Repeatable {
+	if r.Answer.Unframed && !r.started && r.First == 0 && r.Repeatable {
 		r.resume(io.ErrUnexpectedEOF)
 		return
 	}
