Keep records of streams and news of crashes off most sessions of a large fleet

Change: of each failure domain eight hosts, by their own hashes, keep records; a host tells one of its own domain and one of the next, in fleets of up to 24 hosts one more, and a host at which a stream is taken up asks 16 over all domains at once. News of crashes goes to the relay host of the domain, to its hosts and to the other relay hosts; hosts compare with their relay host, relay hosts with each other. Up to 24 hosts all talk to all, as before.

The test of records now bounds the busiest host and the sessions, not only the mean sent.

--- a/internal/fleet/rendezvous/ranking_test.go
+++ b/internal/fleet/rendezvous/ranking_test.go
@@ -65,6 +65,29 @@
 	is.Equal(moved, 0)
 }
 
+// TestFewHostsAreRanked guards against a host that talks to every other one of a large fleet in time.
+func TestFewHostsAreRanked(t *testing.T) {
+	is := is.New(t)
+	r := rendezvous.Ranking{Hosts: hosts(320, 15), Domain: "d3"}
+	seen := map[string]bool{}
+	for i := range 2000 {
+		for _, n := range r.First(fmt.Sprint("k", i), 2) {
+			seen[n] = true
+		}
+	}
+	is.Equal(len(seen), 16)
+}
+
+func TestOwnFailureDomainComesFirst(t *testing.T) {
+	is := is.New(t)
+	l := hosts(9, 3)
+	for _, c := range []struct{ domain, first string }{{"d0", "d0"}, {"d2", "d2"}, {"none", "d0"}, {"d1x", "d2"}} {
+		n := rendezvous.Ranking{Hosts: l, Domain: c.domain}.First("k", 1)[0]
+		i := slices.IndexFunc(l, func(h host.Host) bool { return h.Name == n })
+		is.Equal(l[i].FailureDomain, c.first)
+	}
+}
+
 func BenchmarkFirst(b *testing.B) {
 	r := rendezvous.Ranking{Hosts: hosts(320, 15)}
 	for b.Loop() {
--- a/internal/fleet/streamregistry/registry.go
+++ b/internal/fleet/streamregistry/registry.go
@@ -20,10 +20,13 @@
 )
 
 const (
-	// copies is the number of hosts, in different failure domains if possible, that keep each record.
-	copies = 3
-	// askedHosts is the number of hosts that are asked for a record; more than copies, since hosts come and go.
-	askedHosts = 2 * copies
+	// copies is the number of hosts that keep each record: one of the own failure domain and one of the next.
+	copies = 2
+	// smallFleet is the number of hosts up to which one host more keeps it.
+	smallFleet = 24
+	// askedHosts is the number of hosts that are asked for a record, since nobody knows the failure domain that began a
+	// stream, and hosts come and go.
+	askedHosts = 16
 	// findTimeout bounds a search, which a caller waits for.
 	findTimeout = 250 * time.Millisecond
 
@@ -44,6 +47,8 @@
 	Link transport
 	// Name is the name of this host.
 	Name string
+	// FailureDomain is the failure domain of this host.
+	FailureDomain string
 	// Hosts returns the live hosts that keep records.
 	Hosts func() []host.Host
 	// Group runs the messages.
@@ -75,7 +80,7 @@
 		return // cannot happen: the strings come from valid announcements and headers
 	}
 	r.count("recorded")
-	for _, h := range r.ranking().First(call, copies) {
+	for _, h := range r.keepers(call) {
 		if h == r.Name {
 			continue
 		}
@@ -161,7 +166,16 @@
 }
 
 func (r *Registry) ranking() rendezvous.Ranking {
-	return rendezvous.Ranking{Hosts: r.Hosts()}
+	return rendezvous.Ranking{Hosts: r.Hosts(), Domain: r.FailureDomain}
+}
+
+// keepers returns the hosts that keep the record of a call.
+func (r *Registry) keepers(call string) []string {
+	k := r.ranking()
+	if len(k.Hosts) <= smallFleet {
+		return k.First(call, copies+1)
+	}
+	return k.First(call, copies)
 }
 
 func (r *Registry) add(call string, s streamstart.Start) {
--- a/internal/fleet/streamregistry/registry_test.go
+++ b/internal/fleet/streamregistry/registry_test.go
@@ -40,6 +40,10 @@
 	silent   bool
 	received int
 	sent     int
+	// peers are the hosts to which this one sent.
+	peers map[string]bool
+	// callers are the hosts that sent to this one.
+	callers map[string]bool
 }
 
 func newNetwork(t testing.TB, n, domains int) *network {
@@ -56,11 +60,13 @@
 	for i := range n {
 		h := host.Host{Name: fmt.Sprint("h", i), FailureDomain: fmt.Sprint("d", i%domains)}
 		l = append(l, h)
-		w.hosts[h.Name] = &node{network: w, name: h.Name, domain: h.FailureDomain}
+		w.hosts[h.Name] = &node{
+			network: w, name: h.Name, domain: h.FailureDomain, peers: map[string]bool{}, callers: map[string]bool{},
+		}
 	}
 	for _, x := range w.hosts {
 		x.registry = &streamregistry.Registry{
-			Link: x, Name: x.name, Group: w.group, Timer: c, Metrics: metrics.NewRegistry(),
+			Link: x, Name: x.name, FailureDomain: x.domain, Group: w.group, Timer: c, Metrics: metrics.NewRegistry(),
 			Hosts: func() []host.Host { return l },
 		}
 		x.start()
@@ -83,6 +89,7 @@
 	w.mu.Lock()
 	y := w.hosts[to]
 	h, silent := y.handlers[method], y.silent
+	x.peers[to], y.callers[x.name] = true, true
 	x.sent += len(body) + messageOverheadBytes
 	y.received += len(body) + messageOverheadBytes
 	w.mu.Unlock()
@@ -141,7 +148,7 @@
 				w.hosts[n].start()
 			}
 		}, 1},
-		{"two of three hosts are killed", func(w *network) {
+		{"two of three failure domains are killed", func(w *network) {
 			for _, n := range []string{"h0", "h1", "h3", "h4", "h6", "h7"} {
 				w.hosts[n].start()
 			}
@@ -194,7 +201,8 @@
 func TestRecordsStayWithinTheBudgetOfAHost(t *testing.T) {
 	const (
 		streamsPerHost  = 21
-		maxBytesPerHost = 19_000 / 3
+		maxBytesPerHost = 19_000
+		maxSessions     = 64
 	)
 	for _, n := range []int{9, 80, 320} {
 		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
@@ -208,13 +216,15 @@
 			is.NoErr(w.hosts["h0"].registry.Timer.Sleep(t.Context(), 300*time.Millisecond))
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			total, most := 0, 0
+			total, most, sessions := 0, 0, 0
 			for _, h := range w.hosts {
 				total += h.sent
-				most = max(most, h.sent)
+				most = max(most, h.sent+h.received)
+				sessions = max(sessions, len(h.peers)+len(h.callers))
 			}
-			t.Logf("%d hosts: %d bytes sent a second and host, %d at most", n, total/n, most)
-			is.True(total/n <= maxBytesPerHost)
+			t.Logf("%d hosts: %d bytes sent a second and host, %d sent and received by the busiest, %d sessions at most", n, total/n, most, sessions)
+			is.True(most <= maxBytesPerHost)
+			is.True(sessions <= maxSessions)
 		})
 	}
 }
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -185,20 +185,21 @@
 	}
 	p.gossip.Register()
 	p.streams = &streamregistry.Registry{
-		Link:    p.link,
-		Name:    s.Name,
+		Link:          p.link,
+		Name:          s.Name,
+		FailureDomain: p.host.FailureDomain,
+
 		Hosts:   p.recordHosts,
 		Timer:   s.timer,
 		Metrics: p.childMetrics("streams"),
 	}
 	p.streams.Register()
 	p.guard = &promptguard.Guard{
-		Link:    p.link,
-		Name:    s.Name,
-		Hosts:   p.recordHostNames,
-		Timer:   s.timer,
-		Log:     s.Log,
-		Metrics: p.childMetrics("prompts"),
+		Link:     p.link,
+		Topology: p.topology,
+		Timer:    s.timer,
+		Log:      s.Log,
+		Metrics:  p.childMetrics("prompts"),
 	}
 	p.guard.Register()
 	p.rateLimiter = &grant.Limiter{
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -10,6 +10,7 @@
 	"siskinrun/internal/base/host"
 	"siskinrun/internal/base/rpc"
 	"siskinrun/internal/data/gossipmessage"
+	"siskinrun/internal/fleet/fanout"
 )
 
 // hostsInterval is how often a host that joined through seeds reads the list of hosts from the gossip.
@@ -142,13 +143,15 @@
 	return entry
 }
 
-// recordHostNames returns the names of recordHosts.
-func (p *components) recordHostNames() []string {
-	var l []string
-	for _, h := range p.recordHosts() {
-		l = append(l, h.Name)
+// topology returns to which hosts rare news goes.
+func (p *components) topology() fanout.Topology {
+	return fanout.Topology{
+		Name:             p.server.Name,
+		FailureDomain:    p.host.FailureDomain,
+		Hosts:            p.recordHosts(),
+		RelayHost:        p.relayHost(),
+		RemoteRelayHosts: p.remoteRelayHosts(),
 	}
-	return l
 }
 
 // batchHost returns the host that runs the batch items of an upstream, or "" if it is not known.
--- a/internal/routing/promptguard/guard.go
+++ b/internal/routing/promptguard/guard.go
@@ -1,9 +1,9 @@
 package promptguard
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -19,13 +19,14 @@
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/crashevidence"
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/fleet/fanout"
 	"siskinrun/internal/routing/crashmessage"
 	"siskinrun/internal/routing/quarantine"
 	"siskinrun/pkg/refusal"
 )
 
 const (
-	// compareInterval is the time between two comparisons with random hosts, which reach a host that missed the news.
+	// compareInterval is the time between two comparisons with other hosts, which reach a host that missed the news.
 	compareInterval = time.Second
 	// firstCompareInterval is the same time on a host that has just started and knows nothing.
 	firstCompareInterval = 100 * time.Millisecond
@@ -33,8 +34,8 @@
 	comparedHosts = 2
 	// callTimeout bounds a message to another host.
 	callTimeout = 500 * time.Millisecond
-	// maxBroadcasts is the number of messages to all hosts that a host may send in one compareInterval; comparisons carry
-	// the rest.
+	// maxBroadcasts is the number of losses and cleared parts that a host may tell in one compareInterval; comparisons
+	// carry the rest.
 	maxBroadcasts = 8
 
 	methodTell    = "crashes/tell"
@@ -51,10 +52,8 @@
 type Guard struct {
 	// Link carries the messages between hosts.
 	Link transport
-	// Name is the name of this host.
-	Name string
-	// Hosts returns the names of the live hosts that send calls to upstreams.
-	Hosts func() []string
+	// Topology returns to which hosts news goes.
+	Topology func() fanout.Topology
 	// Timer is the clock.
 	Timer *timer.Service
 	// Log receives a line for each change of the quarantine.
@@ -154,23 +153,29 @@
 	return xxhash.Sum64String(u.Name + "\x00" + strconv.FormatUint(u.Incarnation, 10))
 }
 
-// broadcast tells all hosts, unless this host has told too much of late, and learns what they know better.
+// broadcast tells other hosts, unless this host has told too much of late.
 func (g *Guard) broadcast(e crashevidence.Evidence) {
 	b, err := encode(e)
 	g.mu.Lock()
-	w := g.group
 	g.broadcasts++
 	late := g.broadcasts > maxBroadcasts
 	g.mu.Unlock()
-	if err != nil || late || w == nil {
-		return
+	if err == nil && !late {
+		g.tell(b, g.Topology().Tell())
 	}
-	for _, h := range g.Hosts() {
-		if h == g.Name {
-			continue
-		}
+}
+
+// tell sends evidence to hosts and learns what they know better.
+func (g *Guard) tell(evidence []byte, hosts []string) {
+	g.mu.Lock()
+	w := g.group
+	g.mu.Unlock()
+	if w == nil {
+		return // this host has not started
+	}
+	for _, h := range hosts {
 		w.Go("tell-crash", func(ctx context.Context) error {
-			g.passOn(g.ask(ctx, h, methodTell, b))
+			g.correct(g.ask(ctx, h, methodTell, evidence))
 			return nil
 		})
 	}
@@ -186,17 +191,13 @@
 	if err != nil {
 		return
 	}
-	l := g.Hosts()
-	if !slices.Contains(l, g.Name) {
-		return // this host sends no calls
+	t := g.Topology()
+	if !t.TakesPart() {
+		return
 	}
+	l := t.Compare()
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	n := 0
-	for _, h := range l {
-		if h == g.Name || n == comparedHosts {
-			continue
-		}
-		n++
+	for _, h := range l[:min(len(l), comparedHosts)] {
 		g.group.Go("compare", func(ctx context.Context) error {
 			g.ask(ctx, h, methodCompare, b)
 			return nil
@@ -224,8 +225,8 @@
 	return cleared
 }
 
-// passOn tells all hosts of parts that this host had blamed and that another one knows to be good.
-func (g *Guard) passOn(cleared []crashevidence.Good) {
+// correct tells other hosts of parts that this host had blamed and that another one knows to be good.
+func (g *Guard) correct(cleared []crashevidence.Good) {
 	if len(cleared) > 0 {
 		g.broadcast(crashevidence.Evidence{Good: cleared})
 	}
@@ -240,11 +241,12 @@
 	return l
 }
 
-func (g *Guard) handleTell(_ context.Context, _ string, body []byte) ([]byte, error) {
+func (g *Guard) handleTell(_ context.Context, from string, body []byte) ([]byte, error) {
 	e, err := decode(body)
 	if err != nil {
 		return nil, refusal.NewNotRun(400, "malformed-evidence", err.Error())
 	}
+	g.tell(bytes.Clone(body), g.Topology().PassOn(from))
 	return encode(crashevidence.Evidence{Good: g.merge(e)})
 }
 
--- a/internal/routing/promptguard/guard_test.go
+++ b/internal/routing/promptguard/guard_test.go
@@ -13,9 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/host"
 	"siskinrun/internal/base/rpc"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/fleet/fanout"
 	"siskinrun/internal/routing/promptguard"
 )
 
@@ -34,6 +36,7 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	names []string
+	hosts []host.Host
 	group *group.Group
 	timer *timer.Service
 	bytes int
@@ -60,6 +63,7 @@
 	})
 	for i := range n {
 		h := fmt.Sprint("h", i)
+		w.hosts = append(w.hosts, host.Host{Name: h, FailureDomain: domain(i, n)})
 		w.names = append(w.names, h)
 		w.nodes[h] = &node{network: w, name: h}
 	}
@@ -69,6 +73,33 @@
 	return w
 }
 
+// domain returns the failure domain of the host with a number in a fleet.
+func domain(i, hosts int) string {
+	return fmt.Sprint("d", i%min(hosts/3, 15))
+}
+
+// topology returns what a host knows of the others; the first host of each failure domain is its relay host.
+func (w *network) topology(name string) fanout.Topology {
+	t := fanout.Topology{Name: name, Hosts: w.hosts}
+	seen := map[string]bool{}
+	for _, h := range w.hosts {
+		if h.Name == name {
+			t.FailureDomain = h.FailureDomain
+		}
+	}
+	for _, h := range w.hosts {
+		switch {
+		case seen[h.FailureDomain]:
+		case h.FailureDomain == t.FailureDomain:
+			t.RelayHost = h.Name
+		default:
+			t.RemoteRelayHosts = append(t.RemoteRelayHosts, h.Name)
+		}
+		seen[h.FailureDomain] = true
+	}
+	return t
+}
+
 // start gives a host a new run that knows nothing.
 func (x *node) start() {
 	w := x.network
@@ -79,8 +110,8 @@
 	}
 	x.handlers = map[string]rpc.Handler{}
 	g := &promptguard.Guard{
-		Link: x, Name: x.name, Timer: w.timer, Log: zerolog.Nop(), Metrics: metrics.NewRegistry(),
-		Hosts: func() []string { return append([]string(nil), w.names...) },
+		Link: x, Timer: w.timer, Log: zerolog.Nop(), Metrics: metrics.NewRegistry(),
+		Topology: func() fanout.Topology { return w.topology(x.name) },
 	}
 	g.Register()
 	x.guard = g
