--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -114,7 +114,7 @@
 // ServeOn sends a call once, to the given upstream.
 func (d *Dispatcher) ServeOn(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	if d.Guard.Blocks(c.Parts) {
-		return nil, errCrashingPrompt
+		return nil, refusal.CrashingPrompt
 	}
 	s := &delivery{dispatcher: d, call: c}
 	a, t, err := s.try(ctx, u)
@@ -225,15 +225,12 @@
 	return f.WithRetryAfter(max(f.RetryAfter, minRetryAfter))
 }
 
-// errCrashingPrompt refuses a prompt that ends upstreams. It names no time to come back.
-var errCrashingPrompt = refusal.NewNotRun(503, refusal.CodeCrashingPrompt, "upstreams end when they begin to answer this prompt")
-
 // crashingPrompt refuses a call whose prompt was put in quarantine, with the worst verdict of its attempts.
 func (s *delivery) crashingPrompt() error {
 	if s.verdict == verdict.NotRun {
-		return errCrashingPrompt
+		return refusal.CrashingPrompt
 	}
-	return refusal.NewMayHaveRun(statusBadGateway, refusal.CodeCrashingPrompt, errCrashingPrompt.Message)
+	return refusal.NewMayHaveRun(statusBadGateway, refusal.CodeCrashingPrompt, refusal.CrashingPrompt.Message)
 }
 
 func (s *delivery) noUpstream(last error) error {
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -140,7 +140,7 @@
 		return p.submit(ctx, c)
 	}
 	if p.Guard.Blocks(c.Parts) {
-		return nil, refusal.NewNotRun(503, refusal.CodeCrashingPrompt, "upstreams end when they begin to answer this prompt")
+		return nil, refusal.CrashingPrompt
 	}
 	if err := p.bindStream(ctx, c); err != nil {
 		return nil, err
