Test that what was acknowledged outlives a lost disk and the end of all hosts

The test kills all hosts at once and empties a disk of the configuration and one of the ledgers; the key, the route and the results of before must be there again.

--- a/cmd/siskinrun/joining_test.go
+++ b/cmd/siskinrun/joining_test.go
@@ -160,3 +160,41 @@
 	f.start(late)
 	f.waitUntil(ctx, "answer of the late host", func() error { return f.checkCompletion(ctx, late) })
 }
+
+// TestAcknowledgedStateSurvivesALostDiskAndTheKillOfAllHosts empties one disk of each kind while all hosts are down, after
+// they have acknowledged a configuration, a key and a batch job.
+func TestAcknowledgedStateSurvivesALostDiskAndTheKillOfAllHosts(t *testing.T) {
+	is := is.New(t)
+	f := newJoiningFleet(t)
+	t.Cleanup(func() {
+		for n, l := range f.logs {
+			if t.Failed() {
+				t.Logf("%s:\n%s", n, l)
+			}
+		}
+	})
+	ctx := f.run()
+	entry := joiningNetwork + "31"
+	f.waitUntil(ctx, "first answer", func() error { return f.checkCompletion(ctx, entry) })
+	l := f.generator()
+	l.Hosts = []string{f.hosts[entry].Callers}
+	l.Rate = 5
+	l.BatchItems = 100
+	s, err := l.Run(ctx)
+	is.NoErr(err)
+	is.Equal(s.FaultCount, 0)
+	for n := range f.hosts {
+		is.NoErr(f.processes[n].Process.Kill())
+	}
+	for n := range f.hosts {
+		_ = f.processes[n].Wait()
+	}
+	for _, n := range []string{joiningNetwork + "12", joiningNetwork + "22"} {
+		is.NoErr(os.RemoveAll(f.hosts[n].DataFolder))
+	}
+	for _, n := range f.names() {
+		f.start(n)
+	}
+	f.waitUntil(ctx, "answer with the key of before", func() error { return f.checkCompletion(ctx, entry) })
+	f.waitUntil(ctx, "results of before", func() error { return l.CheckSameResults(ctx) })
+}
