Give each run of a stand-in worker one version

Traced with the worker and its run in each event, over 20 runs: every mixed stream had events of a worker that the soak had let start twice at once, by the return of a crashed worker and by a fault beside it, and the version of the run that went on changed with the other start. No process does that.

Change: a worker has one run at a time, and a run keeps the version that it started with.

--- a/cmd/siskinrun/crashing_prompt_test.go
+++ b/cmd/siskinrun/crashing_prompt_test.go
@@ -77,7 +77,7 @@
 			f.crashes.add(&f.crashes.ended, f.timer.Now())
 			f.group.Go("return", func(context.Context) error {
 				if f.timer.Sleep(ctx, workerReturn) == nil {
-					w.restart(ctx)
+					w.restart(ctx, w.currentVersion())
 				}
 				return nil
 			})
--- a/cmd/siskinrun/platform_soak_test.go
+++ b/cmd/siskinrun/platform_soak_test.go
@@ -114,7 +114,7 @@
 		s.crashes.add(&s.crashes.ended, s.timer.Now())
 		s.group.Go("return", func(context.Context) error {
 			if s.timer.Sleep(ctx, workerReturn) == nil {
-				w.restart(ctx)
+				w.restart(ctx, w.currentVersion())
 			}
 			return nil
 		})
@@ -182,12 +182,10 @@
 	default:
 		w.crash()
 		_ = s.timer.Sleep(ctx, d)
-		if kind == 3 {
-			w.mu.Lock()
-			w.version = version
-			w.mu.Unlock()
+		if kind != 3 {
+			version = w.currentVersion()
 		}
-		w.restart(ctx)
+		w.restart(ctx, version)
 	}
 }
 
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -35,6 +35,8 @@
 	address string
 	// born numbers the runs of the worker.
 	born int
+	// alive says that a run of the worker serves, or is about to.
+	alive bool
 	// deadly is the part of a prompt on which the worker ends when it begins to write.
 	deadly string
 	// received, if set, is called with the prompt of each request.
@@ -58,7 +60,7 @@
 // startWorker starts a worker of the service lm and returns once the control host knows it.
 func (f *platformFleet) startWorker(ctx context.Context, id, version string) *platformWorker {
 	f.t.Helper()
-	w := &platformWorker{fleet: f, id: id, service: "lm", version: version, born: 1}
+	w := &platformWorker{fleet: f, id: id, service: "lm", version: version, born: 1, alive: true}
 	w.start(ctx)
 	f.await(ctx, "heartbeat", func() error { return w.beat(ctx, 1) })
 	return w
@@ -70,8 +72,15 @@
 	is.New(w.fleet.t).NoErr(err)
 	ctx, stop := context.WithCancel(ctx)
 	w.mu.Lock()
+	if !w.alive {
+		w.mu.Unlock()
+		stop()
+		_ = l.Close()
+		return // it crashed before it served
+	}
 	w.listener, w.conns, w.stop = l, map[net.Conn]bool{}, stop
 	w.address = l.Addr().String()
+	version := w.version
 	w.mu.Unlock()
 	w.fleet.group.Go("worker", func(context.Context) error {
 		for {
@@ -82,7 +91,7 @@
 			w.track(c, true)
 			w.fleet.group.Go("worker-connection", func(context.Context) error {
 				defer w.track(c, false)
-				w.serve(ctx, c)
+				w.serve(ctx, c, version)
 				return nil
 			})
 		}
@@ -117,10 +126,17 @@
 		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":%d}`, w.service, address, version, workerSlots, n, born))
 }
 
-// restart lets a worker that has crashed serve again under its name, as a new run.
-func (w *platformWorker) restart(ctx context.Context) {
+// restart lets a worker that has crashed serve again under its name, as a new run of a version. A worker that runs already
+// goes on as it is: no process changes its version.
+func (w *platformWorker) restart(ctx context.Context, version string) {
 	w.mu.Lock()
+	if w.alive {
+		w.mu.Unlock()
+		return
+	}
+	w.alive = true
 	w.born++
+	w.version = version
 	w.mu.Unlock()
 	w.start(ctx)
 	_ = w.beat(ctx, 1)
@@ -130,6 +146,7 @@
 func (w *platformWorker) crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.alive = false
 	w.stop()
 	_ = w.listener.Close()
 	for c := range w.conns {
@@ -138,6 +155,12 @@
 	}
 }
 
+func (w *platformWorker) currentVersion() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
 // ran returns the requests that the worker began to run.
 func (w *platformWorker) ran() []workerRun {
 	w.mu.Lock()
@@ -146,7 +169,7 @@
 }
 
 // serve answers the requests of one connection.
-func (w *platformWorker) serve(ctx context.Context, c net.Conn) {
+func (w *platformWorker) serve(ctx context.Context, c net.Conn, version string) {
 	in := bufio.NewReader(c)
 	for {
 		q, err := http.ReadRequest(in)
@@ -158,7 +181,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		if !w.run(ctx, c, q) {
+		if !w.run(ctx, c, q, version) {
 			return
 		}
 	}
@@ -175,11 +198,11 @@
 }
 
 // run streams the events after the last one that the request names, and reports whether the connection stays open.
-func (w *platformWorker) run(ctx context.Context, c net.Conn, q *http.Request) bool {
+func (w *platformWorker) run(ctx context.Context, c net.Conn, q *http.Request, version string) bool {
 	p := q.Header.Get(wire.PromptPrefix)
 	w.mu.Lock()
 	w.runs = append(w.runs, workerRun{q.Header.Get(wire.AttemptID), p})
-	received, deadly, version := w.received, w.deadly, w.version
+	received, deadly := w.received, w.deadly
 	w.mu.Unlock()
 	if received != nil {
 		received(p)
