--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -120,18 +120,6 @@
 	return m.upstream, true
 }
 
-// Serves reports whether any upstream that takes new work meets a demand, however busy it is.
-func (c *Picker) Serves(d demand.Demand) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ok := c.pools[poolOf(&d)]
-	return ok
-}
-
-func poolOf(d *demand.Demand) poolKey {
-	return poolKey{service: d.Service, model: d.Model, version: d.Version}
-}
-
 // Started counts a request that was sent to an upstream.
 func (c *Picker) Started(name string) {
 	c.mu.Lock()
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/upstream"
 )
 
@@ -102,6 +103,18 @@
 	delete(c.members, name)
 }
 
+// Serves reports whether any upstream that takes new work meets a demand, however busy it is.
+func (c *Picker) Serves(d demand.Demand) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.pools[poolOf(&d)]
+	return ok
+}
+
+func poolOf(d *demand.Demand) poolKey {
+	return poolKey{service: d.Service, model: d.Model, version: d.Version}
+}
+
 // rebuildPools rebuilds all pools; its cost grows with the upstreams and their models.
 func (c *Picker) rebuildPools() {
 	old := c.pools
