Tell in the line of a call which limit its upstream named

A host that ignores the header and one that keeps to it by itself leave the same lines.

Change: the dialects read the limit that an answer names; the line call has it as upstream-limit, and counters count such answers. The limit of a misdirected answer is another upstream's and is not read. The header is no longer passed on to callers. Nothing acts on it yet.

--- a/internal/data/answerheaders/headers.go
+++ b/internal/data/answerheaders/headers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"siskinrun/internal/data/loadreport"
+	"siskinrun/internal/data/ratelimit"
 )
 
 // Headers is the control information in the headers of an answer, apart from the answer itself.
@@ -18,6 +19,8 @@
 	Leaving bool
 	// IdleTimeout is how long the upstream keeps an idle connection, zero if not given.
 	IdleTimeout time.Duration
+	// RateLimit is the rate limit of the upstream, if the answer names one.
+	RateLimit ratelimit.Value
 	// HasLoad means that Load is set.
 	HasLoad bool
 	// Load is the upstream's load at the time of the answer. The receiver sets its Upstream and Incarnation.
--- a/internal/data/callrecord/record.go
+++ b/internal/data/callrecord/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"siskinrun/internal/data/ratelimit"
 	"siskinrun/pkg/verdict"
 )
 
@@ -26,6 +27,8 @@
 	Parts []uint64
 	// Lost is the number of attempts whose upstream was lost before it began its answer.
 	Lost int
+	// RateLimit is the rate limit that the upstream named with its answer.
+	RateLimit ratelimit.Value
 	// Batch marks a call of a batch item.
 	Batch bool
 	// Status is the HTTP status of the answer or refusal.
--- a/internal/wire/accounting/recorder.go
+++ b/internal/wire/accounting/recorder.go
@@ -33,6 +33,9 @@
 	if r.Lost > 0 {
 		e = e.Int("lost-unanswered", r.Lost).Strs("prompt-parts", hexadecimal(r.Parts))
 	}
+	if r.RateLimit.Named {
+		e = e.Float64("upstream-limit", r.RateLimit.PerSecond)
+	}
 	e.Str("request-id", r.ID).
 		Str("team", r.Team).
 		Str("route", r.Route).
@@ -76,6 +79,9 @@
 		p = "batch."
 	}
 	metrics.GetOrRegisterCounter(p+"calls."+r.Verdict.String(), a.Metrics).Inc(1)
+	if r.RateLimit.Named {
+		metrics.GetOrRegisterCounter(p+"answers-with-limit", a.Metrics).Inc(1)
+	}
 	if r.Status >= minErrorStatus && r.Code != "" {
 		metrics.GetOrRegisterCounter(p+"refusals."+r.Code, a.Metrics).Inc(1)
 	}
--- a/internal/wire/transport/dialect.go
+++ b/internal/wire/transport/dialect.go
@@ -9,6 +9,7 @@
 
 	"siskinrun/internal/data/answerheaders"
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/ratelimit"
 )
 
 const (
@@ -16,6 +17,8 @@
 	RequestID = "Siskin-Request-Id"
 	// LastEventID is the header with the ID of the last event received of a stream.
 	LastEventID = "Last-Event-Id"
+	// RateLimit is the header with the number of requests a second that an upstream takes from all hosts together.
+	RateLimit = "Siskin-Rate-Limit"
 )
 
 // dialect sets the headers of requests to upstreams and parses those of their responses.
@@ -44,10 +47,14 @@
 
 // ParseHeaders implements dialect.ParseHeaders.
 func (defaultDialect) ParseHeaders(h *fasthttp.ResponseHeader) answerheaders.Headers {
-	return answerheaders.Headers{CallID: string(h.Peek(RequestID))}
+	var l []string
+	for _, v := range h.PeekAll(RateLimit) {
+		l = append(l, string(v))
+	}
+	return answerheaders.Headers{CallID: string(h.Peek(RequestID)), RateLimit: ratelimit.Parse(l...)}
 }
 
 // Private implements dialect.Private.
 func (defaultDialect) Private(name string) bool {
-	return strings.EqualFold(name, RequestID)
+	return strings.EqualFold(name, RequestID) || strings.EqualFold(name, RateLimit)
 }
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -120,6 +120,7 @@
 		return nil, errors.New("the upstream's answer carries the ID of another request")
 	}
 	k.idleTTL = r.IdleTimeout
+	c.Record.RateLimit = r.RateLimit
 	e.report(c, r)
 	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && !p.SkipBody {
 		fasthttp.ReleaseResponse(p)
