--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -41,11 +41,21 @@
 // platformEntries are the entry hosts of a platformFleet, each in a failure domain of its own.
 var platformEntries = []string{platformNetwork + "31", platformNetwork + "32", platformNetwork + "33"}
 
-// platformFleet is one control host and three entry hosts that speak the platform's wire formats, with stand-in workers.
+// platformHosts returns the addresses of n entry hosts, of which the first are platformEntries.
+func platformHosts(n int) []string {
+	var l []string
+	for i := range n {
+		l = append(l, fmt.Sprint(platformNetwork, 31+i))
+	}
+	return l
+}
+
+// platformFleet is one control host and some entry hosts that speak the platform's wire formats, with stand-in workers.
 type platformFleet struct {
 	t         testing.TB
 	folder    string
 	program   string
+	entries   []string
 	processes map[string]*exec.Cmd
 	logs      map[string]*bytes.Buffer
 	timer     *timer.Service
@@ -67,11 +77,18 @@
   "services": [{"name": "lm", "health_path": "/healthz", "max_conns": 200, "protocol": "h1", "engine": {"slots": 8}}],
   "limits": {}}`
 
-// newPlatformFleet starts the hosts and installs a configuration with one resumable route. They stop with the test.
+// newPlatformFleet starts a control host and platformEntries. They stop with the test.
 func newPlatformFleet(t testing.TB) (*platformFleet, context.Context) {
+	t.Helper()
+	return newPlatformFleetOf(t, platformEntries)
+}
+
+// newPlatformFleetOf starts a control host and the given entry hosts, in three failure domains in turn, and installs a
+// configuration with one resumable route.
+func newPlatformFleetOf(t testing.TB, entries []string) (*platformFleet, context.Context) {
 	t.Helper()
 	f := &platformFleet{
-		t: t, folder: t.TempDir(), processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
+		t: t, folder: t.TempDir(), entries: entries, processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
 		timer: timer.NewService(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	f.program = filepath.Join(f.folder, "siskinrun")
@@ -95,11 +112,11 @@
 		}
 	})
 	f.write(platformControl, "a", `"control": "`+platformControl+`:7442", "keeps": ["configuration"], "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
-	for i, h := range platformEntries {
-		f.write(h, string(rune('a'+i)), `"callers": "`+h+`:7443", "readiness": "`+h+`:7444",`)
+	for i, h := range entries {
+		f.write(h, string(rune('a'+i%len(platformEntries))), `"callers": "`+h+`:7443", "readiness": "`+h+`:7444",`)
 	}
 	f.start(platformControl)
-	for _, h := range platformEntries {
+	for _, h := range entries {
 		f.start(h)
 	}
 	f.await(ctx, "configuration", func() error {
@@ -167,7 +184,7 @@
 
 // ready returns an error unless every entry host is ready.
 func (f *platformFleet) ready(ctx context.Context) error {
-	for _, h := range platformEntries {
+	for _, h := range f.entries {
 		if f.processes[h] == nil {
 			continue
 		}
@@ -200,8 +217,10 @@
 // clientStream is an open answer to a streamRequest.
 type clientStream struct {
 	status int
-	body   io.ReadCloser
-	events *bufio.Reader
+	// retryAfter is the time to come back in seconds that a refusal names, zero for none.
+	retryAfter float64
+	body       io.ReadCloser
+	events     *bufio.Reader
 	// last is the number of the last event read, and data what the events hold.
 	last int
 	data []string
@@ -227,7 +246,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientStream{status: r.StatusCode, body: r.Body, events: bufio.NewReader(r.Body), last: s.after}, nil
+	n, _ := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+	return &clientStream{status: r.StatusCode, retryAfter: n, body: r.Body, events: bufio.NewReader(r.Body), last: s.after}, nil
 }
 
 // read reads up to n events, and returns io.EOF at the end of the whole answer.
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -41,6 +41,10 @@
 	deadly string
 	// received, if set, is called with the prompt of each request.
 	received func(prompt string)
+	// limit, if set, returns the limit that the worker names at a time, empty for none.
+	limit func(at time.Time) string
+	// zone is the failure domain of the worker.
+	zone string
 	// ended is called when the worker ends by itself.
 	ended func(w *platformWorker)
 
@@ -53,6 +57,7 @@
 
 // workerRun is a request that the worker began to run.
 type workerRun struct {
+	at     time.Time
 	id     string
 	prompt string
 }
@@ -60,10 +65,16 @@
 // startWorker starts a worker of the service lm and returns once the control host knows it.
 func (f *platformFleet) startWorker(ctx context.Context, id, version string) *platformWorker {
 	f.t.Helper()
-	w := &platformWorker{fleet: f, id: id, service: "lm", version: version, born: 1, alive: true}
+	w := &platformWorker{fleet: f, id: id, service: "lm", zone: "a", version: version, born: 1, alive: true}
+	f.run(ctx, w)
+	return w
+}
+
+// run starts a worker and returns once the control host knows it.
+func (f *platformFleet) run(ctx context.Context, w *platformWorker) {
+	f.t.Helper()
 	w.start(ctx)
 	f.await(ctx, "heartbeat", func() error { return w.beat(ctx, 1) })
-	return w
 }
 
 // start makes the worker serve and send heartbeats until it crashes.
@@ -122,8 +133,8 @@
 	w.mu.Lock()
 	address, born, version := w.address, w.born, w.version
 	w.mu.Unlock()
-	return w.fleet.post(ctx, wire.PathHeartbeat+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":%q,"slots":%d,`+
-		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":%d}`, w.service, address, version, workerSlots, n, born))
+	return w.fleet.post(ctx, wire.PathHeartbeat+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,`+
+		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":%d}`, w.service, address, w.zone, version, workerSlots, n, born))
 }
 
 // restart lets a worker that has crashed serve again under its name, as a new run of a version. A worker that runs already
@@ -201,8 +212,9 @@
 func (w *platformWorker) run(ctx context.Context, c net.Conn, q *http.Request, version string) bool {
 	p := q.Header.Get(wire.PromptPrefix)
 	w.mu.Lock()
-	w.runs = append(w.runs, workerRun{q.Header.Get(wire.AttemptID), p})
-	received, deadly := w.received, w.deadly
+	at := w.fleet.timer.Now()
+	w.runs = append(w.runs, workerRun{at, q.Header.Get(wire.AttemptID), p})
+	received, deadly, limit := w.received, w.deadly, w.limit
 	w.mu.Unlock()
 	if received != nil {
 		received(p)
@@ -211,7 +223,11 @@
 		return false
 	}
 	h := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Signature: " + w.id + "\r\n" +
-		wire.AttemptID + ": " + q.Header.Get(wire.AttemptID) + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+		wire.AttemptID + ": " + q.Header.Get(wire.AttemptID) + "\r\nTransfer-Encoding: chunked\r\n"
+	if limit != nil && limit(at) != "" {
+		h += wire.ServerLimit + ": " + limit(at) + "\r\n"
+	}
+	h += "\r\n"
 	if _, err := io.WriteString(c, h); err != nil {
 		return false
 	}
