Say of a stream that broke and finds no other upstream that it may have run

What callers saw: nothing so far in the platform's formats, where the headers are out; in the log and in what a caller gets before its headers, a stream whose upstream was lost ended with 503 no-upstream, not-run, if no other upstream could go on with it. It had been sent: the refusal was not true.

Cause: a resumption begins with the verdict may-have-run, but a pick without a result returned its refusal as it was, without the verdict of what came before.

Evidence: TestStreamThatFindsNoUpstreamToGoOnMayHaveRun, with no other upstream and with one at its rate limit, failed before (not-run) and passes.

Why it works: a refusal for want of an upstream takes on the worst verdict of the attempts before it, as that of a failed attempt does.

--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -245,10 +245,11 @@
 	return refusal.NewMayHaveRun(statusBadGateway, refusal.CodeCrashingPrompt, refusal.CrashingPrompt.Message)
 }
 
-// notAdmitted returns the error of a call that no upstream may get, which is that of its last attempt if there was one.
+// notAdmitted returns the error of a call that no upstream may get: that of its last attempt if there was one, else err with
+// the worst verdict of the attempts before.
 func (s *delivery) notAdmitted(last, err error) error {
 	if last != nil {
 		return last
 	}
-	return err
+	return refusal.Of(err).WithVerdict(s.verdict)
 }
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -130,7 +130,7 @@
 func (s *stream) reopen(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	q := &delivery{dispatcher: s.dispatcher, call: c, verdict: verdict.MayHaveRun}
 	if _, err := q.takeWithin(ctx, u, q.patience()); err != nil {
-		return nil, err
+		return nil, q.notAdmitted(nil, err)
 	}
 	a, t, err := q.try(ctx, u)
 	if err != nil {
