Refuse a stream that fails before its first byte with a status line

Cause: the headers to the caller wait in a buffer for the first bytes of the body. When the body fails before them, the HTTP server closes the connection and drops the buffer; the log says 502, the caller gets nothing.

Why it works: the first bytes of an answer without a length are read before its status is sent, so one that fails there is refused like any other call.

--- a/internal/wire/ingress/pass.go
+++ b/internal/wire/ingress/pass.go
@@ -42,6 +42,12 @@
 		e.Refuse(err)
 		return
 	}
+	if err := begin(a); err != nil {
+		_ = a.Body.Close()
+		end()
+		e.Refuse(err)
+		return
+	}
 	h := &x.Response.Header
 	x.SetStatusCode(a.Status)
 	if a.ContentType != "" {
@@ -54,6 +60,46 @@
 	i.send(x, &responseBody{body: a.Body, events: a.Length < 0, exchange: e, end: end}, a.Length)
 }
 
+// firstBytes is the length of the buffer for the first bytes of an answer without a length.
+const firstBytes = 4 << 10
+
+// begin reads the first bytes of an answer without a length, so that one that fails before them can still be refused.
+func begin(a *answer.Answer) error {
+	if a.Length >= 0 {
+		return nil
+	}
+	b := make([]byte, firstBytes)
+	n, err := 0, error(nil)
+	for n == 0 && err == nil {
+		n, err = a.Body.Read(b)
+	}
+	if n == 0 && err != io.EOF {
+		return err
+	}
+	a.Body = &begunBody{ReadCloser: a.Body, first: b[:n], err: err}
+	return nil
+}
+
+// begunBody is a body whose first bytes have been read, with the error that came with them.
+type begunBody struct {
+	io.ReadCloser
+	first []byte
+	err   error
+}
+
+// Read implements io.Reader.Read.
+func (b *begunBody) Read(p []byte) (int, error) {
+	if len(b.first) > 0 {
+		n := copy(p, b.first)
+		b.first = b.first[n:]
+		return n, nil
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	return b.ReadCloser.Read(p)
+}
+
 // Stream sends the output of write. If write fails, the connection closes without the end of the body and
 // onError is called.
 func (i *Server) Stream(x *fasthttp.RequestCtx, write func(ctx context.Context, w io.Writer) error, onError func(err error)) {
