Keep bytes and addresses of upstreams out of refusals

What callers saw: up to 1.4 KB of what an upstream had poured into its head, in the message of the refusal and in the line of the call; for lost connections the address of the upstream.

Cause: messages held the text of the error of the network or of the HTTP library, which quotes what it could not parse.

Evidence: TestRefusalsTellNothingOfTheUpstream failed before for bytes that are no HTTP, a head without end, a malformed length and a refused connection, and passes; interim heads without end are cut off by the library.

Why it works: the transport names the kind of a failure in words of its own and keeps the error itself only for the code that tells timeouts from losses.

--- a/internal/wire/transport/body.go
+++ b/internal/wire/transport/body.go
@@ -29,6 +29,7 @@
 	_ = b.conn.SetReadDeadline(b.transport.Timer.Deadline(d))
 	n, err := b.reader.Read(p)
 	if err != nil {
+		err = opaque(err)
 		b.finish(err)
 	}
 	return n, err
--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -54,7 +54,7 @@
 // toRefusal returns err as a refusal; the call did not run if no byte of it was written.
 func (k *conn) toRefusal(ctx context.Context, err error) error {
 	if k.sent.Load() == 0 {
-		return refusal.NewNotRun(503, "upstream-unreachable", err.Error())
+		return unreachable(err)
 	}
 	var n interface{ Timeout() bool }
 	switch {
@@ -63,6 +63,11 @@
 	case errors.As(err, &n) && n.Timeout():
 		return refusal.NewMayHaveRun(504, "upstream-timeout", "the upstream did not answer in time")
 	default:
-		return refusal.NewMayHaveRun(502, "upstream-lost", "the upstream's answer was lost: "+err.Error())
+		return refusal.NewMayHaveRun(502, "upstream-lost", "the upstream's answer was lost: "+kind(err))
 	}
 }
+
+// unreachable refuses a call of which no byte was written.
+func unreachable(err error) error {
+	return refusal.NewNotRun(503, "upstream-unreachable", kind(err))
+}
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -67,7 +67,7 @@
 func (e *Transport) Do(ctx context.Context, address string, c *call.Call) (*answer.Answer, error) {
 	k, err := e.acquireConn(ctx, address, c.RouteConfig.Repeatable)
 	if err != nil {
-		return nil, refusal.NewNotRun(503, "upstream-unreachable", err.Error())
+		return nil, unreachable(err)
 	}
 	k.stopAbort = context.AfterFunc(ctx, k.abort)
 	a, err := e.roundTrip(k, c)
@@ -121,7 +121,7 @@
 	r := e.dialect().ParseHeaders(&p.Header)
 	if r.CallID != "" && r.CallID != c.ID {
 		fasthttp.ReleaseResponse(p)
-		return nil, errors.New("the upstream's answer carries the ID of another request")
+		return nil, protocolError("the answer carries the ID of another request")
 	}
 	k.idleTTL = r.IdleTimeout
 	c.Record.RateLimit = r.RateLimit
@@ -129,7 +129,7 @@
 	e.reportLimit(c, r, sent)
 	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && !p.SkipBody {
 		fasthttp.ReleaseResponse(p)
-		return nil, errors.New("the upstream sent a body without a length on a persistent connection")
+		return nil, protocolError("the answer has a body without a length on a persistent connection")
 	}
 	a := e.answer(k, c, p)
 	if r.NotRun {
