Do not wait for the rest of a rejection that an upstream sends slowly

What callers saw: an upstream that rejects a call without running it, and then lets the body of that answer trickle, held the call for up to its deadline, though another upstream could have run it.

Cause: the body of a rejection was read up to 4 KiB before the rejection counted, to keep the connection; each byte began the wait anew.

Why it works: the body is read only if it has come as a whole; otherwise the connection is closed. TestConnectionOfARefusedCallIsKept holds that short rejections still keep it.

--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -133,7 +133,7 @@
 	}
 	a := e.answer(k, c, p)
 	if r.NotRun {
-		return nil, e.refuseNotRun(a, r)
+		return nil, e.refuseNotRun(k, a, r)
 	}
 	return a, nil
 }
@@ -148,13 +148,13 @@
 	return c.Deadline
 }
 
-// refuseNotRun discards the answer to a call that the upstream did not run. It keeps the connection if the body is
-// short.
-func (e *Transport) refuseNotRun(a *answer.Answer, r answerheaders.Headers) error {
-	_, err := io.CopyN(io.Discard, a.Body, maxDrainBytes)
-	if err == nil || err != io.EOF {
-		_ = a.Body.Close()
+// refuseNotRun discards the answer to a call that the upstream did not run. It keeps the connection if the whole body has
+// come already, and does not wait for it.
+func (e *Transport) refuseNotRun(k *conn, a *answer.Answer, r answerheaders.Headers) error {
+	if a.Length >= 0 && a.Length <= k.in.Buffered() {
+		_, _ = io.CopyN(io.Discard, a.Body, maxDrainBytes)
 	}
+	_ = a.Body.Close()
 	if r.Misdirected {
 		return refusal.NewNotRun(503, "upstream-gone", "the address now belongs to another upstream")
 	}
