Use no connection again on which bytes came after its answer

What callers saw: an upstream that sends a second copy of an answer late, on a connection that is kept, gave the next call an answer that was not its own if the copy carried no ID, and lost that call its own answer if it did (502, may-have-run).

Cause: a connection was judged when its answer had been read; what came while it lay idle was read as the answer to the next call. The ID in an answer was checked only where there was one.

Evidence: TestLateCopyOfAnAnswerReachesNoOtherCall got answer-1 for the second call (without IDs) or a refusal (with), and TestAnswerWithoutTheIDOfItsCallIsNotTakenOnAUsedConnection took the copy; both pass.

Why it works: before a connection is used again its socket is looked at without taking anything from it; bytes or an end mean a new connection. An upstream that names the ID of one call names that of each on the connection, so a copy that comes later still is not taken either.

--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -20,6 +20,8 @@
 	out     *bufio.Writer
 	sent    atomic.Int64
 	reused  bool
+	// identifies says that an answer on the connection carried the ID of its call, as all later ones must.
+	identifies bool
 	// idleTTL is how long the upstream keeps the idle connection, zero if it does not say.
 	idleTTL   time.Duration
 	idleSince time.Time
@@ -40,6 +42,19 @@
 	return n, err
 }
 
+// identify checks that an answer with an ID belongs to a call. An upstream that has named the ID of an earlier call on the
+// connection names that of each: without it, the answer may be a late copy.
+func (k *conn) identify(answer, call string) error {
+	if answer == "" && k.identifies {
+		return protocolError("the answer does not say to which request it belongs")
+	}
+	if answer != "" && answer != call {
+		return protocolError("the answer carries the ID of another request")
+	}
+	k.identifies = k.identifies || answer != ""
+	return nil
+}
+
 func (k *conn) abort() {
 	_ = k.Conn.Close()
 }
--- a/internal/wire/transport/idle.go
+++ b/internal/wire/transport/idle.go
@@ -53,7 +53,7 @@
 		k := l[len(l)-1]
 		l = l[:len(l)-1]
 		e.idle[address] = l
-		if n.Sub(k.idleSince) < e.idleTTL(k) {
+		if n.Sub(k.idleSince) < e.idleTTL(k) && quiet(k.Conn) {
 			k.reused = true
 			return k
 		}
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -119,9 +119,9 @@
 		return nil, err
 	}
 	r := e.dialect().ParseHeaders(&p.Header)
-	if r.CallID != "" && r.CallID != c.ID {
+	if err := k.identify(r.CallID, c.ID); err != nil {
 		fasthttp.ReleaseResponse(p)
-		return nil, protocolError("the answer carries the ID of another request")
+		return nil, err
 	}
 	k.idleTTL = r.IdleTimeout
 	c.Record.RateLimit = r.RateLimit
