Send no call to an upstream after its deadline

What callers saw: where the head of an answer never ended and came slowly, 502 upstream-unreachable, "write tcp ADDRESS: i/o timeout", at the deadline. The upstream had been reached and asked.

Cause: an attempt that ran into the deadline was followed by another one, whose connection had no time left; the refusal of that last attempt hid the first. Streams that ran into it were taken up at another upstream in the same way.

Evidence: TestCallIsNotSentAgainAfterItsDeadline (upstream-unreachable in place of upstream-timeout, 504) and TestStreamIsNotTakenUpAfterItsDeadline failed before and pass.

Why it works: once the deadline has passed, the refusal of the attempt that ran into it is the call's.

--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -188,6 +188,9 @@
 			s.runs++
 		}
 		s.demand.Tried = append(s.demand.Tried, u.Name)
+		if !d.Timer.Now().Before(s.call.Deadline) {
+			return nil, nil, last
+		}
 		if ctx.Err() == nil && f.Code == codeUnreachable && n < maxUnreachable {
 			continue
 		}
--- a/internal/wire/dispatch/dispatch_test.go
+++ b/internal/wire/dispatch/dispatch_test.go
@@ -343,3 +343,21 @@
 	is.Equal(f.Verdict, verdict.MayHaveRun)
 	is.Equal(f.Status, 502)
 }
+
+// TestCallIsNotSentAgainAfterItsDeadline guards against an attempt that cannot be answered and hides what became of the first.
+func TestCallIsNotSentAgainAfterItsDeadline(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	b.picker.upstreams = []upstream.Upstream{
+		startScripted(t, "x", script{text: "HTTP/1.1 200 OK\r\nX-A: a\r\n", keep: true}),
+		startScripted(t, "y", script{text: "HTTP/1.1 200 OK\r\nX-A: a\r\n", keep: true}),
+	}
+	c := b.plain(true)
+	c.Deadline = c.Arrived.Add(200 * time.Millisecond)
+	_, err := b.dispatcher.Serve(t.Context(), c)
+	f := refusal.Of(err)
+	is.Equal(f.Code, "upstream-timeout")
+	is.Equal(f.Status, 504)
+	is.Equal(f.Verdict, verdict.MayHaveRun)
+	is.Equal(c.Record.Attempts, 1)
+}
--- a/internal/wire/dispatch/lost_stream_test.go
+++ b/internal/wire/dispatch/lost_stream_test.go
@@ -39,3 +39,23 @@
 		})
 	}
 }
+
+// TestStreamIsNotTakenUpAfterItsDeadline guards against a second upstream that works for nobody.
+func TestStreamIsNotTakenUpAfterItsDeadline(t *testing.T) {
+	is := is.New(t)
+	b, s := newLimitedFixture(t, nil)
+	b.dispatcher.PlainStreams = true
+	headers := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	b.picker.upstreams = []upstream.Upstream{
+		startScripted(t, "x", script{text: headers, keep: true}),
+		startScripted(t, "y", script{text: headers, keep: true}),
+	}
+	c := b.streamed(true)
+	c.Deadline = c.Arrived.Add(150 * time.Millisecond)
+	a, err := b.dispatcher.Serve(t.Context(), c)
+	is.NoErr(err)
+	_, err = io.ReadAll(a.Body)
+	is.Equal(refusal.Of(err).Code, "upstream-timeout")
+	is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
+	is.Equal(s.asked, []string{"x"})
+}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -96,6 +96,9 @@
 	if lostTooOften(s.call) {
 		return nil, refusal.NewMayHaveRun(502, codeLost, "upstreams were lost before they began to answer: "+cause.Error())
 	}
+	if !d.Timer.Now().Before(s.call.Deadline) {
+		return nil, refusal.NewMayHaveRun(504, "upstream-timeout", "the stream did not end by the call's deadline")
+	}
 	c := *s.call
 	c.Offset = offset
 	a, err := s.resumeOnSame(ctx, u, &c)
