Take a batch item back from an upstream that sends bytes but no events

What was seen: an upstream whose stream holds no event, only a comment or a piece of one now and then, kept a batch item and its slot until the window of the item's job ended.

Cause: the silence of an upstream was counted from the last byte, and an item has no caller whose patience ends.

Why it works: the silence of a stream of an item is counted from its last event. Streams of callers end at their deadline as before.

--- a/internal/jobs/runner/output.go
+++ b/internal/jobs/runner/output.go
@@ -21,8 +21,10 @@
 	return &output{text: append([]byte(nil), i.Text...), next: i.NextEvent}
 }
 
-// readEvents adds complete events until the stream ends. Without an error the text is complete.
-func (o *output) readEvents(r io.Reader) error {
+// readEvents adds complete events until the stream ends, and calls event for each of them and at the end. Without an error
+// the text is complete.
+func (o *output) readEvents(r io.Reader, event func(end bool)) error {
+	defer event(true)
 	b := bufio.NewReader(r)
 	for {
 		e, err := sse.Read(b)
@@ -35,6 +37,7 @@
 		if err := o.add(e); err != nil {
 			return err
 		}
+		event(false)
 	}
 }
 
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -42,6 +42,8 @@
 	Upstreams func() []upstream.Upstream
 	// Timer provides the clock and sleeps.
 	Timer *timer.Service
+	// Silence is the longest time between two events of a streamed answer, zero for no limit.
+	Silence time.Duration
 }
 
 // Run sends an item to the named upstream. It goes on with the text so far if the upstream has the software that made it,
@@ -60,6 +62,8 @@
 		i.NextEvent, i.Text, i.Start = 0, nil, s
 	}
 	c := r.call(i, l)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	a, err := r.Pipeline.Batch(ctx, u, c)
 	if err != nil {
 		r.backOff(ctx, err)
@@ -67,7 +71,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	if l.Inline && a.ContentType == eventStream && a.Status < minErrorStatus {
-		return r.collectStream(i, a)
+		return r.collectStream(i, a, cancel)
 	}
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
 	if err != nil {
@@ -79,10 +83,11 @@
 	return itemanswer.Answer{Status: a.Status, Body: b}, nil
 }
 
-// collectStream collects the output of an inline item, and returns the partial output if the stream is cut.
-func (r *Runner) collectStream(i item.Item, a *answer.Answer) (itemanswer.Answer, error) {
+// collectStream collects the output of an inline item, and returns the partial output if the stream is cut. It cancels the
+// call of a stream that stalls.
+func (r *Runner) collectStream(i item.Item, a *answer.Answer, cancel func()) (itemanswer.Answer, error) {
 	o := newOutput(i)
-	err := o.readEvents(a.Body)
+	err := o.readEvents(a.Body, r.watch(cancel))
 	if err == nil && a.Unframed && o.next == 0 {
 		err = io.ErrUnexpectedEOF // an upstream that was lost before it began leaves the same
 	}
@@ -92,6 +97,19 @@
 	return itemanswer.Answer{Status: a.Status, Body: o.text}, nil
 }
 
+// watch returns a function to call for each event of a stream. Once none has come for Silence, stalled is called.
+func (r *Runner) watch(stalled func()) (event func(end bool)) {
+	stop := func() {}
+	event = func(end bool) {
+		stop()
+		if !end && r.Silence > 0 {
+			stop = r.Timer.After(r.Silence, func(time.Time) { stalled() })
+		}
+	}
+	event(false)
+	return event
+}
+
 // backOff waits after a refusal of an item that was not sent, so that it is not retried at once.
 func (r *Runner) backOff(ctx context.Context, err error) {
 	f := refusal.Of(err)
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -115,7 +115,7 @@
 		Ledgers:     p.batch,
 		Fleet:       fleet{p},
 		Windows:     batchWindows{p},
-		Runner:      &runner.Runner{Pipeline: p.pipeline, Upstreams: p.gossip.Upstreams, Timer: s.timer},
+		Runner:      &runner.Runner{Pipeline: p.pipeline, Upstreams: p.gossip.Upstreams, Timer: s.timer, Silence: s.Settings.Limits.StreamIdleTimeout.Duration()},
 		Timer:       s.timer,
 		Log:         s.Log,
 	}
