--- a/cmd/siskinrun/upstream_limit_test.go
+++ b/cmd/siskinrun/upstream_limit_test.go
@@ -34,10 +34,43 @@
 	limitTime = 12 * time.Second
 )
 
+// limitedWorkers are workers of which some name limits, and the requests that were refused as not run.
+type limitedWorkers struct {
+	workers []*platformWorker
+
+	mu      sync.Mutex
+	refused map[string]bool
+}
+
+// refuse records that a request was answered 503.
+func (l *limitedWorkers) refuse(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refused == nil {
+		l.refused = map[string]bool{}
+	}
+	l.refused[id] = true
+}
+
+// untrue returns the number of requests that a worker ran though they were answered 503.
+func (l *limitedWorkers) untrue() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, w := range l.workers {
+		for _, r := range w.ran() {
+			if l.refused[r.id] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // limitFleet is a fleet of many hosts with workers that name a limit for a while.
 type limitFleet struct {
 	*platformFleet
-	workers []*platformWorker
+	limitedWorkers
 
 	mu    sync.Mutex
 	begin time.Time
@@ -144,8 +177,9 @@
 
 func (r *limitTraffic) send(ctx context.Context, host string, n int) {
 	at := r.fleet.timer.Now()
+	id := fmt.Sprint("limited-", n)
 	s, err := r.fleet.open(ctx, host, streamRequest{
-		id: fmt.Sprint("limited-", n), prompt: fmt.Sprintf("shared%d:50,s%d:10", n%7, n), patience: routeTimeout,
+		id: id, prompt: fmt.Sprintf("shared%d:50,s%d:10", n%7, n), patience: routeTimeout,
 	})
 	if err != nil {
 		r.count(ctx, 0)
@@ -161,6 +195,7 @@
 	if s.status == http.StatusOK {
 		return
 	}
+	r.fleet.refuse(id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refusedAfter = max(r.refusedAfter, took)
@@ -188,7 +223,7 @@
 	defer stop()
 	g := group.NewGroup(traffic)
 	g.Go("traffic", r.run)
-	is.NoErr(f.timer.Sleep(ctx, 2*time.Second))
+	is.NoErr(f.timer.Sleep(ctx, time.Second))
 	f.mark(&f.begin)
 	is.NoErr(f.timer.Sleep(ctx, limitTime))
 	f.mark(&f.end)
@@ -217,6 +252,7 @@
 	}
 	t.Logf("%d requests, statuses %v; %d at the limited workers in a span after their limits had ended", r.sent, r.statuses, later)
 	is.Equal(r.statuses[http.StatusOK], r.sent)
+	is.Equal(f.untrue(), 0)
 	is.True(float64(later) > 1.2*limited*namedLimit*limitSpan.Seconds())
 }
 
@@ -238,4 +274,5 @@
 	is.Equal(r.statuses[http.StatusOK]+r.statuses[http.StatusServiceUnavailable], r.sent)
 	is.True(r.refusedAfter < 300*time.Millisecond)
 	is.Equal(r.hasty, 0)
+	is.Equal(f.untrue(), 0)
 }
