Let control hosts without a replica of the configuration ask only those with one

Cause: a control host counted as fresh by its own replica although it held none, as long as an answer that it had pulled was young: it slept for half the lease instead of asking on. And two of them that asked each other took each other's ageing answers for fresh ones until half the lease had passed. The relay of the failure domain asked one of them.

Change: a host is its own source only while a quorum has lately confirmed a replica of its own, and a control host without one refuses the questions of other control hosts, which then ask the next.

--- a/internal/config/distribution/distribution.go
+++ b/internal/config/distribution/distribution.go
@@ -66,6 +66,7 @@
 	published   atomic.Pointer[configuration.Configuration]
 	freshUntil  atomic.Int64 // end of the lease, in nanoseconds after start
 	lapsed      atomic.Bool  // whether logFreshness last found the lease lapsed
+	confirmed   atomic.Int64 // when a quorum last confirmed the replica of this host, in nanoseconds after start; zero for never
 	mu          sync.Mutex   // taken after publishMu
 	start       time.Time
 	cache       *configcache.Cache
@@ -253,9 +254,16 @@
 		return errors.Wrap(err, "confirm configuration with a quorum")
 	}
 	c := s.Store.View()
+	s.confirmed.Store(int64(s.Timer.Now().Sub(s.start)))
 	return s.update(func(now time.Time, v *configcache.Cache) error { return v.Confirm(now, t, c) })
 }
 
+// hasReplica reports whether a quorum has lately confirmed a replica of this host, which then needs no pulls from peers.
+func (s *Service) hasReplica() bool {
+	at := s.confirmed.Load()
+	return at > 0 && s.Timer.Now().Sub(s.start)-time.Duration(at) < s.Lease/staleDivisor
+}
+
 // logFreshness logs when the lease lapses and when it holds again.
 func (s *Service) logFreshness(time.Time) {
 	f := s.Fresh()
--- a/internal/config/distribution/distribution_test.go
+++ b/internal/config/distribution/distribution_test.go
@@ -28,6 +28,8 @@
 	mu       sync.Mutex
 	handlers map[string]rpc.Handler
 	isolated map[string]bool
+	// withoutReplica are the control hosts that hold no replica.
+	withoutReplica map[string]bool
 }
 
 type endpoint struct {
@@ -59,7 +61,10 @@
 
 // Confirm answers at once unless the host is isolated.
 func (p *endpoint) Confirm(context.Context, uint32) (time.Time, error) {
-	if p.isIsolated(p.name) {
+	p.network.mu.Lock()
+	none := p.network.withoutReplica[p.name]
+	p.network.mu.Unlock()
+	if none || p.isIsolated(p.name) {
 		return time.Time{}, refusal.NewNotRun(503, "no-quorum", p.name)
 	}
 	return time.Now(), nil
@@ -77,7 +82,7 @@
 
 func newFleet(domains, size int) *fleet {
 	f := &fleet{
-		network: &network{handlers: map[string]rpc.Handler{}, isolated: map[string]bool{}},
+		network: &network{handlers: map[string]rpc.Handler{}, isolated: map[string]bool{}, withoutReplica: map[string]bool{}},
 		hosts:   map[string]*distribution.Service{},
 		timer:   timer.NewService(),
 	}
@@ -124,8 +129,8 @@
 	c := change.Change{ID: fmt.Sprint(version), Base: version, Kind: change.SetTeam, Name: "t",
 		Team: &team.Team{Rate: int64(version + 1), Burst: 1, Weight: 1}}
 	b, _ := c.Encode()
-	for _, s := range f.hosts {
-		if s.Store != nil {
+	for n, s := range f.hosts {
+		if s.Store != nil && !f.network.withoutReplica[n] {
 			s.Store.Apply(0, b)
 		}
 	}
--- a/internal/config/distribution/pull.go
+++ b/internal/config/distribution/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,12 +12,13 @@
 	"siskinrun/internal/config/configcache"
 	"siskinrun/internal/config/spreadwire"
 	"siskinrun/internal/config/update"
+	"siskinrun/pkg/refusal"
 )
 
 // pull fetches newer versions from peers until ctx ends.
 func (s *Service) pull(ctx context.Context) error {
 	for {
-		if s.locallyFresh() {
+		if s.hasReplica() {
 			if err := s.Timer.Sleep(ctx, confirmInterval); err != nil {
 				return err
 			}
@@ -31,15 +33,6 @@
 	}
 }
 
-// locallyFresh reports whether this host's replica is fresh enough to need no pulls from peers.
-func (s *Service) locallyFresh() bool {
-	if !s.hasStore() {
-		return false
-	}
-	a, ok := s.Age()
-	return ok && a < s.Lease/staleDivisor
-}
-
 // pullOnce pulls from the peers in order and reports whether one gave a fresh answer.
 func (s *Service) pullOnce(ctx context.Context) bool {
 	s.mu.Lock()
@@ -116,12 +109,18 @@
 	return nil
 }
 
+// errNoReplica refuses the question of a control host: two that hold no replica would take each other's answers for fresh.
+var errNoReplica = refusal.NewNotRun(503, "no-replica", "this control host holds no replica of the configuration")
+
 // handlePull is a long poll: it answers once there is a newer version, or after the requested wait.
-func (s *Service) handlePull(ctx context.Context, _ string, body []byte) ([]byte, error) {
+func (s *Service) handlePull(ctx context.Context, from string, body []byte) ([]byte, error) {
 	q := &spreadwire.Question{}
 	if err := proto.Unmarshal(body, q); err != nil {
 		return nil, badMessage(err)
 	}
+	if s.hasStore() && s.isControl(from) && !s.hasReplica() {
+		return nil, errNoReplica
+	}
 	metrics.GetOrRegisterCounter("configuration-answers", s.Metrics).Inc(1)
 	arrived := s.Timer.Now()
 	s.awaitNewer(ctx, q.Version, min(max(time.Duration(q.WaitNanoseconds), 0), pollWait))
@@ -135,6 +134,12 @@
 	return proto.Marshal(encode(a))
 }
 
+func (s *Service) isControl(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.Control, host)
+}
+
 // awaitNewer waits until a version newer than the given one is held, at most for timeout.
 func (s *Service) awaitNewer(ctx context.Context, version uint64, timeout time.Duration) {
 	end := make(chan struct{})
