Wait for the replica of a host that has just started before it is checked

The test took a version in force on every host for a sign that each control host's replica has it.

The test waits for them up to the time that it waits for versions in force, and logs how long it took.

--- a/internal/config/distribution/live_test.go
+++ b/internal/config/distribution/live_test.go
@@ -246,6 +246,7 @@
 	t.Logf("%d changes were resent", resent)
 	for _, n := range f.control {
 		r := f.hosts[n].Store
+		f.awaitStore(t, n, changes)
 		if err := r.Check(); err != nil {
 			t.Errorf("%s: %v", n, err)
 		}
@@ -255,6 +256,17 @@
 	}
 }
 
+// awaitStore waits until the replica of a control host has a number of versions; a host that has just started gets them in
+// force from its peers before.
+func (f *liveFleet) awaitStore(t *testing.T, name string, versions int) {
+	t.Helper()
+	began := f.timer.Now()
+	for len(f.hosts[name].Store.Versions(versions+1)) < versions && f.timer.Now().Sub(began) < testTimeout {
+		_ = f.timer.Sleep(context.Background(), 10*time.Millisecond)
+	}
+	t.Logf("%s has its versions after %v more", name, f.timer.Now().Sub(began).Round(time.Millisecond))
+}
+
 // BenchmarkInForce measures the time from the answer to a change until that change is in force on nine hosts.
 func BenchmarkInForce(b *testing.B) {
 	f := newLiveFleet(b)
