--- a/cmd/siskinrun/upstream_limit_test.go
+++ b/cmd/siskinrun/upstream_limit_test.go
@@ -217,8 +217,9 @@
 	r.statuses[status]++
 }
 
-// playLimit runs traffic before, while and after the workers name their limits, and returns when the limits began and ended.
-func (f *limitFleet) playLimit(ctx context.Context, r *limitTraffic) (begin, end time.Time) {
+// playLimit runs traffic before and while the workers name their limits and for some time after, and returns when the limits
+// began and ended.
+func (f *limitFleet) playLimit(ctx context.Context, r *limitTraffic, after time.Duration) (begin, end time.Time) {
 	is := is.New(f.t)
 	traffic, stop := context.WithCancel(ctx)
 	defer stop()
@@ -228,7 +229,7 @@
 	f.mark(&f.begin)
 	is.NoErr(f.timer.Sleep(ctx, limitTime))
 	f.mark(&f.end)
-	is.NoErr(f.timer.Sleep(ctx, limitLearning+limitSpan))
+	is.NoErr(f.timer.Sleep(ctx, after))
 	stop()
 	_ = g.Wait()
 	return f.begin, f.end
@@ -240,7 +241,7 @@
 	is := is.New(t)
 	f, ctx := newLimitFleet(t, limited)
 	r := &limitTraffic{fleet: f, every: 22 * time.Millisecond}
-	begin, end := f.playLimit(ctx, r)
+	begin, end := f.playLimit(ctx, r, limitLearning+limitSpan)
 	known := begin.Add(limitLearning)
 	later := 0
 	for i, w := range f.workers[:limited] {
@@ -262,7 +263,7 @@
 	is := is.New(t)
 	f, ctx := newLimitFleet(t, limitWorkers)
 	r := &limitTraffic{fleet: f, every: 20 * time.Millisecond}
-	begin, end := f.playLimit(ctx, r)
+	begin, end := f.playLimit(ctx, r, 0)
 	known := begin.Add(limitLearning)
 	for i, w := range f.workers {
 		runs := w.ran()
