Name the whole request in the log when an upstream is lost under it

It is set once the team is known; batch items have none. Each upstream that is lost before its answer began has a line with the digest, how long before the loss the attempt was sent and whether headers had come, and the line of the call has the digest. No decision is changed.

--- a/internal/data/call/call.go
+++ b/internal/data/call/call.go
@@ -44,6 +44,8 @@
 	PrefixHashes []uint64
 	// Parts holds the hash of each part of the prompt that other calls may share, without what stands before it.
 	Parts []uint64
+	// Digest identifies calls with the same request, zero for a batch item and until the team is known.
+	Digest uint64
 	// Prompt is the prompt text, whose prefix may be in a cache.
 	Prompt []byte
 	// MaxTokens is the maximum number of tokens to generate.
--- a/internal/data/callrecord/record.go
+++ b/internal/data/callrecord/record.go
@@ -26,6 +26,8 @@
 	Resumes string
 	// Parts are the hashes of the parts of the prompt that other calls may share.
 	Parts []uint64
+	// Digest identifies calls with the same request, zero for a batch item.
+	Digest uint64
 	// Lost is the number of attempts whose upstream was lost before it began its answer.
 	Lost int
 	// RateLimit is the rate limit that the upstream named with its answer.
--- /dev/null
+++ b/internal/data/requestdigest/doc.go
@@ -0,0 +1,2 @@
+// Package requestdigest identifies requests that are the same but for their IDs and headers.
+package requestdigest
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -85,6 +85,7 @@
 		Guard:         p.guard,
 		Canceller:     &cancelclient.Client{Transport: x, Group: g, Timer: s.timer},
 		Timer:         s.timer,
+		Log:           s.Log,
 	}
 	if s.Dialect != nil {
 		d.PlainStreams = true
--- a/internal/wire/accounting/recorder.go
+++ b/internal/wire/accounting/recorder.go
@@ -31,7 +31,9 @@
 		e = a.Log.Warn()
 	}
 	if r.Lost > 0 {
-		e = e.Int("lost-unanswered", r.Lost).Strs("prompt-parts", hexadecimal(r.Parts))
+		e = e.Int("lost-unanswered", r.Lost).
+			Strs("prompt-parts", hexadecimal(r.Parts)).
+			Str("request-digest", strconv.FormatUint(r.Digest, 16))
 	}
 	if r.RateLimit.Named {
 		e = e.Float64("upstream-limit", r.RateLimit.PerSecond)
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -78,6 +79,7 @@
 		d.Observer.End(t.upstream.Name, t.call)
 		if o == outcome.Broken && !t.begun {
 			t.call.Record.Lost++
+			t.logLost()
 			d.Guard.Lost(t.upstream, t.call.Parts, t.headers)
 		}
 		if o == outcome.Cancelled {
@@ -86,6 +88,21 @@
 	})
 }
 
+// logLost logs that the upstream was lost before its answer began.
+func (t *attempt) logLost() {
+	d, c := t.dispatcher, t.call
+	d.Log.Warn().
+		Str("request-id", c.ID).
+		Str("request-digest", strconv.FormatUint(c.Digest, 16)).
+		Str("team", c.Team).
+		Str("route", c.Route).
+		Bool("batch", c.Batch).
+		Str("upstream", t.upstream.Name).
+		Dur("sent-before-ms", d.Timer.Now().Sub(t.started)).
+		Bool("headers", t.headers).
+		Msg("upstream lost unanswered")
+}
+
 // classify returns the outcome of an attempt for its upstream.
 func classify(ctx context.Context, err error) outcome.Outcome {
 	switch {
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
@@ -104,6 +106,8 @@
 	PlainStreams bool
 	// Timer is the clock.
 	Timer *timer.Service
+	// Log receives a line for each upstream that is lost before its answer begins.
+	Log zerolog.Logger
 }
 
 // Serve sends a call and returns its answer; the error is a refusal whose verdict covers all attempts.
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -14,6 +14,7 @@
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/inlinejob"
 	"siskinrun/internal/data/key"
+	"siskinrun/internal/data/requestdigest"
 	"siskinrun/internal/data/route"
 	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
@@ -152,6 +153,7 @@
 	if c.RouteConfig.Jobs {
 		return p.submit(ctx, c)
 	}
+	c.Digest = requestdigest.Of(c)
 	if p.Guard.Blocks(c.Parts) {
 		return nil, refusal.CrashingPrompt
 	}
--- a/internal/wire/pipeline/tracker.go
+++ b/internal/wire/pipeline/tracker.go
@@ -69,6 +69,7 @@
 		r.Batch = t.call.Batch
 		r.Resumes = t.call.Resumes
 		r.Parts = t.call.Parts
+		r.Digest = t.call.Digest
 		r.EndedAt = t.pipeline.Timer.Now()
 		r.Total = r.EndedAt.Sub(t.call.Arrived)
 		if f != nil {
