Show a request that crashes upstreams one after the other (fails)

The three keep coming at random hosts, at times three at once, with other IDs, deadlines, hints and framing: one may be repeated, one runs once, one has no body. Sound requests share two of path, team and body with them; two pages are polled.

The control host of this fleet keeps the ledgers too, since rates of teams are granted there; that of the other tests does as before.

--- a/cmd/siskinrun/crashing_prompt_test.go
+++ b/cmd/siskinrun/crashing_prompt_test.go
@@ -43,14 +43,19 @@
 
 // late returns the number of sends later than learning after the last crash that is borne.
 func (c *crashes) late() int {
+	return c.lateAfter(crashesBorne)
+}
+
+// lateAfter returns the number of sends later than learning after a number of crashes.
+func (c *crashes) lateAfter(borne int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ended) < crashesBorne {
+	if len(c.ended) < borne {
 		return 0
 	}
 	n := 0
 	for _, s := range c.sends {
-		if s.After(c.ended[crashesBorne-1].Add(learning)) {
+		if s.After(c.ended[borne-1].Add(learning)) {
 			n++
 		}
 	}
--- /dev/null
+++ b/cmd/siskinrun/plain_fleet_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/group"
+	"siskinrun/platform/wire"
+)
+
+const (
+	plainHost  = "desk.example"
+	plainPage  = "/open/page"
+	plainTeams = 3
+	// plainPatience is how long a client waits.
+	plainPatience = 3 * time.Second
+)
+
+// plainConfiguration has routes that are open, that may be repeated and that run once, and three teams.
+const plainConfiguration = `{"version": 8, "routes": [
+  {"name": "open", "host": "desk.example", "path_prefix": "/open/", "route_type": "idempotent", "timeout_ms": 4000,
+    "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true},
+  {"name": "look", "host": "desk.example", "path_prefix": "/look/", "route_type": "idempotent", "timeout_ms": 4000,
+    "target_latency_ms": 800, "service": "desk", "max_attempts": 3},
+  {"name": "once", "host": "desk.example", "path_prefix": "/once/", "route_type": "non_idempotent", "timeout_ms": 4000,
+    "target_latency_ms": 800, "service": "desk", "max_attempts": 3}],
+  "services": [{"name": "desk", "health_path": "` + plainHealthPath + `", "max_conns": 400, "protocol": "h1"}],
+  "limits": {}, "tenants": [{"name": "team0", "api_keys": ["key-team0"]}, {"name": "team1", "api_keys": ["key-team1"]},
+    {"name": "team2", "api_keys": ["key-team2"]}]}`
+
+// plainFleet is a fleet before plain workers, some of whose requests are deadly: each worker that begins to run one ends.
+type plainFleet struct {
+	*platformFleet
+	// context ends with the test.
+	context context.Context
+	// deadly holds what became of each deadly request.
+	deadly map[plainRequest]*crashes
+
+	mu sync.Mutex
+	// workers holds the current run of the worker of each slot.
+	workers map[int]*plainWorker
+	// reached holds the attempts that reached workers, and refused those that were answered as not run.
+	reached, refused map[string]bool
+}
+
+// newPlainFleet starts entry hosts and plain workers and returns once all hosts serve.
+func newPlainFleet(t testing.TB, hosts, workers int, deadly ...plainRequest) *plainFleet {
+	t.Helper()
+	p, ctx := startPlatformFleet(t, platformHosts(hosts), "")
+	f := &plainFleet{
+		platformFleet: p, context: ctx, deadly: map[plainRequest]*crashes{}, workers: map[int]*plainWorker{},
+		reached: map[string]bool{}, refused: map[string]bool{},
+	}
+	for _, r := range deadly {
+		f.deadly[r] = &crashes{}
+	}
+	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, plainConfiguration) })
+	for i := range workers {
+		f.startPlain(ctx, i, 0)
+	}
+	for _, h := range f.entries {
+		f.awaitServing(ctx, h)
+	}
+	is.New(t).NoErr(f.timer.Sleep(ctx, time.Second))
+	return f
+}
+
+// awaitServing waits until a host serves.
+func (f *plainFleet) awaitServing(ctx context.Context, host string) {
+	f.t.Helper()
+	n := 0
+	f.await(ctx, "service of "+host, func() error {
+		n++
+		a := f.try(ctx, host, fmt.Sprint("first-", host, "-", n), plainRequest{http.MethodGet, plainPage, "", ""})
+		if !a.served {
+			return errors.Newf("status %d: %s", a.status, a.body)
+		}
+		return nil
+	})
+}
+
+func (f *plainFleet) reach(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached[id] = true
+}
+
+// untrue returns the number of attempts that reached a worker though they were answered as not run.
+func (f *plainFleet) untrue() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for id := range f.refused {
+		if f.reached[id] {
+			n++
+			f.t.Logf("%s was refused and reached a worker", id)
+		}
+	}
+	return n
+}
+
+// plainAnswer is the answer to one attempt, of status 0 if there was none.
+type plainAnswer struct {
+	status int
+	body   string
+	served bool
+}
+
+// try sends one attempt to a host, framed with a length or in chunks and with hints by its ID.
+func (f *plainFleet) try(ctx context.Context, host, id string, r plainRequest) plainAnswer {
+	ctx, stop := context.WithTimeout(ctx, plainPatience)
+	defer stop()
+	var b io.Reader
+	if r.body != "" {
+		b = strings.NewReader(r.body)
+	}
+	q, err := http.NewRequestWithContext(ctx, r.method, "http://"+host+":7443"+r.path, b)
+	if err != nil {
+		return plainAnswer{}
+	}
+	q.Host = plainHost
+	if b != nil && len(id)%2 == 0 {
+		q.ContentLength = -1
+	}
+	q.Header.Set(wire.AttemptID, id)
+	q.Header.Set(wire.Deadline, strconv.FormatInt(plainPatience.Milliseconds()-int64(len(id)), 10))
+	q.Header.Set("X-Length-Hint", strconv.Itoa(len(id)))
+	if r.team != "" {
+		q.Header.Set("Authorization", wire.Scheme+" key-"+r.team)
+	}
+	a, err := f.http.Do(q)
+	if err != nil {
+		return plainAnswer{}
+	}
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
+	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
+		f.mu.Lock()
+		f.refused[id] = true
+		f.mu.Unlock()
+	}
+	return plainAnswer{a.StatusCode, string(text), err == nil && a.StatusCode == http.StatusOK && string(text) == r.answer()}
+}
+
+// plainTraffic is requests of one kind that keep coming at random hosts.
+type plainTraffic struct {
+	fleet *plainFleet
+	name  string
+	// every is the mean time between two requests, or two bursts.
+	every time.Duration
+	// burst is the number of the same request that sometimes come at once, zero for none.
+	burst int
+	// again means that callers try another host after a failure, if they may.
+	again   bool
+	request func(n int) plainRequest
+	random  *rand.Rand
+
+	mu       sync.Mutex
+	attempts []plainAttempt
+}
+
+// plainAttempt is an attempt of a plainTraffic and its answer.
+type plainAttempt struct {
+	at time.Time
+	plainAnswer
+}
+
+func (t *plainTraffic) run(ctx context.Context) error {
+	g := group.NewGroup(ctx)
+	for n := 0; ; n++ {
+		if t.fleet.timer.Sleep(ctx, t.every*time.Duration(70+t.random.IntN(60))/100) != nil {
+			return g.Wait()
+		}
+		hosts := t.random.Perm(len(t.fleet.entries))
+		k := 1
+		if t.burst > 0 && t.random.IntN(4) == 0 {
+			k = t.burst
+		}
+		for i := range k {
+			g.Go("request", func(context.Context) error {
+				t.send(ctx, fmt.Sprint(t.name, "-", n, "-", i), t.request(n), t.fleet.entries[hosts[i]], t.fleet.entries[hosts[k]])
+				return nil
+			})
+		}
+	}
+}
+
+// send sends a request to a host, and to another one after a failure.
+func (t *plainTraffic) send(ctx context.Context, id string, r plainRequest, host, next string) {
+	a := t.attempt(ctx, id, r, host)
+	promised := a.status == http.StatusServiceUnavailable
+	if t.again && !a.served && (promised || !strings.HasPrefix(r.path, "/once/")) {
+		t.attempt(ctx, id+"-again", r, next)
+	}
+}
+
+func (t *plainTraffic) attempt(ctx context.Context, id string, r plainRequest, host string) plainAnswer {
+	at := t.fleet.timer.Now()
+	a := t.fleet.try(ctx, host, id, r)
+	if ctx.Err() != nil {
+		return a // cut by the end of the traffic
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempts = append(t.attempts, plainAttempt{at, a})
+	return a
+}
+
+// counts returns the number of attempts, of those that were served, and of the others by what they were answered.
+func (t *plainTraffic) counts(counted func(at time.Time) bool) (sent, served int, others map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	others = map[string]int{}
+	for _, a := range t.attempts {
+		if !counted(a.at) {
+			continue
+		}
+		sent++
+		if a.served {
+			served++
+			continue
+		}
+		others[a.kind()]++
+	}
+	return sent, served, others
+}
+
+// kind returns the status and the code of an answer.
+func (a plainAnswer) kind() string {
+	_, code, _ := strings.Cut(a.body, `"error":"`)
+	code, _, _ = strings.Cut(code, `"`)
+	return strings.TrimSpace(fmt.Sprint(a.status, " ", code))
+}
--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -89,6 +89,12 @@
 // newPlatformFleetOf starts a control host and the given entry hosts, in three failure domains in turn, and installs a
 // configuration with one resumable route.
 func newPlatformFleetOf(t testing.TB, entries []string) (*platformFleet, context.Context) {
+	t.Helper()
+	return startPlatformFleet(t, entries, `"keeps": ["configuration"],`)
+}
+
+// startPlatformFleet is newPlatformFleetOf with a line of settings for what the control host keeps, empty for all.
+func startPlatformFleet(t testing.TB, entries []string, keeps string) (*platformFleet, context.Context) {
 	t.Helper()
 	f := &platformFleet{
 		t: t, folder: t.TempDir(), entries: entries, processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
@@ -110,7 +116,7 @@
 			}
 		}
 	})
-	f.write(platformControl, "a", `"control": "`+platformControl+`:7442", "keeps": ["configuration"], "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
+	f.write(platformControl, "a", `"control": "`+platformControl+`:7442", `+keeps+` "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
 	for i, h := range entries {
 		f.write(h, string(rune('a'+i%len(platformEntries))), `"callers": "`+h+`:7443", "readiness": "`+h+`:7444",`)
 	}
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -45,6 +45,10 @@
 	limit func(at time.Time) string
 	// zone is the failure domain of the worker.
 	zone string
+	// plain, if set, serves each connection in place of streams.
+	plain func(ctx context.Context, c net.Conn)
+	// closes means that a crash closes connections instead of resetting them.
+	closes bool
 	// ended is called when the worker ends by itself.
 	ended func(w *platformWorker)
 
@@ -161,7 +165,9 @@
 	w.stop()
 	_ = w.listener.Close()
 	for c := range w.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
+		if !w.closes {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
 		_ = c.Close()
 	}
 }
@@ -181,6 +187,10 @@
 
 // serve answers the requests of one connection.
 func (w *platformWorker) serve(ctx context.Context, c net.Conn, version string) {
+	if w.plain != nil {
+		w.plain(ctx, c)
+		return
+	}
 	in := bufio.NewReader(c)
 	for {
 		q, err := http.ReadRequest(in)
