Let stand-ins of a plain service not announce themselves as engines

The stand-ins of TestRequestThatCrashesUpstreamsIsStopped sent heartbeats with a stage, which engines do; the service has none.

--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -137,8 +137,12 @@
 	w.mu.Lock()
 	address, born, version := w.address, w.born, w.version
 	w.mu.Unlock()
+	kind := `"stage":"dual","models":[],`
+	if w.plain != nil {
+		kind = "" // not an engine
+	}
 	return w.fleet.post(ctx, wire.PathHeartbeat+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,`+
-		`"state":"ready","cold_remaining_ms":0,"stage":"dual","models":[],"sequence":%d,"born":%d}`, w.service, address, w.zone, version, workerSlots, n, born))
+		`"state":"ready","cold_remaining_ms":0,%s"sequence":%d,"born":%d}`, w.service, address, w.zone, version, workerSlots, kind, n, born))
 }
 
 // restart lets a worker that has crashed serve again under its name, as a new run of a version. A worker that runs already
