Guard sound requests against crashes of whole failure domains

Evidence against whole requests must not keep away what is on every upstream that crashes for other reasons. All workers of a failure domain end within 0.1 s, five times, every three seconds, under pages that everybody polls (one of them takes 1.2 s), forms that are the same each time, one of which runs once, and requests that come once.

--- a/cmd/siskinrun/plain_worker_test.go
+++ b/cmd/siskinrun/plain_worker_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,8 +16,9 @@
 
 const (
 	plainHealthPath = "/healthz"
-	// plainWorkTime is how long a plain worker takes for a request.
+	// plainWorkTime is how long a plain worker takes for a request, and slowWorkTime for one whose path says so.
 	plainWorkTime = 250 * time.Millisecond
+	slowWorkTime  = 1200 * time.Millisecond
 	// deadlyDelay is the time after which a deadly request ends a plain worker, before any byte of an answer.
 	deadlyDelay = 60 * time.Millisecond
 	// plainReturn is the time after which a plain worker that has ended is back under another name.
@@ -110,10 +112,13 @@
 
 // runPlain answers a request, or ends with it if it is deadly.
 func (w *plainWorker) runPlain(ctx context.Context, c net.Conn, id string, r plainRequest) error {
+	if ctx.Err() != nil {
+		return ctx.Err() // the worker has ended
+	}
 	f := w.fleet
 	f.reach(id)
-	if d := f.deadly[r]; d != nil {
-		d.add(&d.sends, f.timer.Now())
+	if c := f.deadly[r]; c != nil {
+		c.add(&c.sends, f.timer.Now())
 		w.mu.Lock()
 		w.deadly[r] = true
 		w.mu.Unlock()
@@ -123,7 +128,11 @@
 		w.end(f.context)
 		return io.EOF
 	}
-	if err := f.timer.Sleep(ctx, plainWorkTime); err != nil {
+	d := plainWorkTime
+	if strings.Contains(r.path, "/slow") {
+		d = slowWorkTime
+	}
+	if err := f.timer.Sleep(ctx, d); err != nil {
 		return err
 	}
 	a := r.answer()
