Show items that are owed and held back by evidence (fails)

Evidence on prompts' parts holds them back until their job's window closes, and their own losses count as evidence.

Three hosts and nine stand-in engines; one request and one prompt crash them. Items with the same host, path, team and body, or with the same part, must be done in 6 s beside usual ones; two items under which six engines each crash before the first event must be done in 25 s, and a request like them must be served.

--- a/cmd/siskinrun/crashing_domain_test.go
+++ b/cmd/siskinrun/crashing_domain_test.go
@@ -29,13 +29,13 @@
 
 // polledAndUnique are requests that are on every worker that crashes, and others that come once.
 var polledAndUnique = map[string]func(n int) plainRequest{
-	"page":       func(int) plainRequest { return plainRequest{http.MethodGet, plainPage, "", ""} },
-	"keyed-page": func(int) plainRequest { return plainRequest{http.MethodGet, "/look/page", "team0", ""} },
-	"slow-page":  func(int) plainRequest { return plainRequest{http.MethodGet, "/look/slow", "team1", ""} },
-	"form":       func(int) plainRequest { return plainRequest{http.MethodPost, "/look/form", "team1", "the same"} },
-	"once-form":  func(int) plainRequest { return plainRequest{http.MethodPost, "/once/form", "team2", "the same"} },
+	"page":       func(int) plainRequest { return plainRequest{method: http.MethodGet, path: plainPage} },
+	"keyed-page": func(int) plainRequest { return plainRequest{http.MethodGet, "/look/page", "team0", "", ""} },
+	"slow-page":  func(int) plainRequest { return plainRequest{http.MethodGet, "/look/slow", "team1", "", ""} },
+	"form":       func(int) plainRequest { return plainRequest{http.MethodPost, "/look/form", "team1", "the same", ""} },
+	"once-form":  func(int) plainRequest { return plainRequest{http.MethodPost, "/once/form", "team2", "the same", ""} },
 	"unique": func(n int) plainRequest {
-		return plainRequest{http.MethodPost, "/look/unique", "team2", fmt.Sprint("unique", n)}
+		return plainRequest{http.MethodPost, "/look/unique", "team2", fmt.Sprint("unique", n), ""}
 	},
 }
 
--- a/cmd/siskinrun/crashing_request_test.go
+++ b/cmd/siskinrun/crashing_request_test.go
@@ -33,15 +33,15 @@
 
 // deadlyRequests are one that may be repeated, one that runs once and one without a body.
 var deadlyRequests = []plainRequest{
-	{http.MethodPost, "/look/order?id=7", "team0", "deadly"},
-	{http.MethodPost, "/once/order?id=7", "team0", "deadly"},
-	{http.MethodGet, "/look/ledger?of=7", "team0", ""},
+	{http.MethodPost, "/look/order?id=7", "team0", "deadly", ""},
+	{http.MethodPost, "/once/order?id=7", "team0", "deadly", ""},
+	{http.MethodGet, "/look/ledger?of=7", "team0", "", ""},
 }
 
 // soundRequests share two of path, team and body with a deadly one.
 var soundRequests = map[string]func(n int) plainRequest{
 	"another-body": func(n int) plainRequest {
-		return plainRequest{http.MethodPost, deadlyRequests[n%2].path, "team0", fmt.Sprint("sound", n)}
+		return plainRequest{http.MethodPost, deadlyRequests[n%2].path, "team0", fmt.Sprint("sound", n), ""}
 	},
 	"another-team": func(n int) plainRequest {
 		r := deadlyRequests[n%3]
@@ -53,8 +53,8 @@
 		r.path += "1"
 		return r
 	},
-	"page":       func(int) plainRequest { return plainRequest{http.MethodGet, plainPage, "", ""} },
-	"keyed-page": func(int) plainRequest { return plainRequest{http.MethodGet, "/look/page", "team0", ""} },
+	"page":       func(int) plainRequest { return plainRequest{method: http.MethodGet, path: plainPage} },
+	"keyed-page": func(int) plainRequest { return plainRequest{http.MethodGet, "/look/page", "team0", "", ""} },
 }
 
 // soundTraffic returns the sound requests that keep coming.
--- a/cmd/siskinrun/plain_fleet_test.go
+++ b/cmd/siskinrun/plain_fleet_test.go
@@ -20,9 +20,8 @@
 )
 
 const (
-	plainHost  = "desk.example"
-	plainPage  = "/open/page"
-	plainTeams = 3
+	plainHost = "desk.example"
+	plainPage = "/open/page"
 	// plainPatience is how long a client waits.
 	plainPatience = 3 * time.Second
 )
@@ -42,6 +41,7 @@
 // plainFleet is a fleet before plain workers, some of whose requests are deadly: each worker that begins to run one ends.
 type plainFleet struct {
 	*platformFleet
+	plainSetup
 	// context ends with the test.
 	context context.Context
 	// deadly holds what became of each deadly request.
@@ -52,21 +52,38 @@
 	workers map[int]*plainWorker
 	// reached holds the attempts that reached workers, and refused those that were answered as not run.
 	reached, refused map[string]bool
+	// itemCrashes holds how many workers are still to crash under an item.
+	itemCrashes map[string]int
 }
 
-// newPlainFleet starts entry hosts and plain workers and returns once all hosts serve.
-func newPlainFleet(t testing.TB, hosts, workers int, deadly ...plainRequest) *plainFleet {
+// plainSetup describes a plainFleet.
+type plainSetup struct {
+	hosts, slots  int
+	configuration string
+	// engines means that the workers are engines.
+	engines bool
+}
+
+// newPlainFleet starts entry hosts and workers of a plain service and returns once all hosts serve.
+func newPlainFleet(t testing.TB, hosts, slots int, deadly ...plainRequest) *plainFleet {
+	t.Helper()
+	return startPlainFleet(t, plainSetup{hosts: hosts, slots: slots, configuration: plainConfiguration}, deadly...)
+}
+
+// startPlainFleet starts entry hosts and workers and returns once all hosts serve.
+func startPlainFleet(t testing.TB, s plainSetup, deadly ...plainRequest) *plainFleet {
 	t.Helper()
-	p, ctx := startPlatformFleet(t, platformHosts(hosts), "")
+	p, ctx := startPlatformFleet(t, platformHosts(s.hosts), "")
 	f := &plainFleet{
-		platformFleet: p, context: ctx, deadly: map[plainRequest]*crashes{}, workers: map[int]*plainWorker{},
+		platformFleet: p, plainSetup: s, context: ctx, deadly: map[plainRequest]*crashes{}, workers: map[int]*plainWorker{},
 		reached: map[string]bool{}, refused: map[string]bool{},
+		itemCrashes: map[string]int{},
 	}
 	for _, r := range deadly {
 		f.deadly[r] = &crashes{}
 	}
-	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, plainConfiguration) })
-	for i := range workers {
+	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, s.configuration) })
+	for i := range s.slots {
 		f.startPlain(ctx, i, 0)
 	}
 	for _, h := range f.entries {
@@ -82,7 +99,7 @@
 	n := 0
 	f.await(ctx, "service of "+host, func() error {
 		n++
-		a := f.try(ctx, host, fmt.Sprint("first-", host, "-", n), plainRequest{http.MethodGet, plainPage, "", ""})
+		a := f.try(ctx, host, fmt.Sprint("first-", host, "-", n), plainRequest{method: http.MethodGet, path: plainPage})
 		if !a.served {
 			return errors.Newf("status %d: %s", a.status, a.body)
 		}
@@ -136,6 +153,9 @@
 	q.Header.Set(wire.AttemptID, id)
 	q.Header.Set(wire.Deadline, strconv.FormatInt(plainPatience.Milliseconds()-int64(len(id)), 10))
 	q.Header.Set("X-Length-Hint", strconv.Itoa(len(id)))
+	if r.prompt != "" {
+		q.Header.Set(wire.PromptPrefix, r.prompt)
+	}
 	if r.team != "" {
 		q.Header.Set("Authorization", wire.Scheme+" key-"+r.team)
 	}
--- a/cmd/siskinrun/plain_worker_test.go
+++ b/cmd/siskinrun/plain_worker_test.go
@@ -28,6 +28,8 @@
 // plainRequest is a request for one answer; requests of the same value are the same request.
 type plainRequest struct {
 	method, path, team, body string
+	// prompt lists the parts of the prompt, empty for none.
+	prompt string
 }
 
 // answer returns what a worker answers to a request.
@@ -53,7 +55,7 @@
 	w := &plainWorker{fleet: f, slot: slot, run: run, deadly: map[plainRequest]bool{}}
 	w.platformWorker = &platformWorker{
 		fleet: f.platformFleet, id: fmt.Sprintf("i-%d-%d", slot, run), service: "desk", version: "v1", born: 1, alive: true,
-		zone: string(rune('a' + slot%len(platformEntries))), closes: run%2 == 1, plain: w.servePlain,
+		zone: string(rune('a' + slot%len(platformEntries))), closes: run%2 == 1, simple: !f.engines, plain: w.servePlain,
 	}
 	f.mu.Lock()
 	f.workers[slot] = w
@@ -101,7 +103,7 @@
 		case q.Header.Get(wire.ExpectedInstance) != w.id:
 			_, err = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 		default:
-			r := plainRequest{q.Method, q.RequestURI, q.Header.Get(wire.Tenant), string(b)}
+			r := plainRequest{q.Method, q.RequestURI, q.Header.Get(wire.Tenant), string(b), q.Header.Get(wire.PromptPrefix)}
 			err = w.runPlain(ctx, c, q.Header.Get(wire.AttemptID), r)
 		}
 		if err != nil {
@@ -117,6 +119,9 @@
 	}
 	f := w.fleet
 	f.reach(id)
+	if strings.HasPrefix(id, itemPrefix) {
+		return w.runItem(ctx, c, id)
+	}
 	if c := f.deadly[r]; c != nil {
 		c.add(&c.sends, f.timer.Now())
 		w.mu.Lock()
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -47,6 +47,8 @@
 	zone string
 	// plain, if set, serves each connection in place of streams.
 	plain func(ctx context.Context, c net.Conn)
+	// simple means that the worker is not an engine.
+	simple bool
 	// closes means that a crash closes connections instead of resetting them.
 	closes bool
 	// ended is called when the worker ends by itself.
@@ -138,8 +140,8 @@
 	address, born, version := w.address, w.born, w.version
 	w.mu.Unlock()
 	kind := `"stage":"dual","models":[],`
-	if w.plain != nil {
-		kind = "" // not an engine
+	if w.simple {
+		kind = ""
 	}
 	return w.fleet.post(ctx, wire.PathHeartbeat+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,`+
 		`"state":"ready","cold_remaining_ms":0,%s"sequence":%d,"born":%d}`, w.service, address, w.zone, version, workerSlots, kind, n, born))
