--- a/cmd/siskinrun/plain_fleet_test.go
+++ b/cmd/siskinrun/plain_fleet_test.go
@@ -96,10 +96,8 @@
 // awaitServing waits until a host serves.
 func (f *plainFleet) awaitServing(ctx context.Context, host string) {
 	f.t.Helper()
-	n := 0
 	f.await(ctx, "service of "+host, func() error {
-		n++
-		a := f.try(ctx, host, fmt.Sprint("first-", host, "-", n), plainRequest{method: http.MethodGet, path: plainPage})
+		a := f.try(ctx, host, fmt.Sprint("first-", host, "-", f.timer.Now().UnixNano()), plainRequest{method: http.MethodGet, path: plainPage})
 		if !a.served {
 			return errors.Newf("status %d: %s", a.status, a.body)
 		}
