Log how the last answer of a call was framed and how it ended

The line now has answer-framing, answer-end and answer-events, of the last answer of an upstream. An answer carries its framing in place of the mark that it has none. No decision reads what is new.

Tests of internal/wire, internal/jobs/runner and the new packages pass.

--- a/internal/data/answer/answer.go
+++ b/internal/data/answer/answer.go
@@ -1,6 +1,10 @@
 package answer
 
-import "io"
+import (
+	"io"
+
+	"siskinrun/internal/data/framing"
+)
 
 // Answer is the status, the headers and the body stream of an upstream's answer.
 type Answer struct {
@@ -14,8 +18,8 @@
 	Upstream string
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int
-	// Unframed means that only the end of the connection ends the body.
-	Unframed bool
+	// Framing is how the answer says where its body ends.
+	Framing framing.Framing
 	// Body returns io.EOF only after the complete body.
 	Body io.ReadCloser
 }
--- /dev/null
+++ b/internal/data/answerend/doc.go
@@ -0,0 +1,2 @@
+// Package answerend names how the body of an upstream's answer ended.
+package answerend
--- a/internal/data/callrecord/record.go
+++ b/internal/data/callrecord/record.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"siskinrun/internal/data/answerend"
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/ratelimit"
 	"siskinrun/internal/data/upstreamlimit"
 	"siskinrun/pkg/verdict"
@@ -55,6 +57,11 @@
 	Configuration uint64
 	// Events is the number of events of a streamed answer.
 	Events int
+	// Framing is how the last answer of an upstream says where it ends, and AnswerEnd how that answer ended.
+	Framing   framing.Framing
+	AnswerEnd answerend.End
+	// AnswerEvents is the number of events that were passed on from that answer.
+	AnswerEvents int
 	// EndedAt is when the call ended.
 	EndedAt time.Time
 	// Waited is the time from arrival until the call was sent.
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -12,6 +12,7 @@
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
 	"siskinrun/internal/data/completion"
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/item"
 	"siskinrun/internal/data/itemanswer"
 	"siskinrun/internal/data/itemline"
@@ -88,7 +89,7 @@
 func (r *Runner) collectStream(i item.Item, a *answer.Answer, cancel func()) (itemanswer.Answer, error) {
 	o := newOutput(i)
 	err := o.readEvents(a.Body, r.watch(cancel))
-	if err == nil && a.Unframed && o.next == 0 {
+	if err == nil && a.Framing == framing.None && o.next == 0 {
 		err = io.ErrUnexpectedEOF // an upstream that was lost before it began leaves the same
 	}
 	if err != nil {
--- a/internal/jobs/runner/version_test.go
+++ b/internal/jobs/runner/version_test.go
@@ -14,6 +14,7 @@
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/item"
 	"siskinrun/internal/data/itemline"
 	"siskinrun/internal/data/streamstart"
@@ -116,7 +117,7 @@
 
 func (emptyPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
 	return &answer.Answer{
-		Status: 200, ContentType: eventStream, Length: -1, Unframed: true, Body: io.NopCloser(strings.NewReader("")),
+		Status: 200, ContentType: eventStream, Length: -1, Framing: framing.None, Body: io.NopCloser(strings.NewReader("")),
 	}, nil
 }
 
--- a/internal/wire/accounting/recorder.go
+++ b/internal/wire/accounting/recorder.go
@@ -62,6 +62,9 @@
 		Int("attempts", r.Attempts).
 		Strs("tried", r.Tried).
 		Int("events", r.Events).
+		Str("answer-framing", r.Framing.String()).
+		Str("answer-end", r.AnswerEnd.String()).
+		Int("answer-events", r.AnswerEvents).
 		Dur("waited-ms", r.Waited).
 		Dur("first-ms", r.FirstByte).
 		Dur("total-ms", r.Total).
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -10,7 +10,9 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/data/answer"
+	"siskinrun/internal/data/answerend"
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/outcome"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
@@ -33,6 +35,9 @@
 	call       *call.Call
 	started    time.Time
 	latency    time.Duration
+	// framing is that of the answer, and events the number of its events that were passed on.
+	framing framing.Framing
+	events  int
 	// headers says that the headers of the answer have come, begun that some of its body has.
 	headers bool
 	begun   bool
@@ -53,7 +58,8 @@
 }
 
 // answered records the time to the start of the answer.
-func (t *attempt) answered() {
+func (t *attempt) answered(a *answer.Answer) {
+	t.framing = a.Framing
 	t.latency = t.dispatcher.Timer.Now().Sub(t.started)
 	t.headers = true
 	t.dispatcher.Observer.First(t.upstream.Name, t.call, t.latency)
@@ -73,6 +79,7 @@
 	t.once.Do(func() {
 		d := t.dispatcher
 		o := classify(ctx, err)
+		t.recordEnd(ctx, err)
 		d.Picker.Finished(t.upstream.Name, o, t.latency, d.Timer.Now())
 		d.RetryBudget.Observe(o)
 		d.Observer.End(t.upstream.Name, t.call)
@@ -86,6 +93,17 @@
 	})
 }
 
+// recordEnd records how the answer ended, if one has come.
+func (t *attempt) recordEnd(ctx context.Context, err error) {
+	if !t.headers {
+		return
+	}
+	r := &t.call.Record
+	r.Framing = t.framing
+	r.AnswerEnd = answerend.Of(ctx, t.framing, err)
+	r.AnswerEvents = t.events
+}
+
 // classify returns the outcome of an attempt for its upstream.
 func classify(ctx context.Context, err error) outcome.Outcome {
 	switch {
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -222,7 +222,7 @@
 		return nil, nil, err
 	}
 	a.Upstream = u.Name
-	t.answered()
+	t.answered(a)
 	if s.call.Stream && a.ContentType == eventStream {
 		return a, t, nil
 	}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -47,7 +47,7 @@
 		First:        c.Offset,
 		Resume:       s.resume,
 		Event:        s.event,
-		Done:         func(err error) { s.attempt.end(ctx, err) },
+		Done:         func(err error) { s.endAttempt(ctx, err) },
 	}
 	w := *a
 	w.Length = -1
@@ -63,6 +63,7 @@
 	c := s.call
 	c.Record.Events++
 	s.attempt.begin()
+	s.attempt.events++
 	s.recordStart(n)
 	if c.Record.Events > 1 {
 		c.Record.MaxEventGap = max(c.Record.MaxEventGap, g)
@@ -91,8 +92,7 @@
 		return nil, refusal.NewMayHaveRun(502, "stream-lost", "the stream exceeded its limit of resumptions")
 	}
 	u := s.attempt.upstream
-	s.attempt.end(ctx, cause)
-	s.call.Record.Lost = s.attempt.call.Record.Lost
+	s.endAttempt(ctx, cause)
 	if lostTooOften(s.call) {
 		return nil, refusal.NewMayHaveRun(502, codeLost, "upstreams were lost before they began to answer: "+cause.Error())
 	}
@@ -121,6 +121,16 @@
 	return a, nil
 }
 
+// endAttempt ends the current attempt and records its end with the call.
+func (s *stream) endAttempt(ctx context.Context, err error) {
+	s.attempt.end(ctx, err)
+	r := &s.attempt.call.Record
+	s.call.Record.Lost = r.Lost
+	s.call.Record.Framing = r.Framing
+	s.call.Record.AnswerEnd = r.AnswerEnd
+	s.call.Record.AnswerEvents = r.AnswerEvents
+}
+
 // resumeOnSame resumes the stream on its own upstream, where the call may still run, unless PlainStreams rules it out.
 func (s *stream) resumeOnSame(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	if s.dispatcher.PlainStreams {
--- a/internal/wire/dispatch/unframed_test.go
+++ b/internal/wire/dispatch/unframed_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
@@ -100,7 +101,7 @@
 			q.Batch = true
 			a, err := b.dispatcher.ServeOn(context.Background(), startScripted(t, "x", c.script), q)
 			is.NoErr(err)
-			is.True(a.Unframed)
+			is.Equal(a.Framing, framing.None)
 			got, err := io.ReadAll(a.Body)
 			is.Equal(err != nil, c.broken)
 			is.Equal(string(got), c.want)
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/data/answer"
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/sse"
 )
 
@@ -109,7 +110,7 @@
 // end ends the stream with its body, unless that has neither an event nor an end of its own: an upstream that was lost
 // before it began leaves the same.
 func (r *Reader) end() {
-	if r.Answer.Unframed && !r.started && r.First == 0 && r.Repeatable {
+	if r.Answer.Framing == framing.None && !r.started && r.First == 0 && r.Repeatable {
 		r.resume(io.ErrUnexpectedEOF)
 		return
 	}
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -16,6 +16,7 @@
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/answerheaders"
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstreamlimit"
 	"siskinrun/pkg/refusal"
@@ -202,7 +203,7 @@
 		Status:      p.StatusCode(),
 		ContentType: string(p.Header.ContentType()),
 		Length:      max(p.Header.ContentLength(), -1),
-		Unframed:    p.Header.ContentLength() == lengthIdentity,
+		Framing:     framingOf(p.Header.ContentLength()),
 	}
 	for n, v := range p.Header.All() {
 		if s := string(n); EndToEnd(s) && !strings.EqualFold(s, "content-type") && !e.dialect().Private(s) {
@@ -218,6 +219,18 @@
 	return a
 }
 
+// framingOf returns the framing of an answer with the given content length, as fasthttp states it.
+func framingOf(length int) framing.Framing {
+	switch {
+	case length >= 0:
+		return framing.Length
+	case length == lengthIdentity:
+		return framing.None
+	default:
+		return framing.Chunks
+	}
+}
+
 type emptyReader struct{}
 
 // Read implements io.Reader.Read.
