Log the upstreams that a stream tried before the last

The line call of a stream that went on inside its answer had attempts 3 and tried empty: the upstreams were added to the copy of the call that an attempt gets, and were not taken over with its other counts.

They are taken over when the stream moves. The tests of internal/wire/dispatch pass.

--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -162,6 +162,7 @@
 func (s *stream) switchTo(c *call.Call, t *attempt) {
 	s.attempt = t
 	s.call.Record.Attempts = c.Record.Attempts
+	s.call.Record.Tried = c.Record.Tried
 	s.call.Record.Upstream = c.Record.Upstream
 	s.call.Record.UpstreamVersion = c.Record.UpstreamVersion
 	s.call.Record.FirstEvent = c.Record.FirstEvent
