--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -89,6 +89,12 @@
 // newPlatformFleetOf starts a control host and the given entry hosts, in three failure domains in turn, and installs a
 // configuration with one resumable route.
 func newPlatformFleetOf(t testing.TB, entries []string) (*platformFleet, context.Context) {
+	t.Helper()
+	return newPlatformFleetKeeping(t, entries, `["configuration"]`)
+}
+
+// newPlatformFleetKeeping starts a control host that keeps the given kinds of state, and the given entry hosts.
+func newPlatformFleetKeeping(t testing.TB, entries []string, keeps string) (*platformFleet, context.Context) {
 	t.Helper()
 	f := &platformFleet{
 		t: t, folder: t.TempDir(), entries: entries, processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
@@ -110,7 +116,7 @@
 			}
 		}
 	})
-	f.write(platformControl, "a", `"control": "`+platformControl+`:7442", "keeps": ["configuration"], "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
+	f.write(platformControl, "a", `"control": "`+platformControl+`:7442", "keeps": `+keeps+`, "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
 	for i, h := range entries {
 		f.write(h, string(rune('a'+i%len(platformEntries))), `"callers": "`+h+`:7443", "readiness": "`+h+`:7444",`)
 	}
@@ -206,6 +212,8 @@
 // streamRequest is one attempt of a client at a stream.
 type streamRequest struct {
 	id string
+	// path is the path of the request, empty for streamPath.
+	path string
 	// resumes is the attempt that received the first event, and after the number of the last event received, if any.
 	resumes string
 	after   int
@@ -229,7 +237,7 @@
 
 // open sends an attempt to an entry host and returns its answer once the headers have come.
 func (f *platformFleet) open(ctx context.Context, host string, s streamRequest) (*clientStream, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+streamPath+"1", strings.NewReader("x"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+cmp.Or(s.path, streamPath)+"1", strings.NewReader("x"))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -41,6 +41,8 @@
 	deadly string
 	// received, if set, is called with the prompt of each request.
 	received func(prompt string)
+	// answer, if set, answers each request in place of the usual events, and reports whether the connection stays open.
+	answer func(c net.Conn, q *http.Request) bool
 	// limit, if set, returns the limit that the worker names at a time, empty for none.
 	limit func(at time.Time) string
 	// zone is the failure domain of the worker.
@@ -214,11 +216,14 @@
 	w.mu.Lock()
 	at := w.fleet.timer.Now()
 	w.runs = append(w.runs, workerRun{at, q.Header.Get(wire.AttemptID), p})
-	received, deadly, limit := w.received, w.deadly, w.limit
+	received, deadly, limit, answer := w.received, w.deadly, w.limit, w.answer
 	w.mu.Unlock()
 	if received != nil {
 		received(p)
 	}
+	if answer != nil {
+		return answer(c, q)
+	}
 	if w.fleet.timer.Sleep(ctx, workerStep) != nil {
 		return false
 	}
