Show that a failure of the next upstream ends a broken stream as complete

docs/incidents/cut-answers.md did not have this as a hypothesis; a call line of it has two attempts, no event of the last answer and the end of its framing.

--- a/cmd/siskinrun/cut_answers_test.go
+++ b/cmd/siskinrun/cut_answers_test.go
@@ -101,6 +101,13 @@
 	}
 }
 
+func wantNoFalseEnd(t *testing.T, id string, s seen) {
+	t.Helper()
+	if !s.broken() && !s.whole() {
+		t.Errorf("%s: complete after event %d", id, s.last)
+	}
+}
+
 func wantRefused(t *testing.T, id string, s seen) {
 	t.Helper()
 	if s.status != http.StatusBadGateway {
@@ -116,7 +123,7 @@
 			if framing == "none" && end == early {
 				continue
 			}
-			l = append(l, cut{framing, end, 0, false}, cut{framing, end, 0, true})
+			l = append(l, cut{framing, end, 0, false, 0}, cut{framing, end, 0, true, 0})
 		}
 	}
 	return l
@@ -130,7 +137,7 @@
 		f.askEach(ctx, t, streamPath, []cut{c}, wantWhole)
 		f.askEach(ctx, t, oncePath, []cut{c}, wantRefused)
 	}
-	for _, c := range []cut{{"length", early, 0, false}, {"chunks", early, 0, false}, {"none", closed, 0, false}} {
+	for _, c := range []cut{{"length", early, 0, false, 0}, {"chunks", early, 0, false, 0}, {"none", closed, 0, false, 0}} {
 		f.askEach(ctx, t, streamPath, []cut{c, c}, wantWhole)
 		f.askEach(ctx, t, streamPath, []cut{c, c, c}, wantRefused)
 	}
@@ -140,10 +147,10 @@
 // whose empty answer ends a broken stream as complete.
 func TestStreamThatGoesOnWithoutEventsDoesNotEndAsComplete(t *testing.T) {
 	f, ctx := newCutFleet(t)
-	empty := cut{"none", closed, 0, false}
+	empty := cut{"none", closed, 0, false, 0}
 	for _, framing := range []string{"length", "chunks", "none"} {
 		for _, inside := range []bool{false, true} {
-			broken := cut{framing, reset, 5, inside}
+			broken := cut{framing, reset, 5, inside, 0}
 			f.askEach(ctx, t, streamPath, []cut{broken, empty}, wantWhole)
 			f.askEach(ctx, t, streamPath, []cut{broken, empty, empty}, wantBroken)
 			f.askEach(ctx, t, streamPath, []cut{broken, broken, empty}, wantBroken)
@@ -152,7 +159,7 @@
 	t.Run("taken up at another host", func(t *testing.T) {
 		for i := range cutHosts {
 			id := fmt.Sprint("up-", i)
-			f.plan(id, cut{"chunks", reset, 5, true}, cut{"chunks", reset, 3, false}, cut{"chunks", reset, 2, false})
+			f.plan(id, cut{"chunks", reset, 5, true, 0}, cut{"chunks", reset, 3, false, 0}, cut{"chunks", reset, 2, false, 0})
 			s := f.ask(ctx, f.entries[i], streamRequest{id: id})
 			is.New(t).Equal(s.last, 10) // three attempts
 			wantBroken(t, id, s)
@@ -175,9 +182,21 @@
 // a framing, whose close ends the stream as complete though it may go on.
 func TestUnframedStreamClosedBetweenEventsGoesOn(t *testing.T) {
 	f, ctx := newCutFleet(t)
-	c := cut{"none", closed, 5, false}
+	c := cut{"none", closed, 5, false, 0}
 	f.askEach(ctx, t, streamPath, []cut{c}, wantWhole)
 	f.askEach(ctx, t, streamPath, []cut{c, c}, wantWhole)
-	f.askEach(ctx, t, streamPath, []cut{{"chunks", reset, 5, true}, c}, wantWhole)
-	f.askEach(ctx, t, streamPath, []cut{{"chunks", closed, 5, false}, c}, wantWhole)
+	f.askEach(ctx, t, streamPath, []cut{{"chunks", reset, 5, true, 0}, c}, wantWhole)
+	f.askEach(ctx, t, streamPath, []cut{{"chunks", closed, 5, false, 0}, c}, wantWhole)
+}
+
+// TestStreamIsNotEndedByAFailureOfTheNextUpstream guards against a failure with an empty body, whose end ends a broken stream
+// as complete.
+func TestStreamIsNotEndedByAFailureOfTheNextUpstream(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	broken := cut{"chunks", reset, 5, true, 0}
+	for _, status := range []int{http.StatusInternalServerError, http.StatusGatewayTimeout, http.StatusUnprocessableEntity} {
+		for _, framing := range []string{"length", "chunks", "none"} {
+			f.askEach(ctx, t, streamPath, []cut{broken, {framing, whole, 0, false, status}}, wantNoFalseEnd)
+		}
+	}
 }
--- a/cmd/siskinrun/cut_items_test.go
+++ b/cmd/siskinrun/cut_items_test.go
@@ -121,8 +121,8 @@
 		l = append(l, []cut{c})
 	}
 	for _, framing := range []string{"length", "chunks", "none"} {
-		l = append(l, []cut{{framing, reset, 5, false}, {"none", closed, 0, false}})
-		l = append(l, []cut{{framing, reset, 5, true}, {"none", closed, 0, false}})
+		l = append(l, []cut{{framing, reset, 5, false, 0}, {"none", closed, 0, false, 0}})
+		l = append(l, []cut{{framing, reset, 5, true, 0}, {"none", closed, 0, false, 0}})
 	}
 	f.runItems(ctx, t, l)
 }
@@ -131,8 +131,8 @@
 // answer without a framing, whose close completes the item.
 func TestItemGoesOnAfterAnUnframedAnswerClosedBetweenEvents(t *testing.T) {
 	f, ctx := newCutFleet(t)
-	c := cut{"none", closed, 5, false}
-	f.runItems(ctx, t, [][]cut{{c}, {c, c}, {{"chunks", reset, 5, true}, c}})
+	c := cut{"none", closed, 5, false, 0}
+	f.runItems(ctx, t, [][]cut{{c}, {c, c}, {{"chunks", reset, 5, true, 0}, c}})
 }
 
 // TestItemsOfWholeAnswersAreCompletedOnce says that whole answers complete items, whatever their framing.
@@ -141,7 +141,7 @@
 		t.Run(usual, func(t *testing.T) {
 			f, ctx := newCutFleet(t)
 			f.usual = usual
-			f.runItems(ctx, t, [][]cut{nil, nil, nil, nil, {{"chunks", reset, 5, true}}, {{"none", reset, 5, false}}})
+			f.runItems(ctx, t, [][]cut{nil, nil, nil, nil, {{"chunks", reset, 5, true, 0}}, {{"none", reset, 5, false, 0}}})
 		})
 	}
 }
--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -63,6 +64,8 @@
 	// events is the number of events that the answer holds, and inside says that a part of the next one follows.
 	events int
 	inside bool
+	// status is the status of the answer, zero for 200.
+	status int
 }
 
 func (c cut) String() string {
@@ -70,6 +73,9 @@
 	if c.inside {
 		s += "-inside"
 	}
+	if c.status != 0 {
+		s += fmt.Sprint("-", c.status)
+	}
 	return s
 }
 
@@ -137,7 +143,8 @@
 	for n := after + 1; n <= workerEvents; n++ {
 		l = append(l, fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n))
 	}
-	h := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Signature: " + worker + "\r\n" + wire.AttemptID + ": " + id + "\r\n"
+	h := fmt.Sprintf("HTTP/1.1 %d %s\r\n", cmp.Or(p.status, 200), http.StatusText(cmp.Or(p.status, 200)))
+	h += "Content-Type: text/event-stream\r\nX-Response-Signature: " + worker + "\r\n" + wire.AttemptID + ": " + id + "\r\n"
 	head := q.Method == http.MethodHead
 	if _, err := io.WriteString(c, h+p.write(l, head)); err != nil {
 		return false
@@ -162,7 +169,7 @@
 	switch c.framing {
 	case "length":
 		length := len(strings.Join(events, ""))
-		if c.end == early {
+		if c.end == early || c.end == whole {
 			length = len(strings.Join(sent, ""))
 		}
 		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", length, strings.Join(sent, ""))
--- a/cmd/siskinrun/whole_answers_test.go
+++ b/cmd/siskinrun/whole_answers_test.go
@@ -23,7 +23,7 @@
 	f, ctx := newCutFleet(t)
 	for _, framing := range []string{"length", "chunks", "none"} {
 		for _, end := range []ending{closed, reset, early} {
-			for _, c := range []cut{{framing, end, 5, false}, {framing, end, 5, true}, {framing, end, workerEvents, false}} {
+			for _, c := range []cut{{framing, end, 5, false, 0}, {framing, end, 5, true, 0}, {framing, end, workerEvents, false, 0}} {
 				if !c.shows() {
 					continue
 				}
@@ -92,7 +92,7 @@
 func TestOldCallersSeeThatAnAnswerIsBroken(t *testing.T) {
 	f, ctx := newCutFleet(t)
 	for _, first := range []string{"HTTP/1.0\r\n", "HTTP/1.0\r\nConnection: keep-alive\r\n", "HTTP/1.1\r\nConnection: close\r\n"} {
-		for _, c := range []cut{{"chunks", reset, 5, false}, {"none", reset, 5, true}, {"length", closed, 5, false}} {
+		for _, c := range []cut{{"chunks", reset, 5, false, 0}, {"none", reset, 5, true, 0}, {"length", closed, 5, false, 0}} {
 			t.Run(fmt.Sprintf("%q %v", first, c), func(t *testing.T) {
 				id := fmt.Sprint("old-", len(f.plans))
 				f.plan(id, c)
