Judge whether a stream is whole by the answer that ends it

A stream whose upstream was lost before its first event reached its caller as complete, 200 and no piece: where the answer was brought to its framing's end, on every route; where it had no framing, on routes that may not go on. A stream that had begun ended as complete when the upstream that was to go on with it was lost before its first event, and so did one that a caller took up at another host: whether anything had come was asked of the whole stream, of the route and of the call, not of the answer that ended.

The end of an answer is judged in one place, internal/wire/streamend, by the framing of that answer, the events it brought and whether the stream has any. Without a framing and without an event it counts as cut; with its framing but no event in the whole stream it is empty, which is a failure and no sign that the upstream was lost. Either way the stream goes on elsewhere or breaks off: 502, may have run, where nothing was sent. Only the framing says that nothing follows after the last event.

Two cases of unit tests held the old outcome and are replaced: an unframed empty stream on a route that may not be repeated was to be complete and is broken now, as an answer that ends early must not look complete; nothing left for a caller that has all events is said by an answer with a framing, and one without is broken.

--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -47,7 +47,6 @@
 		Context:      ctx,
 		Answer:       a,
 		EndsWithBody: d.PlainStreams,
-		Repeatable:   c.RouteConfig.Repeatable,
 		First:        c.Offset,
 		Resume:       s.resume,
 		Event:        s.event,
--- a/internal/wire/dispatch/unframed_test.go
+++ b/internal/wire/dispatch/unframed_test.go
@@ -18,6 +18,7 @@
 const (
 	unframedHeaders = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 	plainHeaders    = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	emptyStream     = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"
 	framedAnswer    = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
 )
 
@@ -48,7 +49,7 @@
 		{"cut inside an event", []script{{text: unframedHeaders + events(1, 3) + "id: 4\nda"}}, events(4, 5), true, events(1, 5), false},
 		{"cut inside an event, not repeatable", []script{{text: unframedHeaders + events(1, 3) + "id: 4\nda"}}, "", false, events(1, 3), true},
 		{"empty stream", []script{{text: unframedHeaders}}, events(1, 5), true, events(1, 5), false},
-		{"empty stream, not repeatable", []script{{text: unframedHeaders}}, "", false, "", false},
+		{"empty stream, not repeatable", []script{{text: unframedHeaders}}, "", false, "", true},
 		{"plain", []script{{text: plainHeaders + "text"}}, "", true, "text", false},
 		{"empty plain", []script{{text: plainHeaders}}, "", true, "", false},
 		{"plain of megabytes", []script{{text: plainHeaders + long}}, "", true, long, false},
@@ -129,23 +130,25 @@
 func TestStreamTakenUpGoesOnAfterTheLastEvent(t *testing.T) {
 	for _, c := range []struct {
 		name, text, want string
+		broken           bool
 	}{
-		{"the rest", events(4, 5), events(4, 5)},
-		{"an upstream that begins anew", events(1, 5), events(4, 5)},
-		{"nothing is left", "", ""},
+		{"the rest", unframedHeaders + events(4, 5), events(4, 5), false},
+		{"an upstream that begins anew", unframedHeaders + events(1, 5), events(4, 5), false},
+		{"nothing is left", emptyStream, "", false},
+		{"nothing comes", unframedHeaders, "", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			b := newFixture(t)
 			b.dispatcher.PlainStreams = true
-			b.picker.upstreams = []upstream.Upstream{startScripted(t, "x", script{text: unframedHeaders + c.text})}
+			b.picker.upstreams = []upstream.Upstream{startScripted(t, "x", script{text: c.text})}
 			q := b.streamed(true)
 			q.Offset, q.Resumes = 4, "c0"
 			q.Start = streamstart.Start{Service: "desk", Version: "v1"}
 			a, err := b.dispatcher.Serve(context.Background(), q)
 			is.NoErr(err)
 			got, err := io.ReadAll(a.Body)
-			is.NoErr(err)
+			is.Equal(err != nil, c.broken)
 			is.Equal(string(got), c.want)
 		})
 	}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -9,13 +9,17 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/data/answer"
-	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/sse"
+	"siskinrun/internal/wire/streamend"
+	"siskinrun/pkg/refusal"
 )
 
 // maxDrainBytes bounds the bytes that are read after the end of a stream.
 const maxDrainBytes = 1 << 20
 
+// errEmpty is the failure of an upstream whose answer holds no event and is whole by its framing: it was not lost.
+var errEmpty = refusal.NewMayHaveRun(502, "stream-empty", "the upstream's stream has no event")
+
 var doneMarker = []byte("data: [DONE]")
 
 // Reader reads whole events and resumes a broken stream after the last event read.
@@ -30,8 +34,6 @@
 	EndsWithBody bool
 	// First is the number of the first event that the caller asked for, zero for a stream from its start.
 	First int
-	// Repeatable says that the stream may begin again at another upstream.
-	Repeatable bool
 	// Event, if set, is called for each event that is passed on.
 	Event func(offset int)
 	// Done, if set, is called once when the stream has ended, with its error or nil.
@@ -42,9 +44,11 @@
 	// numbered says that the upstream numbers its events, so that a resumed stream can be checked.
 	numbered bool
 	started  bool
-	pending  []byte
-	err      error
-	closed   bool
+	// events is the number of events passed on from the open answer.
+	events  int
+	pending []byte
+	err     error
+	closed  bool
 }
 
 // Read implements io.Reader.Read.
@@ -96,6 +100,7 @@
 	}
 	r.numbered = r.numbered || ok
 	r.started = true
+	r.events++
 	r.next++
 	r.pending = e.Raw
 	if r.Event != nil {
@@ -107,14 +112,16 @@
 	}
 }
 
-// end ends the stream with its body, unless that has neither an event nor an end of its own: an upstream that was lost
-// before it began leaves the same.
+// end ends the stream with its answer, unless an upstream that was lost leaves the same.
 func (r *Reader) end() {
-	if r.Answer.Framing == framing.None && !r.started && r.First == 0 && r.Repeatable {
+	switch streamend.Of(r.Answer.Framing, r.events, r.started || r.First > 0) {
+	case streamend.Empty:
+		r.resume(errEmpty)
+	case streamend.Cut:
 		r.resume(io.ErrUnexpectedEOF)
-		return
+	default:
+		r.finish(nil)
 	}
-	r.finish(nil)
 }
 
 // drain reads the rest of the body so that the connection can be reused.
@@ -138,6 +145,7 @@
 		return
 	}
 	r.Answer = a
+	r.events = 0
 	r.in = bufio.NewReader(a.Body)
 }
 
