--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -212,6 +212,8 @@
 // streamRequest is one attempt of a client at a stream.
 type streamRequest struct {
 	id string
+	// path is the path of the request, empty for streamPath.
+	path string
 	// resumes is the attempt that received the first event, and after the number of the last event received, if any.
 	resumes string
 	after   int
@@ -235,7 +237,7 @@
 
 // open sends an attempt to an entry host and returns its answer once the headers have come.
 func (f *platformFleet) open(ctx context.Context, host string, s streamRequest) (*clientStream, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+streamPath+"1", strings.NewReader("x"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+cmp.Or(s.path, streamPath)+"1", strings.NewReader("x"))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -16,6 +16,10 @@
 
 const (
 	eventStream = "text/event-stream"
+	methodHead  = "HEAD"
+	// statusNoContent is the status of an answer without a body, and minOtherStatus the least one that is no success.
+	statusNoContent = 204
+	minOtherStatus  = 300
 	// maxResumes limits the resumptions of one stream.
 	maxResumes = 4
 	// recordRenewal is the time after which the record of a stream that goes on is renewed, before it expires.
@@ -43,11 +47,10 @@
 		Context:      ctx,
 		Answer:       a,
 		EndsWithBody: d.PlainStreams,
-		Repeatable:   c.RouteConfig.Repeatable,
 		First:        c.Offset,
 		Resume:       s.resume,
 		Event:        s.event,
-		Done:         func(err error) { s.attempt.end(ctx, err) },
+		Done:         func(err error) { s.endAttempt(ctx, err) },
 	}
 	w := *a
 	w.Length = -1
@@ -63,6 +66,7 @@
 	c := s.call
 	c.Record.Events++
 	s.attempt.begin()
+	s.attempt.events++
 	s.recordStart(n)
 	if c.Record.Events > 1 {
 		c.Record.MaxEventGap = max(c.Record.MaxEventGap, g)
@@ -91,8 +95,7 @@
 		return nil, refusal.NewMayHaveRun(502, "stream-lost", "the stream exceeded its limit of resumptions")
 	}
 	u := s.attempt.upstream
-	s.attempt.end(ctx, cause)
-	s.call.Record.Lost = s.attempt.call.Record.Lost
+	s.endAttempt(ctx, cause)
 	if lostTooOften(s.call) {
 		return nil, refusal.NewMayHaveRun(502, codeLost, "upstreams were lost before they began to answer: "+cause.Error())
 	}
@@ -118,9 +121,23 @@
 		return nil, err
 	}
 	s.switchTo(&c, t)
+	if !isStream(&c, a) {
+		_ = a.Body.Close()
+		return s.resume(ctx, offset, notResumed)
+	}
 	return a, nil
 }
 
+// endAttempt ends the current attempt and records its end with the call.
+func (s *stream) endAttempt(ctx context.Context, err error) {
+	s.attempt.end(ctx, err)
+	r := &s.attempt.call.Record
+	s.call.Record.Lost = r.Lost
+	s.call.Record.Framing = r.Framing
+	s.call.Record.AnswerEnd = r.AnswerEnd
+	s.call.Record.AnswerEvents = r.AnswerEvents
+}
+
 // resumeOnSame resumes the stream on its own upstream, where the call may still run, unless PlainStreams rules it out.
 func (s *stream) resumeOnSame(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	if s.dispatcher.PlainStreams {
@@ -139,19 +156,28 @@
 	if err != nil {
 		return nil, err
 	}
-	if a.ContentType != eventStream {
-		t.end(ctx, refusal.NewMayHaveRun(502, "upstream-lost", "the stream was not resumed"))
+	if !isStream(c, a) {
+		t.end(ctx, notResumed)
 		_ = a.Body.Close()
-		return nil, refusal.NewMayHaveRun(502, "stream-lost", "the upstream did not resume the stream")
+		return nil, notResumed
 	}
 	s.switchTo(c, t)
 	return a, nil
 }
 
+// notResumed is the failure of an attempt that was to go on with a stream and was answered with something else.
+var notResumed = refusal.NewMayHaveRun(502, "stream-lost", "the upstream did not resume the stream")
+
+// isStream reports whether an answer is a stream of events: a failure and an answer without a body are none.
+func isStream(c *call.Call, a *answer.Answer) bool {
+	return c.Stream && a.ContentType == eventStream && c.Method != methodHead && a.Status < minOtherStatus && a.Status != statusNoContent
+}
+
 // switchTo makes t the current attempt of the stream.
 func (s *stream) switchTo(c *call.Call, t *attempt) {
 	s.attempt = t
 	s.call.Record.Attempts = c.Record.Attempts
+	s.call.Record.Tried = c.Record.Tried
 	s.call.Record.Upstream = c.Record.Upstream
 	s.call.Record.UpstreamVersion = c.Record.UpstreamVersion
 	s.call.Record.FirstEvent = c.Record.FirstEvent
