Use no connection for a call whose last answer was to the same ID

Cause: an answer is told from a late copy by the ID of its call. Runs of a batch item have one ID, that of the item, so that a copy of the answer to one run was taken for the answer to the next on the same connection: an upstream that failed an item once had it failed again.

Change: a kept connection knows the ID that it answered last, and a call with the same ID leaves it alone. Answers that refuse a call without running it don't count, so that their connections are still kept for the next try.

--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -19,7 +19,8 @@
 	in      *bufio.Reader
 	out     *bufio.Writer
 	sent    atomic.Int64
-	reused  bool
+	// answered is the ID of the last call that the upstream did not refuse.
+	answered string
 	// identifies says that an answer on the connection carried the ID of its call, as all later ones must.
 	identifies bool
 	// idleTTL is how long the upstream keeps the idle connection, zero if it does not say.
--- a/internal/wire/transport/idle.go
+++ b/internal/wire/transport/idle.go
@@ -4,14 +4,17 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"time"
+
+	"siskinrun/internal/data/call"
 )
 
 // acquireConn returns an idle connection if the call may be repeated, or else a new one. The upstream may just be
 // closing an idle connection, and the call could then be lost.
-func (e *Transport) acquireConn(ctx context.Context, address string, repeatable bool) (*conn, error) {
-	if repeatable {
-		if k := e.takeIdle(address); k != nil {
+func (e *Transport) acquireConn(ctx context.Context, address string, q *call.Call) (*conn, error) {
+	if q.RouteConfig.Repeatable {
+		if k := e.takeIdle(address, q.ID); k != nil {
 			return k, nil
 		}
 	}
@@ -44,22 +47,25 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func (e *Transport) takeIdle(address string) *conn {
+// takeIdle returns an idle connection for the call with an ID, or nil. It leaves alone one that answered a call with that ID
+// last: a late copy of that answer could not be told from the next.
+func (e *Transport) takeIdle(address, id string) *conn {
 	n := e.Timer.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.idle[address]
-	for len(l) > 0 {
-		k := l[len(l)-1]
-		l = l[:len(l)-1]
-		e.idle[address] = l
+	for i, k := range slices.Backward(e.idle[address]) {
+		if k.answered == id {
+			continue
+		}
+		e.idle[address] = slices.Delete(e.idle[address], i, i+1)
 		if n.Sub(k.idleSince) < e.idleTTL(k) && quiet(k.Conn) {
-			k.reused = true
 			return k
 		}
 		k.close()
 	}
-	delete(e.idle, address)
+	if len(e.idle[address]) == 0 {
+		delete(e.idle, address)
+	}
 	return nil
 }
 
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -65,7 +65,7 @@
 // Do sends c to the address and returns its answer with an unread body; the error is a refusal whose verdict says
 // whether the call may have run.
 func (e *Transport) Do(ctx context.Context, address string, c *call.Call) (*answer.Answer, error) {
-	k, err := e.acquireConn(ctx, address, c.RouteConfig.Repeatable)
+	k, err := e.acquireConn(ctx, address, c)
 	if err != nil {
 		return nil, unreachable(err)
 	}
@@ -135,6 +135,7 @@
 	if r.NotRun {
 		return nil, e.refuseNotRun(k, a, r)
 	}
+	k.answered = c.ID
 	return a, nil
 }
 
