Keep no connection on which a call without an ID ran

Cause: orders to engines and reads of their state have no ID, but leave their connections to calls. Nothing said on such a connection that answers carry IDs, so that a late copy of the answer to an order was taken for that of the next call.

Change: the connection of a call without an ID closes after its answer. There is one such call for an order, and one for an engine at a change of leader.

--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -21,6 +21,8 @@
 	sent    atomic.Int64
 	// answered is the ID of the last call that the upstream did not refuse.
 	answered string
+	// anonymous says that the last call had no ID.
+	anonymous bool
 	// identifies says that an answer on the connection carried the ID of its call, as all later ones must.
 	identifies bool
 	// idleTTL is how long the upstream keeps the idle connection, zero if it does not say.
--- a/internal/wire/transport/idle.go
+++ b/internal/wire/transport/idle.go
@@ -77,8 +77,9 @@
 	return e.IdleTimeout
 }
 
+// putIdle keeps a connection for the next call, unless a late copy of its last answer could not be told from the next answer.
 func (e *Transport) putIdle(k *conn) {
-	if k.in.Buffered() > 0 || !k.stopAbort() {
+	if k.anonymous || k.in.Buffered() > 0 || !k.stopAbort() {
 		k.close()
 		return
 	}
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -95,6 +95,7 @@
 }
 
 func (e *Transport) roundTrip(k *conn, c *call.Call) (*answer.Answer, error) {
+	k.anonymous = c.ID == ""
 	_ = k.SetDeadline(e.Timer.Deadline(e.headerDeadline(c)))
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
