Let a caller read its answer before the connection closes

Cause: a close with unread bytes resets a TCP connection, and the kernel throws away what of the answer is still on its way. A caller who had sent its next request, where the answer ends the connection, saw its answer cut though this host had written all of it.

Change: a connection on which bytes came ends its sending side first, discards what still comes, and closes once the caller has, after 500 ms at most. Idle ones, and those refused beyond the limit of connections, close at once as before, so that neither a stop nor the accepting of callers waits.

--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -21,6 +21,8 @@
 	ahead []byte
 	err   error
 	calls int
+	// used says that bytes arrived.
+	used bool
 	// closing says that the connection is being closed as idle; bytes that still arrive are not read.
 	closing  bool
 	lastUsed time.Time
@@ -48,16 +50,27 @@
 	return n, err
 }
 
-// Close implements io.Closer.Close.
+// Close implements io.Closer.Close. A connection on which bytes came, and that is not closed as idle, waits a little for the
+// caller to end it too.
 func (k *conn) Close() error {
+	if k.lingers() {
+		k.linger()
+	}
 	k.listener.remove(k)
 	return k.Conn.Close()
 }
 
+func (k *conn) lingers() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.used && !k.closing
+}
+
 // touch records that bytes arrived and reports whether they may be read.
 func (k *conn) touch() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.used = true
 	k.lastUsed = k.listener.Timer.Now()
 	return !k.closing
 }
