Count a connection as busy while an answer is written to it

Cause: an answer that is not a stream counted as done once it was handed to the HTTP library. A stopping host closes connections without a call for 300 ms, and cut such an answer to a caller who reads slowly: pages of results and inputs of items, and the last bytes of streams.

Change: a write under way counts like a call.

--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -20,7 +20,8 @@
 	mu    sync.Mutex
 	ahead []byte
 	err   error
-	calls int
+	// busy counts the calls and writes under way.
+	busy int
 	// used says that bytes arrived.
 	used bool
 	// closing says that the connection is being closed as idle; bytes that still arrive are not read.
@@ -50,6 +51,13 @@
 	return n, err
 }
 
+// Write implements io.Writer.Write.
+func (k *conn) Write(p []byte) (int, error) {
+	k.addBusy(1)
+	defer k.addBusy(-1)
+	return k.Conn.Write(p)
+}
+
 // Close implements io.Closer.Close. A connection on which bytes came, and that is not closed as idle, waits a little for the
 // caller to end it too.
 func (k *conn) Close() error {
@@ -75,11 +83,11 @@
 	return !k.closing
 }
 
-// markClosingIfIdle marks the connection as closing if it has had no call and no bytes for the given time.
+// markClosingIfIdle marks the connection as closing if it has had no call and no bytes either way for the given time.
 func (k *conn) markClosingIfIdle(now time.Time, idle time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.calls > 0 || len(k.ahead) > 0 || now.Sub(k.lastUsed) < idle {
+	if k.busy > 0 || len(k.ahead) > 0 || now.Sub(k.lastUsed) < idle {
 		return false
 	}
 	k.closing = true
@@ -87,15 +95,15 @@
 }
 
 func (k *conn) markBusy() func() {
+	k.addBusy(1)
+	return sync.OnceFunc(func() { k.addBusy(-1) })
+}
+
+func (k *conn) addBusy(n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.calls++
-	return sync.OnceFunc(func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.calls--
-		k.lastUsed = k.listener.Timer.Now()
-	})
+	k.busy += n
+	k.lastUsed = k.listener.Timer.Now()
 }
 
 // watch reads one byte ahead to detect the end of the connection.
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -87,7 +87,7 @@
 	return l.stopped
 }
 
-// CloseIdle closes the connections that have had no call and no bytes for the given time.
+// CloseIdle closes the connections that have had no call and no bytes either way for the given time.
 func (l *Listener) CloseIdle(idle time.Duration) {
 	n := l.Timer.Now()
 	l.mu.Lock()
