Set the deadline of an order when it is decided on

Cause: an order got its deadline where the request was made. A leader that was suspended in between gave it a new one when it woke, long after the time for which its successor waits, and an engine without an order of the successor accepted it.

Change: the planner sets the deadline with the fencing token, five seconds after its decision and so within the ten for which a successor waits; the transport sends nothing after a deadline.

TestOrdersReachAnEngine holds that nothing is sent after that time over a real connection.

What remains: a leader suspended between the check of the deadline and the system call, which is microseconds.

--- a/internal/routing/order/order.go
+++ b/internal/routing/order/order.go
@@ -1,5 +1,7 @@
 package order
 
+import "time"
+
 const (
 	// Load is the kind of an order to load a model.
 	Load = "load"
@@ -15,6 +17,8 @@
 	Engine string `json:"engine"`
 	// Fence is the fencing token of the sender's lease.
 	Fence uint64 `json:"fence"`
+	// Until is when the order must have been answered; it isn't sent later.
+	Until time.Time `json:"-"`
 	// Kind is Load, Unload or Role.
 	Kind string `json:"kind"`
 	// Model is model@version or model@version+adapter, empty for Role.
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -25,6 +25,9 @@
 	DefaultLease = 10 * time.Second
 )
 
+// orderTimeout is the time from the decision on an order to its answer, shorter than a Lease.
+const orderTimeout = 5 * time.Second
+
 // maxConcurrentReads is the maximum number of engine states read in one planning round.
 const maxConcurrentReads = 32
 
@@ -211,12 +214,13 @@
 	failed := make([]bool, len(l))
 	g := group.NewGroup(ctx)
 	for i, o := range l {
-		n, ok := p.fences[o.Engine].Order(p.Timer.Now())
+		now := p.Timer.Now()
+		n, ok := p.fences[o.Engine].Order(now)
 		failed[i] = !ok
 		if !ok {
 			continue
 		}
-		o.Fence = n
+		o.Fence, o.Until = n, now.Add(orderTimeout)
 		g.Go("order "+o.Engine, func(ctx context.Context) error {
 			err := p.Engines.Send(ctx, address(list, o.Engine), o)
 			failed[i] = err != nil && refusal.Of(err).Verdict == verdict.NotRun
--- a/internal/wire/orderclient/client_test.go
+++ b/internal/wire/orderclient/client_test.go
@@ -39,9 +39,12 @@
 	g.Go("engine", v.Run)
 	e := &orderclient.Client{Transport: &transport.Transport{Timer: s, IdleTimeout: time.Second, BodyReadTimeout: time.Second}, Timer: s}
 
-	is.NoErr(e.Send(ctx, address, order.Order{Kind: order.Load, Model: "m@2", Fence: 7}))
-	is.NoErr(e.Send(ctx, address, order.Order{Kind: order.Role, Role: "decode", Fence: 7}))
-	is.True(e.Send(ctx, address, order.Order{Kind: order.Unload, Model: "m@1", Fence: 6}) != nil) // a stale fencing token
+	until := s.Now().Add(time.Minute)
+	is.NoErr(e.Send(ctx, address, order.Order{Kind: order.Load, Model: "m@2", Fence: 7, Until: until}))
+	is.NoErr(e.Send(ctx, address, order.Order{Kind: order.Role, Role: "decode", Fence: 7, Until: until}))
+	is.True(e.Send(ctx, address, order.Order{Kind: order.Unload, Model: "m@1", Fence: 6, Until: until}) != nil) // a stale fencing token
+	err = e.Send(ctx, address, order.Order{Kind: order.Load, Model: "m@3", Fence: 7, Until: s.Now()})
+	is.Equal(refusal.Of(err).Verdict, verdict.NotRun) // its time has passed
 	u, err := e.State(ctx, address)
 	is.NoErr(err)
 	is.Equal(u.Models, []string{"m@1", "m@2"})
@@ -50,6 +53,6 @@
 
 	stop()
 	_ = g.Wait()
-	err = e.Send(context.Background(), address, order.Order{Kind: order.Load, Model: "m@3"})
+	err = e.Send(context.Background(), address, order.Order{Kind: order.Load, Model: "m@3", Until: until})
 	is.Equal(refusal.Of(err).Verdict, verdict.NotRun)
 }
