Complete no item by an answer without events

An item of a batch job was listed as completed with no text when its upstream's answer came to its framing's end before the first event, and with a part of its text when the run that was to go on was answered without a framing and without an event: the runner asked only whether the item had any event and the answer no framing.

The runner judges the end of a run as relayed streams are judged; the judgement moves to internal/data, as both use it. Such a run is a failed one, what was made before is kept, and the next run goes on after it.

TestItemsOfWholeAnswersAreCompletedOnce passes as before.

--- a/internal/wire/streamend/judgement_test.go
+++ b/internal/data/streamend/judgement_test.go
@@ -6,7 +6,7 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/data/framing"
-	"siskinrun/internal/wire/streamend"
+	"siskinrun/internal/data/streamend"
 )
 
 func TestOf(t *testing.T) {
--- a/internal/jobs/runner/output.go
+++ b/internal/jobs/runner/output.go
@@ -6,15 +6,21 @@
 
 	"github.com/cockroachdb/errors"
 
+	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/item"
 	"siskinrun/internal/data/sse"
+	"siskinrun/internal/data/streamend"
 )
 
+var errEmpty = errors.New("the stream has no event")
+
 // output collects the text of the events of an item over all of its runs.
 type output struct {
 	text []byte
 	// next is the number of the next event, zero before the first event.
 	next uint64
+	// events is the number of events of this run.
+	events int
 }
 
 func newOutput(i item.Item) *output {
@@ -41,6 +47,18 @@
 	}
 }
 
+// judge returns an error if the answer that ended the run is one that an upstream that was lost may leave.
+func (o *output) judge(a *answer.Answer) error {
+	switch streamend.Of(a.Framing, o.events, o.next > 0) {
+	case streamend.Empty:
+		return errEmpty
+	case streamend.Cut:
+		return io.ErrUnexpectedEOF
+	default:
+		return nil
+	}
+}
+
 func (o *output) add(e sse.Event) error {
 	if !e.Numbered {
 		return errors.New("stream event has no number")
@@ -56,5 +74,6 @@
 	}
 	o.text = append(o.text, e.Data()...)
 	o.next = e.ID + 1
+	o.events++
 	return nil
 }
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -12,7 +12,6 @@
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
 	"siskinrun/internal/data/completion"
-	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/item"
 	"siskinrun/internal/data/itemanswer"
 	"siskinrun/internal/data/itemline"
@@ -89,8 +88,8 @@
 func (r *Runner) collectStream(i item.Item, a *answer.Answer, cancel func()) (itemanswer.Answer, error) {
 	o := newOutput(i)
 	err := o.readEvents(a.Body, r.watch(cancel))
-	if err == nil && a.Framing == framing.None && o.next == 0 {
-		err = io.ErrUnexpectedEOF // an upstream that was lost before it began leaves the same
+	if err == nil {
+		err = o.judge(a)
 	}
 	if err != nil {
 		return itemanswer.Answer{NextEvent: o.next, Text: o.text, Start: i.Start}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -10,7 +10,7 @@
 
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/sse"
-	"siskinrun/internal/wire/streamend"
+	"siskinrun/internal/data/streamend"
 	"siskinrun/pkg/refusal"
 )
 
