Confirm the end of a stream that an answer without a framing leaves open

A stream that may go on ended as complete, with the terminator of a framed answer, when an upstream was lost between two events of an answer without a framing: the close of the connection is all that ends such an answer, and a process that ends leaves the same.

Where the route lets a call run again, the host asks for what follows the last event before it passes the end on: an upstream that has nothing more says so by its framing, one that has more goes on with the stream. It asks any upstream that may get the call now and has the software that began the stream, at most as often as the route has attempts left, and waits half a second at most for the answer to begin; it spends no budget of retries, which broken streams need. Where nothing can be asked, the close is believed as before, and so it is on routes whose calls may run once: there a close between events cannot be told from an end.

--- /dev/null
+++ b/internal/wire/dispatch/confirm.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"siskinrun/internal/data/answer"
+	"siskinrun/pkg/verdict"
+)
+
+const (
+	// confirmTime is how long the end of a stream waits for an upstream to say that nothing follows.
+	confirmTime = 500 * time.Millisecond
+	// maxConfirmRuns is the number of runs of a call up to which it is sent to confirm its end, if its route names none.
+	maxConfirmRuns = 3
+)
+
+// confirm asks an upstream for what follows the given offset, since the answer that ended there did not say that it was whole.
+// It ends the current attempt with cause, and returns nil if no upstream can be asked.
+func (s *stream) confirm(ctx context.Context, offset int, cause error) *answer.Answer {
+	s.endAttempt(ctx, cause)
+	for s.mayConfirm() {
+		a, sent := s.ask(ctx, offset)
+		if a != nil || !sent {
+			return a
+		}
+	}
+	return nil
+}
+
+// mayConfirm reports whether the call may be sent once more to confirm its end.
+func (s *stream) mayConfirm() bool {
+	d, c := s.dispatcher, s.call
+	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c.Parts) || lostTooOften(c) {
+		return false
+	}
+	return c.Record.Attempts < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
+}
+
+// ask sends the call once, to any upstream that may get it now, and returns the stream with which it answers. It reports
+// whether the call was sent.
+func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool) {
+	d, c := s.dispatcher, *s.call
+	c.Offset = offset
+	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
+	u, ok := q.pick()
+	if !ok || !q.take(ctx, u, 0).Granted {
+		return nil, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := d.Timer.After(confirmTime, func(time.Time) { cancel() })
+	a, t, err := q.try(ctx, u)
+	stop()
+	if err != nil {
+		s.call.Record.Attempts, s.call.Record.Tried, s.call.Record.Lost = c.Record.Attempts, c.Record.Tried, c.Record.Lost
+		return nil, true
+	}
+	s.switchTo(&c, t)
+	if !isStream(&c, a) {
+		_ = a.Body.Close()
+		return nil, true
+	}
+	return a, true
+}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -49,6 +49,7 @@
 		EndsWithBody: d.PlainStreams,
 		First:        c.Offset,
 		Resume:       s.resume,
+		Confirm:      s.confirm,
 		Event:        s.event,
 		Done:         func(err error) { s.endAttempt(ctx, err) },
 	}
@@ -132,7 +133,7 @@
 func (s *stream) endAttempt(ctx context.Context, err error) {
 	s.attempt.end(ctx, err)
 	r := &s.attempt.call.Record
-	s.call.Record.Lost = r.Lost
+	s.call.Record.Lost = max(s.call.Record.Lost, r.Lost)
 	s.call.Record.Framing = r.Framing
 	s.call.Record.AnswerEnd = r.AnswerEnd
 	s.call.Record.AnswerEvents = r.AnswerEvents
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -30,6 +30,9 @@
 	Answer *answer.Answer
 	// Resume reopens the stream at the given event after cause broke it; an error ends the stream.
 	Resume func(ctx context.Context, offset int, cause error) (*answer.Answer, error)
+	// Confirm reopens the stream at the given event, where an answer ended that does not say whether it was whole, and again
+	// when cause broke that off. It returns nil if that is not possible, which ends the stream.
+	Confirm func(ctx context.Context, offset int, cause error) *answer.Answer
 	// EndsWithBody says that the end of the body ends the stream, and that its first event may have any number.
 	EndsWithBody bool
 	// First is the number of the first event that the caller asked for, zero for a stream from its start.
@@ -45,10 +48,12 @@
 	numbered bool
 	started  bool
 	// events is the number of events passed on from the open answer.
-	events  int
-	pending []byte
-	err     error
-	closed  bool
+	events int
+	// confirming says that the open answer is to tell whether anything follows, and has brought no event.
+	confirming bool
+	pending    []byte
+	err        error
+	closed     bool
 }
 
 // Read implements io.Reader.Read.
@@ -79,6 +84,10 @@
 		r.in = bufio.NewReader(r.Answer.Body)
 	}
 	e, err := sse.Read(r.in)
+	if err != nil && r.confirming {
+		r.confirmed(err)
+		return
+	}
 	if err == io.EOF && r.EndsWithBody {
 		r.end()
 		return
@@ -101,6 +110,7 @@
 	r.numbered = r.numbered || ok
 	r.started = true
 	r.events++
+	r.confirming = false
 	r.next++
 	r.pending = e.Raw
 	if r.Event != nil {
@@ -119,11 +129,37 @@
 		r.resume(errEmpty)
 	case streamend.Cut:
 		r.resume(io.ErrUnexpectedEOF)
+	case streamend.Unsaid:
+		r.confirm(nil)
 	default:
 		r.finish(nil)
 	}
 }
 
+// confirm asks for what follows the last event, and ends the stream if that cannot be asked.
+func (r *Reader) confirm(cause error) {
+	_ = r.Answer.Body.Close()
+	a := (*answer.Answer)(nil)
+	if r.numbered {
+		a = r.Confirm(r.Context, r.next, cause)
+	}
+	if a == nil {
+		r.finish(nil)
+		return
+	}
+	r.confirming = true
+	r.open(a)
+}
+
+// confirmed ends a stream of which nothing follows, or asks again if err broke the answer off.
+func (r *Reader) confirmed(err error) {
+	if err == io.EOF {
+		r.finish(nil)
+		return
+	}
+	r.confirm(err)
+}
+
 // drain reads the rest of the body so that the connection can be reused.
 func (r *Reader) drain() {
 	_, _ = io.CopyN(io.Discard, r.in, maxDrainBytes)
@@ -144,6 +180,11 @@
 		r.finish(errors.CombineErrors(err, cause))
 		return
 	}
+	r.open(a)
+}
+
+// open goes on with another answer.
+func (r *Reader) open(a *answer.Answer) {
 	r.Answer = a
 	r.events = 0
 	r.in = bufio.NewReader(a.Body)
