Confirm the end of an item that an answer without a framing leaves open

An item of a batch job was listed as completed with a part of its text when its upstream was lost between two events of an answer without a framing: the close that the process leaves is the one that ends such an answer.

The runner asks the upstream for what follows before it records the text. An upstream that still serves has ended its answer itself, also where it answers again without a framing or is too busy to answer; one that is gone, or breaks off, has not: the run failed, its text is kept and the next run goes on after it.

Items of whole answers are completed with their text as before, at one run more where the answer has no framing.

--- a/cmd/siskinrun/cut_answers_test.go
+++ b/cmd/siskinrun/cut_answers_test.go
@@ -180,6 +180,7 @@
 	f.askEach(ctx, t, streamPath, []cut{c, c}, wantWhole)
 	f.askEach(ctx, t, streamPath, []cut{{"chunks", reset, 5, true, 0}, c}, wantWhole)
 	f.askEach(ctx, t, streamPath, []cut{{"chunks", closed, 5, false, 0}, c}, wantWhole)
+	f.askEach(ctx, t, streamPath, []cut{{"none", exits, 5, false, 0}}, wantWhole)
 }
 
 // TestStreamIsNotEndedByAFailureOfTheNextUpstream guards against a failure with an empty body, whose end ends a broken stream
--- a/cmd/siskinrun/cut_items_test.go
+++ b/cmd/siskinrun/cut_items_test.go
@@ -132,7 +132,7 @@
 func TestItemGoesOnAfterAnUnframedAnswerClosedBetweenEvents(t *testing.T) {
 	f, ctx := newCutFleet(t)
 	c := cut{"none", closed, 5, false, 0}
-	f.runItems(ctx, t, [][]cut{{c}, {c, c}, {{"chunks", reset, 5, true, 0}, c}})
+	f.runItems(ctx, t, [][]cut{{c}, {c, c}, {{"none", exits, 5, false, 0}}, {{"chunks", reset, 5, true, 0}, c}})
 }
 
 // TestItemsOfWholeAnswersAreCompletedOnce says that whole answers complete items, whatever their framing.
--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -50,6 +50,8 @@
 	// closed ends the connection, and reset with a TCP reset.
 	closed ending = "close"
 	reset  ending = "reset"
+	// exits ends the connection and the process of the worker.
+	exits ending = "exit"
 	// early ends the framing after fewer events.
 	early ending = "early"
 	// whole ends the framing after the last event, or the connection where there is none.
@@ -83,6 +85,8 @@
 type cutFleet struct {
 	*platformFleet
 
+	workers map[string]*platformWorker
+
 	mu    sync.Mutex
 	plans map[string][]cut
 	runs  map[string]int
@@ -95,10 +99,11 @@
 func newCutFleet(t *testing.T) (*cutFleet, context.Context) {
 	t.Helper()
 	p, ctx := newPlatformFleetKeeping(t, platformHosts(cutHosts), `["configuration", "ledgers"]`)
-	f := &cutFleet{platformFleet: p, plans: map[string][]cut{}, runs: map[string]int{}, usual: "chunks"}
+	f := &cutFleet{platformFleet: p, workers: map[string]*platformWorker{}, plans: map[string][]cut{}, runs: map[string]int{}, usual: "chunks"}
 	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, cutConfiguration) })
 	for i := range cutWorkers {
 		w := &platformWorker{fleet: p, id: fmt.Sprint("i-", i), service: "lm", zone: "a", version: "v1", born: 1, alive: true}
+		f.workers[w.id] = w
 		w.answer = func(c net.Conn, q *http.Request) bool { return f.answer(w.id, c, q) }
 		f.run(ctx, w)
 	}
@@ -153,6 +158,10 @@
 		time.Sleep(beforeReset)
 		_ = c.(*net.TCPConn).SetLinger(0)
 	}
+	if p.end == exits {
+		_ = c.Close()
+		f.workers[worker].crash()
+	}
 	return (p.end == whole || p.end == early) && p.framing != "none" && !head
 }
 
--- a/internal/jobs/runner/output.go
+++ b/internal/jobs/runner/output.go
@@ -12,14 +12,17 @@
 	"siskinrun/internal/data/streamend"
 )
 
-var errEmpty = errors.New("the stream has no event")
+var (
+	errEmpty = errors.New("the stream has no event")
+	errCut   = errors.New("the stream ended as that of an upstream that is lost")
+)
 
 // output collects the text of the events of an item over all of its runs.
 type output struct {
 	text []byte
 	// next is the number of the next event, zero before the first event.
 	next uint64
-	// events is the number of events of this run.
+	// events is the number of events of the last answer.
 	events int
 }
 
@@ -27,8 +30,7 @@
 	return &output{text: append([]byte(nil), i.Text...), next: i.NextEvent}
 }
 
-// readEvents adds complete events until the stream ends, and calls event for each of them and at the end. Without an error
-// the text is complete.
+// readEvents adds complete events until the stream ends, and calls event for each of them and at the end.
 func (o *output) readEvents(r io.Reader, event func(end bool)) error {
 	defer event(true)
 	b := bufio.NewReader(r)
@@ -47,15 +49,22 @@
 	}
 }
 
-// judge returns an error if the answer that ended the run is one that an upstream that was lost may leave.
-func (o *output) judge(a *answer.Answer) error {
+// read adds the events of an answer and reports whether the answer says that the output is whole. Its error is that of an
+// answer that broke off.
+func (o *output) read(a *answer.Answer, event func(end bool)) (whole bool, err error) {
+	o.events = 0
+	if err := o.readEvents(a.Body, event); err != nil {
+		return false, err
+	}
 	switch streamend.Of(a.Framing, o.events, o.next > 0) {
 	case streamend.Empty:
-		return errEmpty
+		return false, errEmpty
 	case streamend.Cut:
-		return io.ErrUnexpectedEOF
+		return false, errCut
+	case streamend.Unsaid:
+		return false, nil
 	default:
-		return nil
+		return true, nil
 	}
 }
 
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -25,8 +25,11 @@
 	maxAnswerBytes = 4 << 20
 	eventStream    = "text/event-stream"
 	minErrorStatus = 400
+	codeBusy       = "upstream-busy"
 	minBackoff     = 100 * time.Millisecond
 	maxBackoff     = time.Second
+	// maxConfirmations is how often a run is confirmed whose answers do not say that they are whole.
+	maxConfirmations = 3
 )
 
 // pipeline sends the calls of batch items to upstreams.
@@ -71,7 +74,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	if l.Inline && a.ContentType == eventStream && a.Status < minErrorStatus {
-		return r.collectStream(i, a, cancel)
+		return r.collectStream(ctx, name, i, l, a, cancel)
 	}
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
 	if err != nil {
@@ -85,18 +88,44 @@
 
 // collectStream collects the output of an inline item, and returns the partial output if the stream is cut. It cancels the
 // call of a stream that stalls.
-func (r *Runner) collectStream(i item.Item, a *answer.Answer, cancel func()) (itemanswer.Answer, error) {
+func (r *Runner) collectStream(
+	ctx context.Context, name string, i item.Item, l itemline.Line, a *answer.Answer, cancel func(),
+) (itemanswer.Answer, error) {
 	o := newOutput(i)
-	err := o.readEvents(a.Body, r.watch(cancel))
-	if err == nil {
-		err = o.judge(a)
+	whole, err := o.read(a, r.watch(cancel))
+	for n := 0; err == nil && !whole && n < maxConfirmations; n++ {
+		i.NextEvent = o.next
+		whole, err = r.confirm(ctx, name, i, l, o, cancel)
 	}
-	if err != nil {
+	if !whole && err == nil {
+		err = errCut
+	}
+	if !whole {
 		return itemanswer.Answer{NextEvent: o.next, Text: o.text, Start: i.Start}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
 	}
 	return itemanswer.Answer{Status: a.Status, Body: o.text}, nil
 }
 
+// confirm asks the upstream for what follows the output so far, since the answer that ended there did not say that it was
+// whole, and adds it. It reports whether the output is whole, for which the word of an upstream that still serves is enough.
+func (r *Runner) confirm(ctx context.Context, name string, i item.Item, l itemline.Line, o *output, cancel func()) (bool, error) {
+	u, ok := r.upstream(name)
+	if !ok {
+		return false, errCut
+	}
+	a, err := r.Pipeline.Batch(ctx, u, r.call(i, l))
+	if err != nil {
+		f := refusal.Of(err)
+		return f.Code == refusal.CodeUpstreamsLimited || f.Code == codeBusy, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	if a.ContentType != eventStream || a.Status >= minErrorStatus {
+		return true, nil
+	}
+	whole, err := o.read(a, r.watch(cancel))
+	return whole || o.events == 0 && err == errCut, err
+}
+
 // watch returns a function to call for each event of a stream. Once none has come for Silence, stalled is called.
 func (r *Runner) watch(stalled func()) (event func(end bool)) {
 	stop := func() {}
