End no stream by an answer that begins it anew and ends before its place

A stream that went on, or that a caller took up, ended as complete when the next upstream began it anew, which is read past, and came to the end of its framing before the event that was asked for: no event passed on, and a framing that says whole.

Such an answer holds less than the caller has, so it counts as cut.

--- a/internal/wire/dispatch/unframed_test.go
+++ b/internal/wire/dispatch/unframed_test.go
@@ -31,6 +31,11 @@
 	return b.String()
 }
 
+// framed returns an answer with a length.
+func framed(events string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(events), events)
+}
+
 // TestUnframedAnswers says what callers get of answers that end with their connection.
 func TestUnframedAnswers(t *testing.T) {
 	long := strings.Repeat("0123456789abcdef", 200_000)
@@ -136,6 +141,8 @@
 		{"an upstream that begins anew", unframedHeaders + events(1, 5), events(4, 5), false},
 		{"nothing is left", emptyStream, "", false},
 		{"nothing comes", unframedHeaders, "", true},
+		{"an upstream that begins anew and ends before", framed(events(1, 2)), "", true},
+		{"an upstream that begins anew and ends there", framed(events(1, 3)), "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -49,6 +49,8 @@
 	started  bool
 	// events is the number of events passed on from the open answer.
 	events int
+	// reached is the number after the last event that the open answer repeated, zero if it repeated none.
+	reached int
 	// confirming says that the open answer is to tell whether anything follows, and has brought no event.
 	confirming bool
 	pending    []byte
@@ -101,6 +103,7 @@
 		r.next = n
 	}
 	if ok && n < r.next {
+		r.reached = n + 1
 		return
 	}
 	if ok && n > r.next {
@@ -124,6 +127,10 @@
 
 // end ends the stream with its answer, unless an upstream that was lost leaves the same.
 func (r *Reader) end() {
+	if r.behind() {
+		r.resume(io.ErrUnexpectedEOF)
+		return
+	}
 	switch streamend.Of(r.Answer.Framing, r.events, r.started || r.First > 0) {
 	case streamend.Empty:
 		r.resume(errEmpty)
@@ -136,6 +143,11 @@
 	}
 }
 
+// behind reports whether the open answer began the stream anew and ended before the event that was asked for.
+func (r *Reader) behind() bool {
+	return r.events == 0 && r.reached > 0 && r.reached < r.next
+}
+
 // confirm asks for what follows the last event, and ends the stream if that cannot be asked.
 func (r *Reader) confirm(cause error) {
 	_ = r.Answer.Body.Close()
@@ -186,7 +198,7 @@
 // open goes on with another answer.
 func (r *Reader) open(a *answer.Answer) {
 	r.Answer = a
-	r.events = 0
+	r.events, r.reached = 0, 0
 	r.in = bufio.NewReader(a.Body)
 }
 
