Test that a stream of a host that ends is not complete

A host that is killed, at once or at the end of the time that it has to stop, leaves what reached its caller without the end of its framing, whatever the framing of the upstream's answer: six cases with real processes.

--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -28,6 +28,7 @@
 	cutWorkers = 12
 	// beforeReset is the time in which what was written arrives before a reset.
 	beforeReset = 30 * time.Millisecond
+	holdTime    = 4 * time.Second
 )
 
 const cutConfiguration = `{"version": 8, "routes": [
@@ -52,6 +53,8 @@
 	reset  ending = "reset"
 	// exits ends the connection and the process of the worker.
 	exits ending = "exit"
+	// holds sends nothing more for holdTime.
+	holds ending = "hold"
 	// early ends the framing after fewer events.
 	early ending = "early"
 	// whole ends the framing after the last event, or the connection where there is none.
@@ -158,6 +161,9 @@
 		time.Sleep(beforeReset)
 		_ = c.(*net.TCPConn).SetLinger(0)
 	}
+	if p.end == holds {
+		time.Sleep(holdTime)
+	}
 	if p.end == exits {
 		_ = c.Close()
 		f.workers[worker].crash()
