--- a/cmd/siskinrun/cut_items_test.go
+++ b/cmd/siskinrun/cut_items_test.go
@@ -92,21 +92,21 @@
 }
 
 // runItems plays plans on the items of one batch job and checks that each result holds the whole text.
-func (f *cutFleet) runItems(ctx context.Context, t *testing.T, plans [][]cut) {
+func (f *cutFleet) runItems(ctx context.Context, t *testing.T, job string, plans [][]cut) {
 	t.Helper()
 	var ids []string
 	for i, p := range plans {
 		for k := range repeats {
-			id := fmt.Sprint("item-", i, "-", k)
+			id := fmt.Sprintf("%d-%d-%s", i, k, job)
 			f.plan(id, slices.Clone(p)...)
 			ids = append(ids, id)
 		}
 	}
-	f.submit(ctx, "job", ids)
-	for _, r := range f.results(ctx, "job", len(ids)) {
+	f.submit(ctx, job, ids)
+	for _, r := range f.results(ctx, job, len(ids)) {
 		if r.State != "completed" || r.Output != itemText() {
 			var i int
-			_, _ = fmt.Sscanf(r.ID, "item-%d", &i)
+			_, _ = fmt.Sscanf(r.ID, "%d", &i)
 			t.Errorf("%v: %s with %d events of text after %d runs", plans[i], r.State, strings.Count(r.Output, "e"), f.ran(r.ID))
 		}
 	}
@@ -124,7 +124,7 @@
 		l = append(l, []cut{{framing, reset, 5, false, 0}, {"none", closed, 0, false, 0}})
 		l = append(l, []cut{{framing, reset, 5, true, 0}, {"none", closed, 0, false, 0}})
 	}
-	f.runItems(ctx, t, l)
+	f.runItems(ctx, t, "empty", l)
 }
 
 // TestItemGoesOnAfterAnUnframedAnswerClosedBetweenEvents guards against an upstream that is lost between two events of an
@@ -132,16 +132,14 @@
 func TestItemGoesOnAfterAnUnframedAnswerClosedBetweenEvents(t *testing.T) {
 	f, ctx := newCutFleet(t)
 	c := cut{"none", closed, 5, false, 0}
-	f.runItems(ctx, t, [][]cut{{c}, {c, c}, {{"none", exits, 5, false, 0}}, {{"chunks", reset, 5, true, 0}, c}})
+	f.runItems(ctx, t, "between", [][]cut{{c}, {c, c}, {{"none", exits, 5, false, 0}}, {{"chunks", reset, 5, true, 0}, c}})
 }
 
 // TestItemsOfWholeAnswersAreCompletedOnce says that whole answers complete items, whatever their framing.
 func TestItemsOfWholeAnswersAreCompletedOnce(t *testing.T) {
+	f, ctx := newCutFleet(t)
 	for _, usual := range []string{"length", "chunks", "none"} {
-		t.Run(usual, func(t *testing.T) {
-			f, ctx := newCutFleet(t)
-			f.usual = usual
-			f.runItems(ctx, t, [][]cut{nil, nil, nil, nil, {{"chunks", reset, 5, true, 0}}, {{"none", reset, 5, false, 0}}})
-		})
+		f.frame(usual)
+		f.runItems(ctx, t, usual, [][]cut{nil, nil, nil, nil, {{"chunks", reset, 5, true, 0}}, {{"none", reset, 5, false, 0}}})
 	}
 }
--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -122,6 +122,13 @@
 	f.plans[id] = cuts
 }
 
+// frame sets the framing of whole answers.
+func (f *cutFleet) frame(framing string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.usual = framing
+}
+
 // next returns how a run of a request is answered.
 func (f *cutFleet) next(id string) cut {
 	f.mu.Lock()
--- a/cmd/siskinrun/whole_answers_test.go
+++ b/cmd/siskinrun/whole_answers_test.go
@@ -55,7 +55,7 @@
 	for _, usual := range []string{"length", "chunks", "none"} {
 		for _, path := range []string{streamPath, oncePath} {
 			t.Run(usual+path, func(t *testing.T) {
-				f.usual = usual
+				f.frame(usual)
 				runs := 0
 				for i := range wholeStreams {
 					id := fmt.Sprint(t.Name(), "-", i)
