--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -28,6 +28,7 @@
 	cutWorkers = 12
 	// beforeReset is the time in which what was written arrives before a reset.
 	beforeReset = 30 * time.Millisecond
+	holdTime    = 4 * time.Second
 )
 
 const cutConfiguration = `{"version": 8, "routes": [
@@ -50,6 +51,10 @@
 	// closed ends the connection, and reset with a TCP reset.
 	closed ending = "close"
 	reset  ending = "reset"
+	// exits ends the connection and the process of the worker.
+	exits ending = "exit"
+	// holds sends nothing more for holdTime.
+	holds ending = "hold"
 	// early ends the framing after fewer events.
 	early ending = "early"
 	// whole ends the framing after the last event, or the connection where there is none.
@@ -83,6 +88,8 @@
 type cutFleet struct {
 	*platformFleet
 
+	workers map[string]*platformWorker
+
 	mu    sync.Mutex
 	plans map[string][]cut
 	runs  map[string]int
@@ -95,10 +102,11 @@
 func newCutFleet(t *testing.T) (*cutFleet, context.Context) {
 	t.Helper()
 	p, ctx := startPlatformFleet(t, platformHosts(cutHosts), "")
-	f := &cutFleet{platformFleet: p, plans: map[string][]cut{}, runs: map[string]int{}, usual: "chunks"}
+	f := &cutFleet{platformFleet: p, workers: map[string]*platformWorker{}, plans: map[string][]cut{}, runs: map[string]int{}, usual: "chunks"}
 	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, cutConfiguration) })
 	for i := range cutWorkers {
 		w := &platformWorker{fleet: p, id: fmt.Sprint("i-", i), service: "lm", zone: "a", version: "v1", born: 1, alive: true}
+		f.workers[w.id] = w
 		w.answer = func(c net.Conn, q *http.Request) bool { return f.answer(w.id, c, q) }
 		f.run(ctx, w)
 	}
@@ -114,6 +122,13 @@
 	f.plans[id] = cuts
 }
 
+// frame sets the framing of whole answers.
+func (f *cutFleet) frame(framing string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.usual = framing
+}
+
 // next returns how a run of a request is answered.
 func (f *cutFleet) next(id string) cut {
 	f.mu.Lock()
@@ -153,6 +168,13 @@
 		time.Sleep(beforeReset)
 		_ = c.(*net.TCPConn).SetLinger(0)
 	}
+	if p.end == holds {
+		time.Sleep(holdTime)
+	}
+	if p.end == exits {
+		_ = c.Close()
+		f.workers[worker].crash()
+	}
 	return (p.end == whole || p.end == early) && p.framing != "none" && !head
 }
 
