Let requests that have come in part finish when a host stops

Cause: a connection counted as idle until the HTTP library had read the head of a request and the first 8 KiB of its body. A stopping host closes idle ones after 300 ms, also those inside a request that came slowly.

Change: a connection on which bytes of a request came closes only after 2 s without further bytes, so that a caller who stalls can't hold the stop.

TestStalledRequestIsClosed holds the new bound; the two tests of CloseIdle pass it the time that they had for both.

--- a/internal/wire/ingress/ingress.go
+++ b/internal/wire/ingress/ingress.go
@@ -18,7 +18,9 @@
 const (
 	idleTimeout = 2 * time.Minute
 	// idleGrace is how long a connection must be idle before a stopping host closes it.
-	idleGrace         = 300 * time.Millisecond
+	idleGrace = 300 * time.Millisecond
+	// requestGrace is how long a caller may stall inside a request before a stopping host closes its connection.
+	requestGrace      = 2 * time.Second
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -128,7 +130,7 @@
 	}
 	_ = i.Timer.Sleep(ctx, drainPollInterval)
 	for i.tracked.OpenConns() > 0 && ctx.Err() == nil {
-		i.tracked.CloseIdle(idleGrace)
+		i.tracked.CloseIdle(idleGrace, requestGrace)
 		_ = i.Timer.Sleep(ctx, drainPollInterval)
 	}
 }
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -22,6 +22,8 @@
 	err   error
 	// busy counts the calls and writes under way.
 	busy int
+	// begun says that bytes came of a request that is no call yet.
+	begun bool
 	// used says that bytes arrived.
 	used bool
 	// closing says that the connection is being closed as idle; bytes that still arrive are not read.
@@ -79,14 +81,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.used = true
+	k.begun = true
 	k.lastUsed = k.listener.Timer.Now()
 	return !k.closing
 }
 
-// markClosingIfIdle marks the connection as closing if it has had no call and no bytes either way for the given time.
-func (k *conn) markClosingIfIdle(now time.Time, idle time.Duration) bool {
+// markClosingIfIdle marks the connection as closing if it has had no call and no bytes either way for the time idle, or for the
+// time stalled inside a request.
+func (k *conn) markClosingIfIdle(now time.Time, idle, stalled time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.begun {
+		idle = stalled
+	}
 	if k.busy > 0 || len(k.ahead) > 0 || now.Sub(k.lastUsed) < idle {
 		return false
 	}
@@ -96,7 +103,12 @@
 
 func (k *conn) markBusy() func() {
 	k.addBusy(1)
-	return sync.OnceFunc(func() { k.addBusy(-1) })
+	return sync.OnceFunc(func() {
+		k.addBusy(-1)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.begun = false
+	})
 }
 
 func (k *conn) addBusy(n int) {
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -87,13 +87,14 @@
 	return l.stopped
 }
 
-// CloseIdle closes the connections that have had no call and no bytes either way for the given time.
-func (l *Listener) CloseIdle(idle time.Duration) {
+// CloseIdle closes the connections that have had no call and no bytes either way for the time idle, or for the time stalled
+// inside a request.
+func (l *Listener) CloseIdle(idle, stalled time.Duration) {
 	n := l.Timer.Now()
 	l.mu.Lock()
 	var q []*conn
 	for k := range l.open {
-		if k.markClosingIfIdle(n, idle) {
+		if k.markClosingIfIdle(n, idle, stalled) {
 			q = append(q, k)
 		}
 	}
--- a/internal/wire/listener/listener_test.go
+++ b/internal/wire/listener/listener_test.go
@@ -34,7 +34,7 @@
 	_, err = c.Write([]byte("b"))
 	is.NoErr(err)
 	m.Advance(3 * time.Second)
-	l.CloseIdle(2 * time.Second)
+	l.CloseIdle(2*time.Second, 2*time.Second)
 	n, err = s.Read(b)
 	is.True(n == 0 && err != nil)
 	is.Equal(l.OpenConns(), 0)
@@ -53,10 +53,10 @@
 	is.NoErr(err)
 	done := l.MarkBusy(s)
 	m.Advance(time.Minute)
-	l.CloseIdle(2 * time.Second)
+	l.CloseIdle(2*time.Second, 2*time.Second)
 	is.Equal(l.OpenConns(), 1)
 	done()
-	l.CloseIdle(2 * time.Second)
+	l.CloseIdle(2*time.Second, 2*time.Second)
 	is.Equal(l.OpenConns(), 1) // the end of the call restarts the idle time
 }
 
@@ -82,3 +82,47 @@
 	is.True(<-ended != nil)
 	is.NoErr(g.Wait())
 }
+
+// TestRequestUnderWayIsNotIdle guards against a close inside a request that comes slowly.
+func TestRequestUnderWayIsNotIdle(t *testing.T) {
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(1000, 0))
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &listener.Listener{Listener: in, Timer: m}
+	c, err := net.Dial("tcp", in.Addr().String())
+	is.NoErr(err)
+	s, err := l.Accept()
+	is.NoErr(err)
+	_, err = c.Write([]byte("a"))
+	is.NoErr(err)
+	_, err = s.Read(make([]byte, 1))
+	is.NoErr(err)
+	m.Advance(2 * time.Second)
+	l.CloseIdle(time.Second, 3*time.Second)
+	is.Equal(l.OpenConns(), 1)
+	l.MarkBusy(s)() // the request was served
+	m.Advance(2 * time.Second)
+	l.CloseIdle(time.Second, 3*time.Second)
+	is.Equal(l.OpenConns(), 0)
+}
+
+// TestStalledRequestIsClosed guards against a stop that waits for a request without end.
+func TestStalledRequestIsClosed(t *testing.T) {
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(1000, 0))
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &listener.Listener{Listener: in, Timer: m}
+	c, err := net.Dial("tcp", in.Addr().String())
+	is.NoErr(err)
+	s, err := l.Accept()
+	is.NoErr(err)
+	_, err = c.Write([]byte("a"))
+	is.NoErr(err)
+	_, err = s.Read(make([]byte, 1))
+	is.NoErr(err)
+	m.Advance(3 * time.Second)
+	l.CloseIdle(time.Second, 3*time.Second)
+	is.Equal(l.OpenConns(), 0)
+}
