--- a/cmd/siskinrun/once_test.go
+++ b/cmd/siskinrun/once_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,8 @@
 
 const onceConfiguration = `{"version": 8, "routes": [
   {"name": "once", "host": "` + streamHost + `", "path_prefix": "/once/", "route_type": "non_idempotent",
+    "timeout_ms": 8000, "target_latency_ms": 300, "service": "once", "max_attempts": 3, "public": true},
+  {"name": "slow", "host": "` + streamHost + `", "path_prefix": "/slow/", "route_type": "streaming", "gap_target_ms": 400,
     "timeout_ms": 8000, "target_latency_ms": 300, "service": "once", "max_attempts": 3, "public": true}],
   "services": [{"name": "once", "health_path": "/healthz", "max_conns": 200, "protocol": "h1"}],
   "limits": {}}`
@@ -39,7 +42,7 @@
 	runs map[string]int
 }
 
-// onceFleet is a fleet with a route whose calls may run once, and its workers.
+// onceFleet is a fleet with two routes whose calls may run once, one of them for streams, and its workers.
 type onceFleet struct {
 	*platformFleet
 	workers []*onceWorker
@@ -84,7 +87,7 @@
 	if err != nil {
 		return
 	}
-	w.scripts[strings.TrimPrefix(q.URL.Path, "/once/")](w, c.(*net.TCPConn), q)
+	w.scripts[path.Base(q.URL.Path)](w, c.(*net.TCPConn), q)
 }
 
 // start serves and announces the worker until ctx ends.
--- /dev/null
+++ b/internal/jobs/runner/comment_test.go
@@ -0,0 +1,41 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/timer"
+	"siskinrun/internal/data/answer"
+	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/item"
+	"siskinrun/internal/data/itemline"
+	"siskinrun/internal/data/upstream"
+)
+
+// commentPipeline answers with a whole stream that holds comments.
+type commentPipeline struct{}
+
+func (commentPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
+	b := io.NopCloser(strings.NewReader(":\n\nid: 1\ndata: a\n\n: b\n\nid: 2\ndata: c\n\n:\n\n"))
+	return &answer.Answer{Status: 200, ContentType: eventStream, Length: -1, Body: b}, nil
+}
+
+// TestCommentsDoNotCutAnItem guards against sound streams of slow upstreams that are cut at a comment.
+func TestCommentsDoNotCutAnItem(t *testing.T) {
+	is := is.New(t)
+	r := &Runner{
+		Pipeline:  commentPipeline{},
+		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+		Timer:     timer.NewService(),
+	}
+	l, err := json.Marshal(itemline.Line{CustomID: "i", Method: "POST", URL: "/", Inline: true})
+	is.NoErr(err)
+	a, err := r.Run(t.Context(), "u", item.Item{Job: "j", Line: l})
+	is.NoErr(err)
+	is.Equal(string(a.Body), "a\nc")
+}
