Do not take the comments of a stream for events

Such a block has no number, so that the numbers expected from the upstream were one ahead: the next event was dropped as a repeat and the stream ended as complete without it. A stream of comments only counted as begun, and a batch item, whose events must be numbered, was cut at each comment.

Change: the reader of events passes comments on with the event that follows them. A stream may end after a comment, but not within one.

--- a/internal/data/sse/event.go
+++ b/internal/data/sse/event.go
@@ -27,10 +27,11 @@
 	Numbered bool
 }
 
-// Read returns the next complete event. It returns io.EOF only at the end of an event, and io.ErrUnexpectedEOF
-// within one.
+// Read returns the next complete event, with the comments before it. It returns io.EOF only at the end of an event or
+// comment, and io.ErrUnexpectedEOF within one.
 func Read(r *bufio.Reader) (Event, error) {
 	var b []byte
+	comments := 0 // the length of the complete comments at the start of b
 	for {
 		l, err := r.ReadSlice('\n')
 		b = append(b, l...)
@@ -40,16 +41,31 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err == io.EOF && len(b) > 0 {
+		if err == io.EOF && len(b) > comments {
 			return Event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return Event{}, err
 		}
-		if len(bytes.TrimRight(l, "\r\n")) == 0 && len(bytes.TrimSpace(b)) > 0 {
+		block := b[comments:]
+		if len(bytes.TrimRight(l, "\r\n")) > 0 || len(bytes.TrimSpace(block)) == 0 {
+			continue
+		}
+		if !isComment(block) {
 			return parse(b), nil
 		}
+		comments = len(b)
+	}
+}
+
+// isComment reports whether a block holds comments and no field.
+func isComment(b []byte) bool {
+	for l := range bytes.Lines(b) {
+		if l[0] != ':' && len(bytes.TrimRight(l, "\r\n")) > 0 {
+			return false
+		}
 	}
+	return true
 }
 
 // Data returns the data lines of the event, separated by line feeds.
--- a/internal/data/sse/event_test.go
+++ b/internal/data/sse/event_test.go
@@ -24,6 +24,10 @@
 		{"truncated within an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"a"}, []uint64{1}, io.ErrUnexpectedEOF},
 		{"truncated before the empty line", "id: 1\ndata: a\n", nil, nil, io.ErrUnexpectedEOF},
 		{"empty", "", nil, nil, io.EOF},
+		{"comments", ":\n\nid: 1\ndata: a\n\n: c\n: d\r\n\r\n:\n\nid: 2\n: e\ndata: b\n\n:\n\n", []string{"a", "b"}, []uint64{1, 2}, io.EOF},
+		{"comments only", ":\n\n: c\n\n", nil, nil, io.EOF},
+		{"truncated within a comment", "id: 1\ndata: a\n\n: c\n", []string{"a"}, []uint64{1}, io.ErrUnexpectedEOF},
+		{"truncated after a comment", ":\n\nid: 1\n", nil, nil, io.ErrUnexpectedEOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
