Do not end an event at a line that fills the reader's buffer

Cause: the reader of events takes a long line in parts of 4 KiB and looked for the empty line that ends an event in the last part. A line whose length is a multiple of 4 KiB leaves its line feed as a part of its own, which looked empty: an event of more lines was split, and the last event of a stream left an empty line behind it, so that a whole stream counted as cut.

Change: the whole line is looked at.

--- a/internal/data/sse/event.go
+++ b/internal/data/sse/event.go
@@ -31,7 +31,7 @@
 // comment, and io.ErrUnexpectedEOF within one.
 func Read(r *bufio.Reader) (Event, error) {
 	var b []byte
-	comments := 0 // the length of the complete comments at the start of b
+	line, block := 0, 0 // where the line under way begins in b, and the block under way
 	for {
 		l, err := r.ReadSlice('\n')
 		b = append(b, l...)
@@ -41,20 +41,20 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err == io.EOF && len(b) > comments {
+		if err == io.EOF && len(b) > block {
 			return Event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return Event{}, err
 		}
-		block := b[comments:]
-		if len(bytes.TrimRight(l, "\r\n")) > 0 || len(bytes.TrimSpace(block)) == 0 {
-			continue
-		}
-		if !isComment(block) {
+		ends := len(bytes.TrimRight(b[line:], "\r\n")) == 0 && len(bytes.TrimSpace(b[block:])) > 0
+		if ends && !isComment(b[block:]) {
 			return parse(b), nil
 		}
-		comments = len(b)
+		line = len(b)
+		if ends {
+			block = len(b)
+		}
 	}
 }
 
--- a/internal/data/sse/event_test.go
+++ b/internal/data/sse/event_test.go
@@ -66,3 +66,21 @@
 		}
 	})
 }
+
+// TestLongLineEndsNoEvent guards against an event that ends at the end of a line that fills the reader's buffer.
+func TestLongLineEndsNoEvent(t *testing.T) {
+	const buffer = 64
+	for n := 2*buffer - 10; n < 2*buffer+10; n++ {
+		is := is.New(t)
+		long := strings.Repeat("x", n)
+		r := bufio.NewReaderSize(strings.NewReader("id: 1\ndata:"+long+"\ndata:y\n\nid: 2\r\ndata:"+long+"\r\n\r\n"), buffer)
+		e, err := sse.Read(r)
+		is.NoErr(err)
+		is.Equal(string(e.Data()), long+"\ny")
+		e, err = sse.Read(r)
+		is.NoErr(err)
+		is.Equal(string(e.Data()), long)
+		_, err = sse.Read(r)
+		is.Equal(err, io.EOF)
+	}
+}
