--- a/internal/wire/listener/listener_test.go
+++ b/internal/wire/listener/listener_test.go
@@ -83,10 +83,10 @@
 	is.NoErr(g.Wait())
 }
 
-// TestRequestUnderWayIsNotIdle guards against a close inside a request that comes slowly.
-func TestRequestUnderWayIsNotIdle(t *testing.T) {
+// begunRequest returns a listener with a connection on which the first byte of a request has been read.
+func begunRequest(t *testing.T, m *timer.Service) (*listener.Listener, net.Conn) {
+	t.Helper()
 	is := is.New(t)
-	m := timer.NewManual(time.Unix(1000, 0))
 	in, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	l := &listener.Listener{Listener: in, Timer: m}
@@ -98,6 +98,14 @@
 	is.NoErr(err)
 	_, err = s.Read(make([]byte, 1))
 	is.NoErr(err)
+	return l, s
+}
+
+// TestRequestUnderWayIsNotIdle guards against a close inside a request that comes slowly.
+func TestRequestUnderWayIsNotIdle(t *testing.T) {
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(1000, 0))
+	l, s := begunRequest(t, m)
 	m.Advance(2 * time.Second)
 	l.CloseIdle(time.Second, 3*time.Second)
 	is.Equal(l.OpenConns(), 1)
@@ -111,17 +119,7 @@
 func TestStalledRequestIsClosed(t *testing.T) {
 	is := is.New(t)
 	m := timer.NewManual(time.Unix(1000, 0))
-	in, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	l := &listener.Listener{Listener: in, Timer: m}
-	c, err := net.Dial("tcp", in.Addr().String())
-	is.NoErr(err)
-	s, err := l.Accept()
-	is.NoErr(err)
-	_, err = c.Write([]byte("a"))
-	is.NoErr(err)
-	_, err = s.Read(make([]byte, 1))
-	is.NoErr(err)
+	l, _ := begunRequest(t, m)
 	m.Advance(3 * time.Second)
 	l.CloseIdle(time.Second, 3*time.Second)
 	is.Equal(l.OpenConns(), 0)
