--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -2,11 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
-	"os"
-	"path/filepath"
-	"slices"
-	"sort"
 	"time"
 
 	"siskinrun/internal/base/duration"
@@ -16,9 +11,7 @@
 	"siskinrun/internal/data/model"
 	"siskinrun/internal/data/route"
 	"siskinrun/internal/data/team"
-	"siskinrun/internal/product/diagnostic"
 	"siskinrun/internal/product/jsonc"
-	"siskinrun/internal/routing/picker"
 )
 
 const (
@@ -196,76 +189,6 @@
 	MemoryBytes int64 `json:"memory-bytes,omitempty"`
 }
 
-// Load reads a base file and, unless its name is empty, the overlay of a site.
-func Load(base, overlay string) (*Settings, error) {
-	f := &diagnostic.List{}
-	d := parseFile(base, f)
-	if overlay != "" {
-		o := parseFile(overlay, f)
-		if d != nil && o != nil {
-			d = jsonc.Merge(d, o)
-		}
-	}
-	if d == nil {
-		return nil, f
-	}
-	s := defaults()
-	s.document = d
-	d.Decode(s, f)
-	s.undecoded = f.Fields()
-	s.check(f)
-	return s, f.Err()
-}
-
-const (
-	// KeepsConfiguration stands in Host.Keeps for the replicated configuration.
-	KeepsConfiguration = "configuration"
-	// KeepsLedgers stands in Host.Keeps for the batch ledgers.
-	KeepsLedgers = "ledgers"
-)
-
-// Stores reports whether the host stores a kind of state.
-func (h Host) Stores(kind string) bool {
-	return h.DataFolder != "" && (len(h.Keeps) == 0 || slices.Contains(h.Keeps, kind))
-}
-
-// UsesSeeds reports whether the hosts find each other through seeds.
-func (s *Settings) UsesSeeds() bool {
-	return len(s.Fleet.Seeds) > 0
-}
-
-// ReadSecrets reads the shared secrets from their files. A trusted network has none.
-func (s *Settings) ReadSecrets() error {
-	if s.Fleet.TrustedNetwork {
-		return nil
-	}
-	f := &diagnostic.List{}
-	for _, e := range []struct {
-		field string
-		path  *string
-		to    *secret.Secret
-	}{
-		{"fleet.peer-secret-file", &s.Fleet.PeerSecretFile, &s.PeerSecret},
-		{"fleet.upstream-secret-file", &s.Fleet.UpstreamSecretFile, &s.UpstreamSecret},
-		{"fleet.operator-secret-file", &s.Fleet.OperatorSecretFile, &s.OperatorSecret},
-	} {
-		b, err := secret.Read(s.ResolvePath(e.field, *e.path))
-		if err != nil {
-			s.addDiagnostic(f, e.field, "%v", err)
-		}
-		*e.to = b
-	}
-	return f.Err()
-}
-
-// ResolvePath resolves a file name given in a field against the folder of the settings file that holds the field.
-func (s *Settings) ResolvePath(field, name string) string {
-	if filepath.IsAbs(name) {
-		return name
-	}
-	return filepath.Join(filepath.Dir(s.document.Find(field).File), name)
-}
-
 // Configuration returns the part that apply puts in force on the whole fleet, without keys.
 func (s *Settings) Configuration() *configuration.Configuration {
 	return &configuration.Configuration{
@@ -280,88 +203,3 @@
 func (s *Settings) Print() ([]byte, error) {
 	return json.MarshalIndent(s, "", "  ")
 }
-
-// ControlHosts returns the sorted names of the control hosts that the settings list, or of the seeds if there are any.
-func (s *Settings) ControlHosts() []string {
-	var n []string
-	if s.UsesSeeds() {
-		for _, a := range s.Fleet.Seeds {
-			if h, _, err := net.SplitHostPort(a); err == nil {
-				n = append(n, h)
-			}
-		}
-		slices.Sort(n)
-		return slices.Compact(n)
-	}
-	for h, v := range s.Fleet.Hosts {
-		if v.DataFolder != "" {
-			n = append(n, h)
-		}
-	}
-	sort.Strings(n)
-	return n
-}
-
-// FailureDomains returns the failure domain of each host.
-func (s *Settings) FailureDomains() map[string]string {
-	m := map[string]string{}
-	for h, v := range s.Fleet.Hosts {
-		m[h] = v.FailureDomain
-	}
-	return m
-}
-
-// PeerAddresses returns the peers' address of each host.
-func (s *Settings) PeerAddresses() map[string]string {
-	m := map[string]string{}
-	for h, v := range s.Fleet.Hosts {
-		m[h] = v.Peers
-	}
-	return m
-}
-
-func (s *Settings) hostNames() []string {
-	var n []string
-	for h := range s.Fleet.Hosts {
-		n = append(n, h)
-	}
-	slices.Sort(n)
-	return n
-}
-
-func defaults() *Settings {
-	return &Settings{
-		Fleet: Fleet{
-			LedgerGroups:   defaultLedgerGroups,
-			FreshnessLease: duration.Duration(defaultFreshnessLease),
-			DrainTime:      duration.Duration(defaultDrainTime),
-			Weights:        Weights{BatchThroughput: 1, OnlineTail: 1, WorstTeam: 1, Locality: picker.DefaultLocalityWeight},
-		},
-		Limits: Limits{
-			HeaderBytes: defaultHeaderBytes,
-			BodyBytes:   defaultBodyBytes,
-			FileBytes:   defaultFileBytes,
-			Concurrency: defaultConcurrency,
-			ReadTimeout: duration.Duration(defaultReadTimeout),
-
-			ConnectTimeout:    duration.Duration(defaultConnectTimeout),
-			StreamIdleTimeout: duration.Duration(defaultStreamIdleTimeout),
-		},
-		Teams:  map[string]team.Team{},
-		Routes: map[string]route.Route{},
-		Models: map[string]model.Model{},
-	}
-}
-
-func parseFile(file string, f *diagnostic.List) *jsonc.Node {
-	b, err := os.ReadFile(file)
-	if err != nil {
-		f.Add(file, 0, "", "%v", err)
-		return nil
-	}
-	if len(b) > maxFileBytes {
-		f.Add(file, 0, "", "is larger than %d bytes", maxFileBytes)
-		return nil
-	}
-	return jsonc.Parse(file, b, f)
-}
