--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -12,7 +12,6 @@
 	"siskinrun/internal/state/effect"
 	"siskinrun/internal/state/identity"
 	"siskinrun/internal/state/logentry"
-	"siskinrun/internal/state/message"
 	"siskinrun/internal/state/recovered"
 )
 
@@ -103,13 +102,6 @@
 	ballot ballot.Ballot
 }
 
-// incomingSnapshot is a snapshot that is being received.
-type incomingSnapshot struct {
-	position
-	offset   uint64
-	complete bool
-}
-
 // NewReplica returns a replica that starts from the state recovered from its disk.
 func NewReplica(self identity.Identity, seed uint64, r recovered.State, now time.Time) *Replica {
 	p := &Replica{
@@ -192,45 +184,6 @@
 	r.advanceCommit()
 }
 
-// Compact reports to the replica that a durable snapshot covers the log up to index.
-// The last keep entries stay in the log for members that lag behind.
-func (r *Replica) Compact(index, keep uint64) {
-	t, ok := r.log.term(index)
-	if !ok || index <= r.snapshot.index || index > r.commitIndex || index > r.durableIndex {
-		return
-	}
-	r.previousSnapshot = r.snapshot.index
-	r.snapshot = position{index, t, r.members.at(index)}
-	if index <= r.log.base+keep {
-		return
-	}
-	r.members.compact(index - keep)
-	r.log.compact(index - keep)
-}
-
-// Installed reports to the replica whether the received snapshot has replaced the log and the state machine.
-func (r *Replica) Installed(now time.Time, ok bool) {
-	i := r.incoming
-	r.incoming = nil
-	if i == nil || !ok || i.index <= r.commitIndex {
-		return
-	}
-	r.log = log{base: i.index, baseTerm: i.term}
-	r.dropPendingAfter(0)
-	r.members = newMemberHistory(i.position, nil)
-	r.previousSnapshot = r.snapshot.index
-	r.snapshot = i.position
-	r.commitIndex = i.index
-	r.durableIndex = i.index
-	r.resetElectionTimer(now)
-	r.sendAfterSync(message.Message{Kind: message.AppendReply, To: r.leader, Index: i.index, Hint: i.index})
-}
-
-// installing reports whether a complete snapshot is about to replace the log and the state machine.
-func (r *Replica) installing() bool {
-	return r.incoming != nil && r.incoming.complete
-}
-
 // dropPendingAfter forgets the entries after index that are durable, being written or about to be written.
 func (r *Replica) dropPendingAfter(index uint64) {
 	r.durableIndex = min(r.durableIndex, index)
@@ -281,27 +234,6 @@
 	r.out.Ballot = &b
 }
 
-// send queues a message that depends on nothing still to be made durable.
-func (r *Replica) send(m message.Message) {
-	m.From = r.Self
-	if m.Term == 0 {
-		m.Term = r.ballot.Term
-	}
-	r.out.Send = append(r.out.Send, m)
-}
-
-// sendAfterSync queues a message that must not leave before the state it relies on is durable.
-func (r *Replica) sendAfterSync(m message.Message) {
-	if m.To.IsZero() {
-		return
-	}
-	m.From = r.Self
-	if m.Term == 0 {
-		m.Term = r.ballot.Term
-	}
-	r.out.SendAfterSync = append(r.out.SendAfterSync, m)
-}
-
 // commitTo commits the entries up to index and hands them out to be applied.
 func (r *Replica) commitTo(index uint64) {
 	index = min(index, r.log.last())
