--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -16,9 +16,6 @@
 	"siskinrun/internal/config/distribution"
 	"siskinrun/internal/config/keyauth"
 	"siskinrun/internal/config/operatorapi"
-	"siskinrun/internal/data/configuration"
-	"siskinrun/internal/data/gossipmessage"
-	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/fleet/gossip"
 	"siskinrun/internal/fleet/streamregistry"
 	"siskinrun/internal/jobs/assignment"
@@ -167,123 +164,6 @@
 	return nil
 }
 
-func (p *components) buildLimits() error {
-	s := p.server
-	p.gossip = &gossip.Service{
-		Link:             p.link,
-		Name:             s.Name,
-		FailureDomain:    p.host.FailureDomain,
-		Seed:             p.seed,
-		Timer:            s.timer,
-		Log:              s.Log,
-		Metrics:          p.childMetrics("roster"),
-		Open:             s.Settings.UsesSeeds(),
-		Driver:           p.batchHost,
-		RelayHost:        p.relayHost,
-		RemoteRelayHosts: p.remoteRelayHosts,
-		Self: gossipmessage.Host{
-			Label:   p.host.Label,
-			Control: p.host.Stores(settings.KeepsConfiguration),
-			Ledgers: p.host.Stores(settings.KeepsLedgers),
-		},
-	}
-	p.gossip.Register()
-	p.streams = &streamregistry.Registry{
-		Link:          p.link,
-		Name:          s.Name,
-		FailureDomain: p.host.FailureDomain,
-
-		Hosts:   p.recordHosts,
-		Timer:   s.timer,
-		Metrics: p.childMetrics("streams"),
-	}
-	p.streams.Register()
-	p.guard = &promptguard.Guard{
-		Link:     p.link,
-		Topology: p.topology,
-		Timer:    s.timer,
-		Log:      s.Log,
-		Metrics:  p.childMetrics("prompts"),
-	}
-	p.guard.Register()
-	p.permits = &permits.Service{
-		Link:         p.link,
-		Name:         s.Name,
-		Coordinators: p.coordinators,
-		Hosts:        p.batchHosts,
-		Topology:     p.topology,
-		Timer:        s.timer,
-		Log:          s.Log,
-		Metrics:      p.childMetrics("permits"),
-	}
-	p.permits.Register()
-	p.rateLimiter = &grant.Limiter{
-		Link:          p.link,
-		Client:        leaderClient{p.client},
-		Leadership:    groupLeadership{p},
-		Name:          s.Name,
-		Boot:          uint64(s.timer.Now().UnixNano()),
-		Groups:        int(p.ledgerGroups()),
-		Overrun:       s.Settings.Fleet.RateOverrun,
-		Window:        s.Settings.Fleet.RateWindow.Duration(),
-		Slack:         s.Settings.Fleet.RateSlack,
-		Timer:         s.timer,
-		Configuration: p.distribution,
-		Log:           s.Log,
-		Metrics:       p.childMetrics("grant"),
-	}
-	if s.Settings.UsesSeeds() {
-		p.rateLimiter.Hosts = p.callHosts
-	}
-	p.rateLimiter.Register()
-	p.capacity = &capacity.Controller{Timer: s.timer, Metrics: s.metrics}
-	p.lane = &lane.Lane{Timer: s.timer}
-	return nil
-}
-
-func (p *components) buildRouting() error {
-	s := p.server
-	p.rollout = rollout.NewRollout()
-	p.distribution.Subscribe(func(c *configuration.Configuration) { p.rollout.SetModels(c.Models) })
-	p.picker = picker.NewPicker(p.seed)
-	p.picker.LocalityWeight = s.Settings.Fleet.Weights.Locality
-	p.picker.Limits = p.permits
-	p.batchLimiter = batchlimit.NewLimiter()
-	w := s.Settings.Fleet.Weights
-	p.batchLimiter.BatchWeight = w.BatchThroughput
-	p.batchLimiter.OnlineWeight = max(w.OnlineTail, w.WorstTeam)
-	p.inflight = &inflight.Tracker{
-		Gossip:       p.gossip,
-		Picker:       p.picker,
-		BatchLimiter: p.batchLimiter,
-		Recheck:      func() { p.executor.Recheck() },
-		Timer:        s.timer,
-	}
-	p.gossip.Subscribe(p.applyUpstreams)
-	return nil
-}
-
-// applyUpstreams applies the list of known upstreams to the rollout, the picker and the batch windows.
-func (p *components) applyUpstreams(l []upstream.Upstream) {
-	n := p.server.timer.Now()
-	p.rollout.SetUpstreams(l)
-	p.picker.SetUpstreams(l, n)
-	p.permits.Retain(l)
-	now := map[string]bool{}
-	for _, u := range l {
-		if !u.Leaving {
-			now[u.Name] = true
-			p.batchLimiter.SetEngine(u.Name, u.Slots, n)
-		}
-	}
-	for u := range p.limitedUpstreams {
-		if !now[u] {
-			p.batchLimiter.RemoveEngine(u)
-		}
-	}
-	p.limitedUpstreams = now
-}
-
 func (p *components) buildBatch() error {
 	s := p.server
 	p.batch = &batch.Service{
--- /dev/null
+++ b/internal/product/server/limits.go
@@ -0,0 +1,87 @@
+package server
+
+import (
+	"siskinrun/internal/data/gossipmessage"
+	"siskinrun/internal/fleet/gossip"
+	"siskinrun/internal/fleet/streamregistry"
+	"siskinrun/internal/limits/capacity"
+	"siskinrun/internal/limits/grant"
+	"siskinrun/internal/limits/lane"
+	"siskinrun/internal/product/settings"
+	"siskinrun/internal/routing/permits"
+	"siskinrun/internal/routing/promptguard"
+)
+
+func (p *components) buildLimits() error {
+	s := p.server
+	p.gossip = &gossip.Service{
+		Link:             p.link,
+		Name:             s.Name,
+		FailureDomain:    p.host.FailureDomain,
+		Seed:             p.seed,
+		Timer:            s.timer,
+		Log:              s.Log,
+		Metrics:          p.childMetrics("roster"),
+		Open:             s.Settings.UsesSeeds(),
+		Driver:           p.batchHost,
+		RelayHost:        p.relayHost,
+		RemoteRelayHosts: p.remoteRelayHosts,
+		Self: gossipmessage.Host{
+			Label:   p.host.Label,
+			Control: p.host.Stores(settings.KeepsConfiguration),
+			Ledgers: p.host.Stores(settings.KeepsLedgers),
+		},
+	}
+	p.gossip.Register()
+	p.streams = &streamregistry.Registry{
+		Link:          p.link,
+		Name:          s.Name,
+		FailureDomain: p.host.FailureDomain,
+
+		Hosts:   p.recordHosts,
+		Timer:   s.timer,
+		Metrics: p.childMetrics("streams"),
+	}
+	p.streams.Register()
+	p.guard = &promptguard.Guard{
+		Link:     p.link,
+		Topology: p.topology,
+		Timer:    s.timer,
+		Log:      s.Log,
+		Metrics:  p.childMetrics("prompts"),
+	}
+	p.guard.Register()
+	p.permits = &permits.Service{
+		Link:         p.link,
+		Name:         s.Name,
+		Coordinators: p.coordinators,
+		Hosts:        p.batchHosts,
+		Topology:     p.topology,
+		Timer:        s.timer,
+		Log:          s.Log,
+		Metrics:      p.childMetrics("permits"),
+	}
+	p.permits.Register()
+	p.rateLimiter = &grant.Limiter{
+		Link:          p.link,
+		Client:        leaderClient{p.client},
+		Leadership:    groupLeadership{p},
+		Name:          s.Name,
+		Boot:          uint64(s.timer.Now().UnixNano()),
+		Groups:        int(p.ledgerGroups()),
+		Overrun:       s.Settings.Fleet.RateOverrun,
+		Window:        s.Settings.Fleet.RateWindow.Duration(),
+		Slack:         s.Settings.Fleet.RateSlack,
+		Timer:         s.timer,
+		Configuration: p.distribution,
+		Log:           s.Log,
+		Metrics:       p.childMetrics("grant"),
+	}
+	if s.Settings.UsesSeeds() {
+		p.rateLimiter.Hosts = p.callHosts
+	}
+	p.rateLimiter.Register()
+	p.capacity = &capacity.Controller{Timer: s.timer, Metrics: s.metrics}
+	p.lane = &lane.Lane{Timer: s.timer}
+	return nil
+}
--- /dev/null
+++ b/internal/product/server/routing.go
@@ -0,0 +1,53 @@
+package server
+
+import (
+	"siskinrun/internal/data/configuration"
+	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/routing/batchlimit"
+	"siskinrun/internal/routing/inflight"
+	"siskinrun/internal/routing/picker"
+	"siskinrun/internal/routing/rollout"
+)
+
+func (p *components) buildRouting() error {
+	s := p.server
+	p.rollout = rollout.NewRollout()
+	p.distribution.Subscribe(func(c *configuration.Configuration) { p.rollout.SetModels(c.Models) })
+	p.picker = picker.NewPicker(p.seed)
+	p.picker.LocalityWeight = s.Settings.Fleet.Weights.Locality
+	p.picker.Limits = p.permits
+	p.batchLimiter = batchlimit.NewLimiter()
+	w := s.Settings.Fleet.Weights
+	p.batchLimiter.BatchWeight = w.BatchThroughput
+	p.batchLimiter.OnlineWeight = max(w.OnlineTail, w.WorstTeam)
+	p.inflight = &inflight.Tracker{
+		Gossip:       p.gossip,
+		Picker:       p.picker,
+		BatchLimiter: p.batchLimiter,
+		Recheck:      func() { p.executor.Recheck() },
+		Timer:        s.timer,
+	}
+	p.gossip.Subscribe(p.applyUpstreams)
+	return nil
+}
+
+// applyUpstreams applies the list of known upstreams to the rollout, the picker and the batch windows.
+func (p *components) applyUpstreams(l []upstream.Upstream) {
+	n := p.server.timer.Now()
+	p.rollout.SetUpstreams(l)
+	p.picker.SetUpstreams(l, n)
+	p.permits.Retain(l)
+	now := map[string]bool{}
+	for _, u := range l {
+		if !u.Leaving {
+			now[u.Name] = true
+			p.batchLimiter.SetEngine(u.Name, u.Slots, n)
+		}
+	}
+	for u := range p.limitedUpstreams {
+		if !now[u] {
+			p.batchLimiter.RemoveEngine(u)
+		}
+	}
+	p.limitedUpstreams = now
+}
