--- a/cmd/siskinrun/soak_test.go
+++ b/cmd/siskinrun/soak_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,8 +20,6 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/base/group"
-	"siskinrun/internal/config/change"
-	"siskinrun/internal/data/key"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/product/settings"
 )
@@ -48,16 +45,6 @@
 	maxTornBytes = 64
 )
 
-// callRecord is a call that must not run twice, and what its answer says about it.
-type callRecord struct {
-	id     string
-	answer string
-	// notRun is set if the answer says that the call has not run and never will.
-	notRun bool
-	// withdrawn is set if the call's key had been withdrawn for longer than withdrawalLimit when it was sent.
-	withdrawn bool
-}
-
 // soak is a fleet of host processes with a proxy on each link between two hosts, and callers that record every answer.
 type soak struct {
 	*fleet
@@ -210,132 +197,6 @@
 	return nil
 }
 
-// activeKeys returns the sorted keys that were not withdrawn.
-func (s *soak) activeKeys() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var l []string
-	for k, at := range s.withdrawnAt {
-		if at.IsZero() {
-			l = append(l, k)
-		}
-	}
-	slices.Sort(l)
-	return l
-}
-
-// sendCalls sends calls to random hosts with random keys, withdrawn ones included, until ctx ends.
-func (s *soak) sendCalls(ctx context.Context, r *rand.Rand) error {
-	c := &http.Client{Timeout: soakTimeout, Transport: &http.Transport{}}
-	defer c.CloseIdleConnections()
-	names := s.names()
-	for n := 0; ctx.Err() == nil; n++ {
-		s.mu.Lock()
-		var keys []string
-		for k := range s.withdrawnAt {
-			keys = append(keys, k)
-		}
-		s.mu.Unlock()
-		slices.Sort(keys)
-		a := s.sendCall(ctx, c, names[r.IntN(len(names))], fmt.Sprintf("%x-%d", r.Uint64(), n), keys[r.IntN(len(keys))])
-		s.record(a)
-		if a.answer != a.id && !sleep(ctx, 20*time.Millisecond) {
-			return nil
-		}
-	}
-	return nil
-}
-
-// sendCall sends a call whose body is its ID and returns its record.
-func (s *soak) sendCall(ctx context.Context, c *http.Client, host, id, secret string) callRecord {
-	a := callRecord{id: id}
-	s.mu.Lock()
-	at := s.withdrawnAt[secret]
-	s.mu.Unlock()
-	a.withdrawn = !at.IsZero() && time.Since(at) > withdrawalLimit
-	q, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.hosts[host].Callers+"/once/x", strings.NewReader(id))
-	if err != nil {
-		return a
-	}
-	q.Header.Set("Authorization", "Bearer "+secret)
-	p, err := c.Do(q)
-	if err != nil {
-		return a
-	}
-	defer func() { _ = p.Body.Close() }()
-	b, err := io.ReadAll(p.Body)
-	if err != nil {
-		return a
-	}
-	if p.StatusCode == http.StatusOK {
-		a.answer = string(b)
-		return a
-	}
-	a.notRun = p.Header.Get("Siskin-Verdict") == "not-run"
-	a.answer = fmt.Sprint(p.StatusCode, " ", string(b))
-	return a
-}
-
-func (s *soak) record(a callRecord) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls = append(s.calls, a)
-	if !a.notRun && a.answer != "" && a.answer != a.id && !strings.HasPrefix(a.answer, "5") {
-		s.events = append(s.events, fmt.Sprintf("answer to %s: %s", a.id, a.answer))
-	}
-}
-
-// changeKeys grants and withdraws keys and repeats each change until it is acknowledged.
-func (s *soak) changeKeys(ctx context.Context) error {
-	version := uint64(2)
-	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprint("soak-", n)
-		secret := key.NewSecret()
-		grant := &change.Change{ID: "g-" + id, Base: version, Kind: change.GrantKey, Name: id, Key: &key.Key{ID: id, Team: "t", Hash: key.Hash(secret)}}
-		if !s.applyChange(ctx, grant, &version) {
-			return nil
-		}
-		s.mu.Lock()
-		s.withdrawnAt[secret] = time.Time{}
-		s.mu.Unlock()
-		if n%2 == 1 || !sleep(ctx, time.Second) {
-			continue
-		}
-		if !s.applyChange(ctx, &change.Change{ID: "w-" + id, Base: version, Kind: change.WithdrawKey, Name: id}, &version) {
-			// Whether the key was withdrawn is unknown, so no call with it is checked from here on.
-			s.mu.Lock()
-			delete(s.withdrawnAt, secret)
-			s.mu.Unlock()
-			return nil
-		}
-		s.mu.Lock()
-		s.withdrawnAt[secret] = time.Now()
-		s.mu.Unlock()
-	}
-	return nil
-}
-
-// applyChange sends a change until it is acknowledged and reports whether it was applied.
-func (s *soak) applyChange(ctx context.Context, h *change.Change, version *uint64) bool {
-	for ctx.Err() == nil {
-		c := s.client()
-		c.Timeout = soakTimeout
-		o, err := c.SendChange(ctx, h)
-		if err == nil && o.Version == *version+1 {
-			*version++
-			return true
-		}
-		if err == nil {
-			s.fail("change %s on version %d made version %d: %s", h.ID, *version, o.Version, o.Message)
-			return false
-		}
-		if !sleep(ctx, pollInterval) {
-			return false
-		}
-	}
-	return false
-}
-
 func (s *soak) fail(format string, a ...any) {
 	s.t.Errorf(format, a...)
 	s.logEvent("FAULT "+format, a...)
@@ -347,29 +208,6 @@
 	s.events = append(s.events, fmt.Sprintf("%6.2f ", time.Since(s.started).Seconds())+fmt.Sprintf(format, a...))
 }
 
-// checkCalls compares the answers to callers with the number of runs on the back ends.
-func (s *soak) checkCalls() {
-	served := 0
-	for _, a := range s.calls {
-		n := s.runs.count(a.id)
-		if a.answer == a.id {
-			served++
-		}
-		switch {
-		case n > 1:
-			s.fail("%s ran %d times", a.id, n)
-		case a.notRun && n > 0:
-			s.fail("%s ran, but its caller was told that it never will: %s", a.id, a.answer)
-		case a.withdrawn && n > 0:
-			s.fail("%s ran with a key that was withdrawn", a.id)
-		case a.answer == a.id && n != 1:
-			s.fail("%s was answered and ran %d times", a.id, n)
-		}
-	}
-	s.t.Logf("%d calls, %d served, %d events", len(s.calls), served, len(s.events))
-	is.New(s.t).True(served > soakCallers)
-}
-
 // printLogs logs the events and the logs of all hosts.
 func (s *soak) printLogs() {
 	s.t.Logf("events:\n%s", strings.Join(s.events, "\n"))
