--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -109,29 +109,22 @@
 
 // batchHosts returns the live hosts that run batch items: those that keep no replicated state, or all if there are none.
 func (p *components) batchHosts() []host.Host {
-	var entry, all []host.Host
-	for _, h := range p.gossip.Hosts() {
-		if h.Stopping || h.Name != p.server.Name && !p.gossip.Alive(h.Name) {
-			continue
-		}
-		d := host.Host{Name: h.Name, FailureDomain: h.FailureDomain}
-		all = append(all, d)
-		if !h.Control && !h.Ledgers {
-			entry = append(entry, d)
-		}
-	}
-	if len(entry) == 0 {
-		return all
-	}
-	return entry
+	return p.entryHosts(func(h gossipmessage.Host) bool {
+		return !h.Stopping && (h.Name == p.server.Name || p.gossip.Alive(h.Name))
+	})
 }
 
 // recordHosts returns the hosts that keep the records of streams: those that take calls, unless they are dead, or all if
 // there are none. A host that is only suspected stays among them, since hosts suspect others at different times.
 func (p *components) recordHosts() []host.Host {
+	return p.entryHosts(func(h gossipmessage.Host) bool { return !h.Dead })
+}
+
+// entryHosts returns the hosts to keep that hold no replicated state, or all hosts to keep if there are none.
+func (p *components) entryHosts(keep func(gossipmessage.Host) bool) []host.Host {
 	var entry, all []host.Host
 	for _, h := range p.gossip.Hosts() {
-		if h.Dead {
+		if !keep(h) {
 			continue
 		}
 		d := host.Host{Name: h.Name, FailureDomain: h.FailureDomain}
