Write the set-up of the tests of joining hosts once

What the tests check stays. vet, staticcheck and revive pass, and both tests, TestHostsJoinThroughSeedsAndRepairThemselves and TestAcknowledgedStateSurvivesALostDiskAndTheKillOfAllHosts.

--- a/cmd/siskinrun/joining_test.go
+++ b/cmd/siskinrun/joining_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/base/timer"
+	"siskinrun/internal/measure/loadgen"
 	"siskinrun/internal/product/settings"
 	"siskinrun/internal/state/groupstatus"
 )
@@ -23,6 +24,9 @@
 // joiningNetwork is the prefix of the hosts' IP addresses in this test, which are also their names.
 const joiningNetwork = "127.0.14."
 
+// firstEntry is the first entry host.
+const firstEntry = joiningNetwork + "31"
+
 // newJoiningFleet writes the settings of three hosts that store the configuration, three that store ledgers and two
 // entry hosts. The settings of each list only the host itself and the seeds.
 func newJoiningFleet(t testing.TB) *fleet {
@@ -107,10 +111,9 @@
 	return nil
 }
 
-// TestHostsJoinThroughSeedsAndRepairThemselves starts hosts whose settings list only the seeds, empties the disks of
-// two ledger hosts one after the other, and adds an entry host later. The new disks must replace the lost voters without
-// a command, the batch results must survive, and the late host must serve calls.
-func TestHostsJoinThroughSeedsAndRepairThemselves(t *testing.T) {
+// newServedJoiningFleet returns a joining fleet whose firstEntry has served calls and a batch job, and their generator.
+func newServedJoiningFleet(t *testing.T) (*fleet, *loadgen.Generator, context.Context) {
+	t.Helper()
 	is := is.New(t)
 	f := newJoiningFleet(t)
 	t.Cleanup(func() {
@@ -121,19 +124,28 @@
 		}
 	})
 	ctx := f.run()
-	entry := joiningNetwork + "31"
-	f.waitUntil(ctx, "first answer", func() error { return f.checkCompletion(ctx, entry) })
+	f.waitUntil(ctx, "first answer", func() error { return f.checkCompletion(ctx, firstEntry) })
 	l := f.generator()
-	l.Hosts = []string{f.hosts[entry].Callers}
+	l.Hosts = []string{f.hosts[firstEntry].Callers}
 	l.Rate = 5
 	l.BatchItems = 100
 	s, err := l.Run(ctx)
 	is.NoErr(err)
 	is.Equal(s.FaultCount, 0)
+	return f, l, ctx
+}
+
+// TestHostsJoinThroughSeedsAndRepairThemselves starts hosts whose settings list only the seeds, empties the disks of
+// two ledger hosts one after the other, and adds an entry host later. The new disks must replace the lost voters without
+// a command, the batch results must survive, and the late host must serve calls.
+func TestHostsJoinThroughSeedsAndRepairThemselves(t *testing.T) {
+	is := is.New(t)
+	f, l, ctx := newServedJoiningFleet(t)
 
 	ledgerHosts := []string{joiningNetwork + "21", joiningNetwork + "22", joiningNetwork + "23"}
 	for _, h := range ledgerHosts[:2] {
 		var before []string
+		var err error
 		f.waitUntil(ctx, "group repaired before the loss", func() error {
 			before, err = f.voters(ctx, 1, ledgerHosts...)
 			return err
@@ -161,24 +173,7 @@
 // they have acknowledged a configuration, a key and a batch job.
 func TestAcknowledgedStateSurvivesALostDiskAndTheKillOfAllHosts(t *testing.T) {
 	is := is.New(t)
-	f := newJoiningFleet(t)
-	t.Cleanup(func() {
-		for n, l := range f.logs {
-			if t.Failed() {
-				t.Logf("%s:\n%s", n, l)
-			}
-		}
-	})
-	ctx := f.run()
-	entry := joiningNetwork + "31"
-	f.waitUntil(ctx, "first answer", func() error { return f.checkCompletion(ctx, entry) })
-	l := f.generator()
-	l.Hosts = []string{f.hosts[entry].Callers}
-	l.Rate = 5
-	l.BatchItems = 100
-	s, err := l.Run(ctx)
-	is.NoErr(err)
-	is.Equal(s.FaultCount, 0)
+	f, l, ctx := newServedJoiningFleet(t)
 	for n := range f.hosts {
 		is.NoErr(f.processes[n].Process.Kill())
 	}
@@ -191,6 +186,6 @@
 	for _, n := range f.names() {
 		f.start(n)
 	}
-	f.waitUntil(ctx, "answer with the key of before", func() error { return f.checkCompletion(ctx, entry) })
+	f.waitUntil(ctx, "answer with the key of before", func() error { return f.checkCompletion(ctx, firstEntry) })
 	f.waitUntil(ctx, "results of before", func() error { return l.CheckSameResults(ctx) })
 }
