Show a prompt that ends too many upstreams before their headers (fails)

The other form of the same fault: requests that share one part of a prompt end each upstream before any byte of the answer. Ends within a second count as one, so it takes longer than it need until the part is known. Twelve hosts and twelve upstreams; at most 12 ends are allowed.

--- a/cmd/siskinrun/crashing_prompt_test.go
+++ b/cmd/siskinrun/crashing_prompt_test.go
@@ -186,6 +186,13 @@
 	}
 }
 
+// sent returns the number of sends.
+func (c *crashes) sent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sends)
+}
+
 func (c *crashes) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cmd/siskinrun/owed_item_test.go
+++ b/cmd/siskinrun/owed_item_test.go
@@ -87,7 +87,7 @@
 	is := is.NewRelaxed(t)
 	same := plainRequest{http.MethodPost, samePath, "team0", "deadly", ""}
 	prompt := plainRequest{http.MethodPost, "/look/ask", "team0", "deadly", deadlyPrompt}
-	f := startPlainFleet(t, plainSetup{hosts: itemHosts, slots: itemWorkers, configuration: itemConfiguration, engines: true}, same, prompt)
+	f := startPlainFleet(t, plainSetup{hosts: itemHosts, slots: itemWorkers, configuration: itemConfiguration, engines: true}, same, prompt.kind())
 	traffic, stop := context.WithCancel(f.context)
 	g := group.NewGroup(traffic)
 	for i, r := range []plainRequest{same, prompt} {
@@ -98,7 +98,7 @@
 		g.Go(d.name, d.run)
 	}
 	f.await(f.context, "crashes", func() error {
-		if f.deadly[same].count() < requestCrashesBorne || f.deadly[prompt].count() < requestCrashesBorne {
+		if f.deadly[same].count() < requestCrashesBorne || f.deadly[prompt.kind()].count() < requestCrashesBorne {
 			return errors.New("fewer workers have ended than make a request known")
 		}
 		return nil
@@ -126,6 +126,6 @@
 	t.Logf("a request like those items is answered %s", a.kind())
 	is.True(a.served)
 	for _, r := range []plainRequest{same, prompt} {
-		t.Logf("%s: %d ended", r.path, f.deadly[r].count())
+		t.Logf("%s: %d ended", r.path, f.deadly[r.kind()].count())
 	}
 }
--- a/cmd/siskinrun/plain_worker_test.go
+++ b/cmd/siskinrun/plain_worker_test.go
@@ -37,6 +37,14 @@
 	return fmt.Sprintf("%s %s for %s with %d bytes\n", r.method, r.path, r.team, len(r.body))
 }
 
+// kind returns the request that stands for all that are deadly by the same part of their prompts, or the request itself.
+func (r plainRequest) kind() plainRequest {
+	if r.prompt != "" && isDeadly(r.prompt) {
+		return plainRequest{prompt: deadlyPart}
+	}
+	return r
+}
+
 // plainWorker is one run of a stand-in worker of the service desk, which answers with a length.
 type plainWorker struct {
 	*platformWorker
@@ -122,6 +130,7 @@
 	if strings.HasPrefix(id, itemPrefix) {
 		return w.runItem(ctx, c, id)
 	}
+	r = r.kind()
 	if c := f.deadly[r]; c != nil {
 		c.add(&c.sends, f.timer.Now())
 		w.mu.Lock()
