Stop whole requests that end upstreams, and try suspects one at a time

Callers of a service lost most of its upstreams again and again: one request ended each upstream that began to run it. Evidence was kept of parts of prompts only, ends before the headers counted once a second, and until the third end was known the same call was under way at several upstreams.

A call's traits are now the parts of its prompt and the digest of the whole request; both are weighed, told, forgotten and logged in one way. An end before the headers counts if its call was sent after the end that counted before; a loss names the loss that its host knew when it sent the call, since news takes longer than the time to the next attempt. Calls with a suspected trait are sent one at a time in the fleet: the host that owns the trait by rendezvous grants trials. A quarantined trait is tried again ten times the time between its last two ends later, a minute at least and an hour at most. Refusals ask callers to come back after a minute. Batch items carry no evidence: they are never ill, and what is owed is sent.

--- a/internal/fleet/rendezvous/ranking.go
+++ b/internal/fleet/rendezvous/ranking.go
@@ -67,6 +67,19 @@
 	return names
 }
 
+// Owner returns the host of a key on which all agree that know the same hosts, wherever they are; false if there is none.
+func (r *Ranking) Owner(key string) (string, bool) {
+	var best []host.Host
+	for _, d := range r.domains {
+		best = append(best, r.keepers[d]...)
+	}
+	if len(best) == 0 {
+		return "", false
+	}
+	sortFor(key, best)
+	return best[0].Name, true
+}
+
 // sortFor sorts hosts by falling score for a key.
 func sortFor(key string, l []host.Host) {
 	scores := make(map[string]uint64, len(l))
--- a/internal/routing/promptguard/doc.go
+++ b/internal/routing/promptguard/doc.go
@@ -1,2 +1,2 @@
-// Package promptguard keeps prompts that end upstreams away from them, and shares the evidence with other hosts.
+// Package promptguard keeps calls that end upstreams away from them, and shares the evidence with other hosts.
 package promptguard
--- a/internal/routing/promptguard/guard_test.go
+++ b/internal/routing/promptguard/guard_test.go
@@ -16,6 +16,7 @@
 	"siskinrun/internal/base/host"
 	"siskinrun/internal/base/rpc"
 	"siskinrun/internal/base/timer"
+	"siskinrun/internal/data/call"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/fleet/fanout"
 	"siskinrun/internal/routing/promptguard"
@@ -33,6 +34,11 @@
 	messageOverheadBytes = 60
 )
 
+// prompt returns a call whose prompt has these parts.
+func prompt(parts ...uint64) *call.Call {
+	return &call.Call{Parts: parts}
+}
+
 // network connects the guards of hosts in memory.
 type network struct {
 	mu    sync.Mutex
@@ -157,17 +163,17 @@
 func (w *network) crash() {
 	for i := range 3 {
 		u := upstream.Upstream{Name: fmt.Sprint("u", i), Incarnation: 1}
-		w.nodes[w.names[i]].guard.Lost(u, []uint64{caller, deadly}, true)
+		w.nodes[w.names[i]].guard.Lost(u, prompt(caller, deadly), w.timer.Now(), true)
 	}
 }
 
 // blocking returns the number of hosts that keep the deadly part away from upstreams, and of those that keep the sound one.
 func (w *network) blocking() (right, wrong int) {
 	for _, x := range w.nodes {
-		if x.guard.Blocks([]uint64{caller, deadly}) {
+		if x.guard.Blocks(prompt(caller, deadly)) {
 			right++
 		}
-		if x.guard.Blocks([]uint64{caller}) {
+		if x.guard.Blocks(prompt(caller)) {
 			wrong++
 		}
 	}
@@ -196,7 +202,7 @@
 		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
 			is := is.New(t)
 			w := newNetwork(t, n)
-			w.nodes["h5"].guard.Began([]uint64{caller})
+			w.nodes["h5"].guard.Began(prompt(caller))
 			is.NoErr(w.timer.Sleep(t.Context(), 50*time.Millisecond))
 			w.crash()
 			w.await(t, n)
@@ -225,20 +231,20 @@
 	w.mu.Unlock()
 	w.nodes["h8"].start()
 	w.await(t, 9)
-	w.nodes["h3"].guard.Began([]uint64{caller})
+	w.nodes["h3"].guard.Began(prompt(caller))
 	is.NoErr(w.timer.Sleep(t.Context(), 200*time.Millisecond))
-	is.True(w.nodes["h8"].guard.Blocks([]uint64{deadly, 99}))
+	is.True(w.nodes["h8"].guard.Blocks(prompt(deadly, 99)))
 }
 
 // A host that has just started blames every part of a lost call; the others know better.
 func TestHostsThatKnowAPartAsGoodAreHeard(t *testing.T) {
 	is := is.New(t)
 	w := newNetwork(t, 9)
-	w.nodes["h1"].guard.Began([]uint64{caller})
+	w.nodes["h1"].guard.Began(prompt(caller))
 	is.NoErr(w.timer.Sleep(t.Context(), 50*time.Millisecond))
 	for i := range 3 {
 		u := upstream.Upstream{Name: fmt.Sprint("u", i), Incarnation: 1}
-		w.nodes["h0"].guard.Lost(u, []uint64{caller}, true)
+		w.nodes["h0"].guard.Lost(u, prompt(caller), w.timer.Now(), true)
 	}
 	is.NoErr(w.timer.Sleep(t.Context(), 200*time.Millisecond))
 	_, wrong := w.blocking()
--- a/internal/routing/quarantine/doc.go
+++ b/internal/routing/quarantine/doc.go
@@ -1,2 +1,2 @@
-// Package quarantine decides which parts of prompts no upstream may get, since upstreams end when they begin to answer them.
+// Package quarantine decides which calls no upstream may get, since upstreams end when they begin to answer them.
 package quarantine
--- a/internal/routing/quarantine/judge.go
+++ b/internal/routing/quarantine/judge.go
@@ -1,89 +1,140 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"siskinrun/internal/data/crashevidence"
 )
 
 const (
-	// neededEnds is the number of upstreams that must have ended under a part on which no answer has ever begun.
+	// neededEnds is the number of upstreams that must have ended under a trait on which no answer has ever begun.
 	neededEnds = 3
-	// neededEndsIfGood is the same number for a part that was answered before, since its last answer.
+	// neededEndsIfGood is the same number for a trait that was answered before, since its last answer.
 	neededEndsIfGood = 5
-	// groupWindow is the time within which upstreams that end before their answers' headers count as one: many upstreams
-	// are killed at the same moment for other reasons.
-	groupWindow = time.Second
+	// suspectEnds is the number of ends from which on calls with a trait are sent one at a time, and suspectEndsIfGood the
+	// number for a trait that was answered before.
+	suspectEnds       = 1
+	suspectEndsIfGood = 3
+	// retrialFactor is the time to the next trial of a quarantined trait, in times between its last two ends.
+	retrialFactor = 10
+	minRetrial    = time.Minute
+	maxRetrial    = time.Hour
 )
 
-// judge decides anew which parts are quarantined: first those on which no answer ever began, then, from the losses that
-// these do not explain, parts that were good before.
+// judge decides anew which traits are quarantined: first those on which no answer ever began, then, from the losses that
+// these do not explain, traits that were good before.
 func (q *Quarantine) judge() {
-	q.blocked = map[uint64][]uint64{}
-	if len(q.losses) == 0 {
-		return
-	}
-	byPart := map[uint64][]*loss{}
-	for _, x := range q.losses {
-		for _, p := range x.Parts {
-			byPart[p] = append(byPart[p], x)
+	q.blocked = map[crashevidence.Trait][]crashevidence.Trait{}
+	for t, l := range q.byTrait {
+		if len(l) < neededEnds {
+			continue
 		}
-	}
-	for p, l := range byPart {
-		if _, ok := q.good.last(p); !ok && ends(l) >= neededEnds {
-			q.blocked[p] = q.companions(p, l)
+		if _, ok := q.good.last(t); !ok && len(ends(l)) >= neededEnds {
+			q.blocked[t] = q.companions(t, l)
 		}
 	}
-	var turned []uint64
-	for p, l := range byPart {
-		at, ok := q.good.last(p)
-		if !ok {
+	var turned []crashevidence.Trait
+	for t, l := range q.byTrait {
+		if len(l) < neededEndsIfGood {
 			continue
 		}
-		l = slices.DeleteFunc(l, func(x *loss) bool { return !x.at.After(at) || q.explains(x) })
-		if ends(l) >= neededEndsIfGood {
-			turned = append(turned, p)
+		if _, ok := q.good.last(t); ok && len(ends(q.unexplained(t))) >= neededEndsIfGood {
+			turned = append(turned, t)
 		}
 	}
-	for _, p := range turned {
-		q.blocked[p] = []uint64{}
+	for _, t := range turned {
+		q.blocked[t] = []crashevidence.Trait{}
 	}
 }
 
-// companions returns the parts, not known to be good, that all losses with a part have in common.
-func (q *Quarantine) companions(part uint64, losses []*loss) []uint64 {
-	c := []uint64{}
-	for _, p := range losses[0].Parts {
-		_, good := q.good.last(p)
-		if p != part && !good {
-			c = append(c, p)
+// companions returns the traits, not known to be good, that all losses with a trait have in common.
+func (q *Quarantine) companions(trait crashevidence.Trait, losses []*loss) []crashevidence.Trait {
+	c := []crashevidence.Trait{}
+	for _, t := range losses[0].Traits {
+		_, good := q.good.last(t)
+		if t != trait && !good {
+			c = append(c, t)
 		}
 	}
 	for _, x := range losses[1:] {
-		c = slices.DeleteFunc(c, func(p uint64) bool { return !slices.Contains(x.Parts, p) })
+		c = slices.DeleteFunc(c, func(t crashevidence.Trait) bool {
+			_, ok := slices.BinarySearchFunc(x.Traits, t, compare)
+			return !ok
+		})
 	}
 	return c
 }
 
-// ends returns the number of upstreams that ended in these losses, where those that ended together before they answered
-// count as one.
-func ends(losses []*loss) int {
-	l := slices.Clone(losses)
-	slices.SortFunc(l, func(a, b *loss) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.ID, b.ID)) })
-	answering := map[uint64]bool{}
-	for _, x := range l {
-		answering[x.Upstream] = answering[x.Upstream] || x.Answering
+// unexplained returns the losses with a trait that neither a later answer on it nor a quarantined trait explains.
+func (q *Quarantine) unexplained(t crashevidence.Trait) []*loss {
+	var l []*loss
+	for _, x := range q.byTrait[t] {
+		if !q.answeredSince(x, t) && (q.blocked[t] != nil || !q.quarantined(x)) {
+			l = append(l, x)
+		}
 	}
-	n := 0
-	seen := map[uint64]bool{}
-	var counted time.Time
-	for _, x := range l {
-		if seen[x.Upstream] || !answering[x.Upstream] && n > 0 && x.at.Sub(counted) < groupWindow {
+	return l
+}
+
+// quarantined reports whether a loss has a quarantined trait.
+func (q *Quarantine) quarantined(l *loss) bool {
+	return slices.ContainsFunc(l.Traits, func(t crashevidence.Trait) bool { return q.blocked[t] != nil })
+}
+
+// answeredSince reports whether an upstream has begun to answer on a trait after a loss.
+func (q *Quarantine) answeredSince(l *loss, t crashevidence.Trait) bool {
+	at, ok := q.good.last(t)
+	return ok && !l.at.After(at)
+}
+
+// ends returns the times at which upstreams ended in these losses. Upstreams are also killed in groups: one that ends before
+// the headers of its answers counts only if it got the call after the last end that counts.
+func ends(losses []*loss) []time.Time {
+	var counted []time.Time
+	for _, x := range byUpstream(losses) {
+		n := len(counted)
+		if x.Answering || n == 0 || x.sent.After(counted[n-1]) {
+			counted = append(counted, x.at)
+		}
+	}
+	return counted
+}
+
+// byUpstream returns one loss for each upstream, in the order of their ends. Of calls lost with one upstream the first that
+// was sent decides.
+func byUpstream(losses []*loss) []*loss {
+	m := map[uint64]*loss{}
+	for _, x := range losses {
+		y := m[x.Upstream]
+		if y == nil {
+			c := *x
+			m[x.Upstream] = &c
 			continue
 		}
-		seen[x.Upstream] = true
-		counted = x.at
-		n++
+		y.Answering = y.Answering || x.Answering
+		y.at = earlier(x.at, y.at)
+		y.sent = earlier(x.sent, y.sent)
+	}
+	l := make([]*loss, 0, len(m))
+	for _, x := range m {
+		l = append(l, x)
 	}
-	return n
+	slices.SortFunc(l, byAge)
+	return l
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// due returns when a quarantined trait may be tried again.
+func (q *Quarantine) due(t crashevidence.Trait) time.Time {
+	l := byUpstream(q.byTrait[t])
+	n := len(l)
+	d := l[n-1].at.Sub(l[n-2].at)
+	return l[n-1].at.Add(min(max(retrialFactor*d, minRetrial), maxRetrial))
 }
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -1,259 +1,247 @@
 package quarantine
 
 import (
-	"encoding/binary"
+	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"siskinrun/internal/data/crashevidence"
 )
 
-const (
-	// freshAnswer is the age up to which an answer on a part rules it out as the cause of a loss.
-	freshAnswer = 2 * time.Second
-	// hold is how long a loss counts, and how long a quarantined part stays so after the last request for it.
-	hold = time.Hour
-	// maxLosses is the maximum number of losses that are kept.
-	maxLosses = 256
-	// maxParts is the maximum number of parts that are kept of one loss.
-	maxParts = 256
-)
+// freshAnswer is the age up to which an answer on a trait rules it out as the cause of a loss.
+const freshAnswer = 2 * time.Second
 
-// Quarantine weighs which part of a prompt ends upstreams. A part is to blame if several upstreams ended under it and none
-// has begun to answer on it since. It is not safe for concurrent use.
+// Quarantine weighs which trait of calls makes upstreams crash: a part of their prompts, or the whole request. A trait is
+// to blame if several upstreams ended under it and none has begun to answer on it since. It is not safe for concurrent use.
 type Quarantine struct {
 	losses map[uint64]*loss
-	good   goodParts
-	// blocked maps each quarantined part to its companions: the other parts, not known to be good, that all calls lost
+	// byTrait holds the losses with each trait, traits the number of traits of all losses.
+	byTrait map[crashevidence.Trait][]*loss
+	traits  int
+	good    goodTraits
+	expired time.Time
+	// blocked maps each quarantined trait to its companions: the other traits, not known to be good, that all calls lost
 	// with it had. Until a call without them is lost, any of them may be the cause.
-	blocked map[uint64][]uint64
-}
-
-type loss struct {
-	crashevidence.Loss
-	at time.Time
+	blocked map[crashevidence.Trait][]crashevidence.Trait
 }
 
 // NewQuarantine returns a Quarantine without evidence.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{losses: map[uint64]*loss{}, blocked: map[uint64][]uint64{}}
+	return &Quarantine{
+		losses:  map[uint64]*loss{},
+		byTrait: map[crashevidence.Trait][]*loss{},
+		blocked: map[crashevidence.Trait][]crashevidence.Trait{},
+	}
 }
 
-// Blocks reports whether a prompt with these parts must not reach an upstream, and keeps its part in quarantine.
-func (q *Quarantine) Blocks(now time.Time, parts []uint64) bool {
-	for _, p := range parts {
-		c, ok := q.blocked[p]
-		if !ok || !containsAll(parts, c) {
+// Blocks reports whether a call with these traits must not reach an upstream now, and keeps its trait in quarantine.
+func (q *Quarantine) Blocks(now time.Time, traits []crashevidence.Trait) bool {
+	for _, t := range traits {
+		if !q.holds(traits, t) || !now.Before(q.due(t)) {
 			continue
 		}
-		q.renew(now, p)
+		q.use(now, t)
 		return true
 	}
 	return false
 }
 
-// Size returns the number of quarantined parts.
-func (q *Quarantine) Size() int {
-	return len(q.blocked)
+// holds reports whether a trait of a call is quarantined, together with the others if it was lost only with them.
+func (q *Quarantine) holds(traits []crashevidence.Trait, t crashevidence.Trait) bool {
+	c, ok := q.blocked[t]
+	return ok && !slices.ContainsFunc(c, func(o crashevidence.Trait) bool { return !slices.Contains(traits, o) })
 }
 
-// Began records that an upstream began to answer on a prompt with these parts. It returns the parts that were suspected.
-func (q *Quarantine) Began(now time.Time, parts []uint64) []uint64 {
-	var cleared []uint64
-	for _, p := range parts {
-		if q.suspected(p) {
-			cleared = append(cleared, p)
+// Suspect returns the trait of a call, if any, with which only one call at a time may be sent: the one under which most
+// upstreams ended, so that all hosts find the same one.
+func (q *Quarantine) Suspect(traits []crashevidence.Trait) (crashevidence.Trait, bool) {
+	var worst crashevidence.Trait
+	most := 0
+	for _, t := range traits {
+		n := q.suspicion(t)
+		if n > most || n > 0 && n == most && compare(t, worst) < 0 {
+			worst, most = t, n
 		}
-		q.good.add(now, now, p)
-	}
-	if len(cleared) > 0 {
-		q.judge()
 	}
-	return cleared
+	return worst, most > 0
 }
 
-// Lost records a call whose upstream was lost before it began to answer, and returns what other hosts should know of it.
-// Parts that were answered a moment ago are not the cause.
-func (q *Quarantine) Lost(now time.Time, upstream uint64, parts []uint64, answering bool) (crashevidence.Loss, bool) {
-	l := crashevidence.Loss{Upstream: upstream, Answering: answering}
-	for _, p := range parts {
-		at, ok := q.good.last(p)
-		if (!ok || now.Sub(at) > freshAnswer) && len(l.Parts) < maxParts {
-			l.Parts = append(l.Parts, p)
-		}
+// suspicion returns the number of ends for which a trait is suspected, zero if there are too few.
+func (q *Quarantine) suspicion(t crashevidence.Trait) int {
+	if len(q.byTrait[t]) == 0 {
+		return 0
 	}
-	if len(l.Parts) == 0 {
-		return l, false
+	n := len(ends(q.unexplained(t)))
+	if _, good := q.good.last(t); good && n < suspectEndsIfGood || n < suspectEnds {
+		return 0
 	}
-	l.ID = identify(upstream, l.Parts)
-	q.add(now, l)
-	q.judge()
-	return l, true
+	return n
 }
 
-// identify returns the ID of a loss.
-func identify(upstream uint64, parts []uint64) uint64 {
-	b := binary.LittleEndian.AppendUint64(nil, upstream)
-	for _, p := range parts {
-		b = binary.LittleEndian.AppendUint64(b, p)
+// compare orders traits: parts of prompts first, then by number.
+func compare(a, b crashevidence.Trait) int {
+	switch {
+	case a.Request == b.Request:
+		return cmp.Compare(a.Hash, b.Hash)
+	case b.Request:
+		return -1
+	default:
+		return 1
 	}
-	return xxhash.Sum64(b)
 }
 
-// Learn records parts that another host knows to be good, and returns those that were suspected here.
-func (q *Quarantine) Learn(now time.Time, good []crashevidence.Good) []crashevidence.Good {
-	var cleared []crashevidence.Good
-	for _, g := range good {
-		_, known := q.good.last(g.Part)
-		if !known && q.suspected(g.Part) {
-			cleared = append(cleared, g)
-		}
-		q.good.add(now, now.Add(-g.Age), g.Part)
-	}
-	q.judge()
-	return cleared
+// Ends returns the number of upstreams that count against a trait.
+func (q *Quarantine) Ends(t crashevidence.Trait) int {
+	return len(ends(q.unexplained(t)))
 }
 
-// Merge records what another host told and returns what this host knows better: parts of those losses that are good.
-func (q *Quarantine) Merge(now time.Time, e crashevidence.Evidence) []crashevidence.Good {
-	q.Learn(now, e.Good)
-	for _, l := range e.Losses {
-		if l.Age < hold && len(l.Parts) <= maxParts {
-			q.add(now, l)
-		}
+// Quarantined returns the quarantined traits, parts of prompts first.
+func (q *Quarantine) Quarantined() []crashevidence.Trait {
+	var l []crashevidence.Trait
+	for t := range q.blocked {
+		l = append(l, t)
 	}
-	q.judge()
-	return q.KnownGood(now, e.Losses)
+	slices.SortFunc(l, compare)
+	return l
 }
 
-// KnownGood returns those parts of losses on which an upstream has begun to answer.
-func (q *Quarantine) KnownGood(now time.Time, losses []crashevidence.Loss) []crashevidence.Good {
-	var l []crashevidence.Good
-	seen := map[uint64]bool{}
-	for _, x := range losses {
-		for _, p := range x.Parts {
-			at, ok := q.good.last(p)
-			if !ok || seen[p] {
-				continue
-			}
-			seen[p] = true
-			l = append(l, crashevidence.Good{Part: p, Age: now.Sub(at)})
-		}
-	}
-	return l
+// Size returns the number of losses that are not explained.
+func (q *Quarantine) Size() int {
+	return len(q.losses)
 }
 
-// Losses returns all losses, to tell another host.
-func (q *Quarantine) Losses(now time.Time) []crashevidence.Loss {
-	q.expire(now)
-	var l []crashevidence.Loss
-	for _, x := range q.losses {
-		e := x.Loss
-		e.Age = max(now.Sub(x.at), 0)
-		l = append(l, e)
+// Began records that an upstream began to answer a call with these traits. It returns the traits that were suspected.
+func (q *Quarantine) Began(now time.Time, traits []crashevidence.Trait) []crashevidence.Trait {
+	var cleared []crashevidence.Trait
+	for _, t := range traits {
+		if q.open(t) {
+			cleared = append(cleared, t)
+		}
+		q.good.add(now, now, t)
 	}
-	return l
+	q.clear(cleared)
+	return cleared
 }
 
-// Fingerprint returns a number that two hosts share if they know the same losses and the same of their parts to be good.
-func (q *Quarantine) Fingerprint() uint64 {
-	var f uint64
-	good := map[uint64]bool{}
-	for id, x := range q.losses {
-		f ^= id
-		for _, p := range x.Parts {
-			if _, ok := q.good.last(p); ok {
-				good[p] = true
+// clear takes traits out of the losses that answers on them explain.
+func (q *Quarantine) clear(traits []crashevidence.Trait) {
+	for _, t := range traits {
+		for _, x := range slices.Clone(q.byTrait[t]) {
+			if q.answeredSince(x, t) {
+				q.strip(x, t)
 			}
 		}
 	}
-	for p := range good {
-		f ^= p
+	if len(traits) > 0 {
+		q.judge()
 	}
-	return f
 }
 
-func (q *Quarantine) add(now time.Time, l crashevidence.Loss) {
-	at := now.Add(-l.Age)
-	if x := q.losses[l.ID]; x != nil {
-		if at.After(x.at) {
-			x.at = at
+// open reports whether a trait is in a loss that no later answer on it has explained.
+func (q *Quarantine) open(t crashevidence.Trait) bool {
+	return slices.ContainsFunc(q.byTrait[t], func(x *loss) bool { return !q.answeredSince(x, t) })
+}
+
+// Lost records a call that was sent at a time and whose upstream was lost before it began to answer, and returns what other
+// hosts should know of it. Traits that were answered a moment ago are not the cause.
+func (q *Quarantine) Lost(now, sent time.Time, upstream uint64, traits []crashevidence.Trait, answering bool) (crashevidence.Loss, bool) {
+	l := crashevidence.Loss{Upstream: upstream, Answering: answering, SentBefore: max(now.Sub(sent), 1)}
+	for _, t := range traits {
+		at, ok := q.good.last(t)
+		if (!ok || now.Sub(at) > freshAnswer) && len(l.Traits) < maxTraits {
+			l.Traits = append(l.Traits, t)
 		}
-		return
 	}
-	q.expire(now)
-	if len(q.losses) >= maxLosses {
-		delete(q.losses, q.leastUseful().ID)
+	if len(l.Traits) == 0 {
+		return l, false
 	}
-	q.losses[l.ID] = &loss{Loss: l, at: at}
+	l.ID = identify(upstream, sent, l.Traits)
+	l.After = q.lastBefore(sent, l.Traits)
+	q.add(now, l)
+	q.judge()
+	return l, true
 }
 
-// expire forgets losses that no longer count.
-func (q *Quarantine) expire(now time.Time) {
-	n := len(q.losses)
-	for id, x := range q.losses {
-		if now.Sub(x.at) >= hold {
-			delete(q.losses, id)
+// lastBefore returns the ID of the last loss with any of these traits before a time, zero if there is none.
+func (q *Quarantine) lastBefore(at time.Time, traits []crashevidence.Trait) uint64 {
+	var last *loss
+	for _, t := range traits {
+		for _, x := range q.byTrait[t] {
+			if x.at.Before(at) && (last == nil || byAge(last, x) < 0) {
+				last = x
+			}
 		}
 	}
-	if len(q.losses) < n {
-		q.judge()
+	if last == nil {
+		return 0
 	}
+	return last.ID
 }
 
-// leastUseful returns the oldest loss, one without a quarantined part if there is any.
-func (q *Quarantine) leastUseful() *loss {
-	var least *loss
-	for _, x := range q.losses {
-		if least == nil || q.lessUseful(x, least) {
-			least = x
+// Learn records traits that another host knows to be good, and returns those that were suspected here.
+func (q *Quarantine) Learn(now time.Time, good []crashevidence.Good) []crashevidence.Good {
+	var cleared []crashevidence.Good
+	var open []crashevidence.Trait
+	for _, g := range good {
+		t := g.Trait
+		before := q.open(t)
+		_, known := q.good.last(t)
+		q.good.add(now, now.Add(-g.Age), t)
+		if !before {
+			continue
+		}
+		open = append(open, t)
+		if !known || !q.open(t) {
+			cleared = append(cleared, g)
 		}
 	}
-	return least
+	q.clear(open)
+	return cleared
 }
 
-func (q *Quarantine) lessUseful(a, b *loss) bool {
-	if x, y := q.explains(a), q.explains(b); x != y {
-		return !x
-	}
-	if !a.at.Equal(b.at) {
-		return a.at.Before(b.at)
+// Merge records what another host told. It returns what this host knows better, which is traits of those losses that are
+// good, and whether anything was news.
+func (q *Quarantine) Merge(now time.Time, e crashevidence.Evidence) (better []crashevidence.Good, news bool) {
+	news = len(q.Learn(now, e.Good)) > 0
+	for _, l := range e.Losses {
+		if min(l.Idle, l.Age) < hold && len(l.Traits) <= maxTraits && q.add(now, l) {
+			news = true
+		}
 	}
-	return a.ID < b.ID
-}
-
-// explains reports whether a quarantined part is the cause of a loss.
-func (q *Quarantine) explains(l *loss) bool {
-	return slices.ContainsFunc(l.Parts, func(p uint64) bool { return q.blocked[p] != nil })
+	q.judge()
+	return q.KnownGood(now, e.Losses), news
 }
 
-// renew keeps a quarantined part that is still asked for.
-func (q *Quarantine) renew(now time.Time, part uint64) {
-	for _, x := range q.losses {
-		if now.After(x.at) && slices.Contains(x.Parts, part) && now.Sub(x.at) > hold/2 {
-			x.at = now
+// KnownGood returns those traits of losses on which an upstream has begun to answer.
+func (q *Quarantine) KnownGood(now time.Time, losses []crashevidence.Loss) []crashevidence.Good {
+	var l []crashevidence.Good
+	seen := map[crashevidence.Trait]bool{}
+	for _, x := range losses {
+		for _, t := range x.Traits {
+			at, ok := q.good.last(t)
+			if !ok || seen[t] {
+				continue
+			}
+			seen[t] = true
+			l = append(l, crashevidence.Good{Trait: t, Age: max(now.Sub(at), 0)})
 		}
 	}
+	return l
 }
 
-// suspected reports whether a part is in a loss that no later answer on it has explained away.
-func (q *Quarantine) suspected(part uint64) bool {
-	at, ok := q.good.last(part)
-	for _, x := range q.losses {
-		if (!ok || x.at.After(at)) && slices.Contains(x.Parts, part) {
-			return true
-		}
+// use keeps a quarantined trait that is still asked for.
+func (q *Quarantine) use(now time.Time, t crashevidence.Trait) {
+	for _, x := range q.byTrait[t] {
+		x.used = now
 	}
-	return false
 }
 
-func containsAll(parts, wanted []uint64) bool {
-	for _, p := range wanted {
-		if !slices.Contains(parts, p) {
-			return false
-		}
-	}
-	return true
+// Holds reports whether a call with these traits is in quarantine, even if its trait may be tried again.
+func (q *Quarantine) Holds(traits []crashevidence.Trait) bool {
+	return slices.ContainsFunc(traits, func(t crashevidence.Trait) bool { return q.holds(traits, t) })
+}
+
+// Answered returns when an upstream last began to answer on a trait.
+func (q *Quarantine) Answered(t crashevidence.Trait) (time.Time, bool) {
+	return q.good.last(t)
 }
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -37,7 +37,9 @@
 	// headers says that the headers of the answer have come, begun that some of its body has.
 	headers bool
 	begun   bool
-	once    sync.Once
+	// over ends the trial that the attempt may be.
+	over func()
+	once sync.Once
 }
 
 func (d *Dispatcher) begin(u upstream.Upstream, c *call.Call) *attempt {
@@ -60,13 +62,14 @@
 	t.dispatcher.Observer.First(t.upstream.Name, t.call, t.latency)
 }
 
-// begin records that the answer has begun, which speaks for the parts of its prompt.
+// begin records that the answer has begun, which speaks for all that the call shares with others.
 func (t *attempt) begin() {
 	if t.begun {
 		return
 	}
 	t.begun = true
-	t.dispatcher.Guard.Began(t.call.Parts)
+	t.dispatcher.Guard.Began(t.call)
+	t.over()
 }
 
 // end reports the outcome of the attempt once, and cancels the call at the upstream if it was given up.
@@ -80,8 +83,9 @@
 		if o == outcome.Broken && !t.begun {
 			t.call.Record.Lost++
 			t.logLost()
-			d.Guard.Lost(t.upstream, t.call.Parts, t.headers)
+			d.Guard.Lost(t.upstream, t.call, t.started, t.headers)
 		}
+		t.over()
 		if o == outcome.Cancelled {
 			d.Canceller.Cancel(t.upstream, t.call.ID)
 		}
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -69,11 +69,12 @@
 	Record(call string, s streamstart.Start)
 }
 
-// guard keeps prompts that end upstreams away from them.
+// guard keeps calls that end upstreams away from them.
 type guard interface {
-	Blocks(parts []uint64) bool
-	Began(parts []uint64)
-	Lost(u upstream.Upstream, parts []uint64, answering bool)
+	Blocks(c *call.Call) bool
+	Try(ctx context.Context, c *call.Call) (over func(), err error)
+	Began(c *call.Call)
+	Lost(u upstream.Upstream, c *call.Call, sent time.Time, answering bool)
 }
 
 // permits holds calls to the rate limits that upstreams name.
@@ -99,7 +100,7 @@
 	Observer observer
 	// Streams is told what began each stream that may be resumed.
 	Streams streams
-	// Guard tells which prompts no upstream may get.
+	// Guard tells which calls no upstream may get.
 	Guard guard
 	// PlainStreams says that the end of its body ends a stream, and that a broken stream is not resumed on its own
 	// upstream, but only on another one and only if the call may be repeated.
@@ -126,14 +127,11 @@
 
 // ServeOn sends a call once, to the given upstream.
 func (d *Dispatcher) ServeOn(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
-	if d.Guard.Blocks(c.Parts) {
-		return nil, refusal.CrashingPrompt
-	}
 	s := &delivery{dispatcher: d, call: c}
 	if _, err := s.takeWithin(ctx, u, 0); err != nil {
 		return nil, err
 	}
-	a, t, err := s.try(ctx, u)
+	a, t, err := s.try(ctx, u, nothing)
 	if err != nil {
 		return nil, err
 	}
@@ -174,14 +172,18 @@
 	d := s.dispatcher
 	var last error
 	for n := 1; ; n++ {
-		if d.Guard.Blocks(s.call.Parts) {
-			return nil, nil, s.crashingPrompt()
+		if d.Guard.Blocks(s.call) {
+			return nil, nil, s.crashing(refusal.CrashingPrompt)
 		}
 		u, err := s.admit(ctx)
 		if err != nil {
 			return nil, nil, s.notAdmitted(last, err)
 		}
-		a, t, err := s.try(ctx, u)
+		over, err := d.Guard.Try(ctx, s.call)
+		if err != nil {
+			return nil, nil, s.crashing(refusal.Of(err))
+		}
+		a, t, err := s.try(ctx, u, over)
 		if err == nil {
 			return a, t, nil
 		}
@@ -216,10 +218,11 @@
 	return s.dispatcher.Picker.Pick(s.dispatcher.Timer.Now(), s.demand)
 }
 
-// try makes one attempt on one upstream.
-func (s *delivery) try(ctx context.Context, u upstream.Upstream) (*answer.Answer, *attempt, error) {
+// try makes one attempt on one upstream, and calls over once its answer has begun or it has ended.
+func (s *delivery) try(ctx context.Context, u upstream.Upstream, over func()) (*answer.Answer, *attempt, error) {
 	s.call.Upstream = u
 	t := s.dispatcher.begin(u, s.call)
+	t.over = over
 	a, err := s.dispatcher.Transport.Do(ctx, u.Address, s.call)
 	if err != nil {
 		t.end(ctx, err)
@@ -244,14 +247,17 @@
 	return f.WithRetryAfter(max(f.RetryAfter, minRetryAfter))
 }
 
-// crashingPrompt refuses a call whose prompt was put in quarantine, with the worst verdict of its attempts.
-func (s *delivery) crashingPrompt() error {
+// crashing refuses a call that is quarantined or suspected, with the worst verdict of its attempts.
+func (s *delivery) crashing(f *refusal.Refusal) error {
 	if s.verdict == verdict.NotRun {
-		return refusal.CrashingPrompt
+		return f
 	}
-	return refusal.NewMayHaveRun(statusBadGateway, refusal.CodeCrashingPrompt, refusal.CrashingPrompt.Message)
+	return refusal.NewMayHaveRun(statusBadGateway, f.Code, f.Message)
 }
 
+// nothing is the end of an attempt that is no trial.
+func nothing() {}
+
 // notAdmitted returns the error of a call that no upstream may get: that of its last attempt if there was one, else err with
 // the worst verdict of the attempts before.
 func (s *delivery) notAdmitted(last, err error) error {
--- a/internal/wire/dispatch/dispatch_test.go
+++ b/internal/wire/dispatch/dispatch_test.go
@@ -86,18 +86,33 @@
 // recordingGuard records what it is told, and blocks once it has been told of a number of losses.
 type recordingGuard struct {
 	blockAfter int
-	lost       []bool
-	began      int
+	// refuse refuses each trial, refuseAfter all after the first ones.
+	refuse      bool
+	refuseAfter int
+	tried       int
+	over        int
+	lost        []bool
+	sent        []time.Time
+	began       int
 }
 
-func (g *recordingGuard) Blocks([]uint64) bool {
-	return g.blockAfter > 0 && len(g.lost) >= g.blockAfter
+func (g *recordingGuard) Blocks(c *call.Call) bool {
+	return !c.Batch && g.blockAfter > 0 && len(g.lost) >= g.blockAfter
 }
 
-func (g *recordingGuard) Began([]uint64) { g.began++ }
+func (g *recordingGuard) Try(_ context.Context, c *call.Call) (func(), error) {
+	if g.refuse && !c.Batch || g.refuseAfter > 0 && g.tried >= g.refuseAfter {
+		return nil, refusal.SuspectRequest
+	}
+	g.tried++
+	return func() { g.over++ }, nil
+}
+
+func (g *recordingGuard) Began(*call.Call) { g.began++ }
 
-func (g *recordingGuard) Lost(_ upstream.Upstream, _ []uint64, answering bool) {
+func (g *recordingGuard) Lost(_ upstream.Upstream, c *call.Call, sent time.Time, answering bool) {
 	g.lost = append(g.lost, answering)
+	g.sent = append(g.sent, sent)
 }
 
 // fixture is a dispatcher with two engines and two services as its upstreams.
--- a/internal/wire/dispatch/prompt_test.go
+++ b/internal/wire/dispatch/prompt_test.go
@@ -71,8 +71,65 @@
 	f = refusal.Of(err)
 	is.Equal(f.Status, 503)
 	is.Equal(f.Verdict, verdict.NotRun)
-	is.Equal(f.RetryAfter, time.Duration(0))
+	is.Equal(f.RetryAfter, time.Minute) // a caller stops rather than comes back
+}
+
+// TestItemIsSentWhateverIsQuarantined guards against items that are owed and wait for a request that looks like them.
+func TestItemIsSentWhateverIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	b.guard.blockAfter, b.guard.lost, b.guard.refuse = 1, []bool{true}, true
+	c := b.plain(true)
+	c.Batch, c.Parts = true, []uint64{1}
+	for _, u := range b.picker.upstreams {
+		if u.Name == "service-a" {
+			a, err := b.dispatcher.ServeOn(t.Context(), u, c)
+			is.NoErr(err)
+			is.Equal(a.Status, 200)
+		}
+	}
+	is.Equal(b.services[0].Runs()["c2"], 1)
+	is.Equal(b.guard.tried, 0)
+	is.Equal(len(c.Traits()), 0) // what becomes of it is no evidence
+}
+
+// TestCallOfASuspectThatIsTriedIsRefusedTruly guards against a refusal that says not run of a call that was sent before.
+func TestCallOfASuspectThatIsTriedIsRefusedTruly(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	b.guard.refuse = true
+	q := b.plain(true)
+	_, err := b.dispatcher.Serve(t.Context(), q)
+	f := refusal.Of(err)
+	is.Equal(f.Code, refusal.CodeSuspectRequest)
+	is.Equal(f.Status, 503)
+	is.Equal(f.Verdict, verdict.NotRun)
+	is.Equal(f.RetryAfter, time.Second)
+	is.Equal(q.Record.Attempts, 0)
 
-	_, err = b.dispatcher.ServeOn(context.Background(), b.picker.upstreams[0], b.plain(true))
-	is.Equal(refusal.Of(err).Code, refusal.CodeCrashingPrompt)
+	b.guard.refuse, b.guard.refuseAfter = false, 1
+	is.NoErr(b.services[0].Faults.Set(faultinjection.Die, 1))
+	q = b.plain(true)
+	_, err = b.dispatcher.Serve(t.Context(), q)
+	f = refusal.Of(err)
+	is.Equal(f.Code, refusal.CodeSuspectRequest)
+	is.Equal(f.Status, 502)
+	is.Equal(f.Verdict, verdict.MayHaveRun)
+	is.Equal(q.Record.Attempts, 1)
+	is.Equal(b.guard.over, 1)
+	is.True(!b.guard.sent[0].Before(q.Arrived)) // evidence says when the call was sent
+}
+
+// TestTrialIsOverOnceItsAnswerBegins guards against calls that wait for a trial until its whole answer has come.
+func TestTrialIsOverOnceItsAnswerBegins(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	a, err := b.dispatcher.Serve(t.Context(), b.completion(true))
+	is.NoErr(err)
+	is.Equal(b.guard.over, 0)
+	_, err = a.Body.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.Equal(b.guard.over, 1)
+	is.Equal(b.guard.began, 1)
+	_ = a.Body.Close()
 }
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -135,7 +135,11 @@
 	if _, err := q.takeWithin(ctx, u, q.patience()); err != nil {
 		return nil, q.notAdmitted(nil, err)
 	}
-	a, t, err := q.try(ctx, u)
+	over, err := s.dispatcher.Guard.Try(ctx, c)
+	if err != nil {
+		return nil, q.crashing(refusal.Of(err))
+	}
+	a, t, err := q.try(ctx, u, over)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -79,9 +79,9 @@
 	Serves(d demand.Demand) bool
 }
 
-// guard tells which prompts no upstream may get.
+// guard tells which calls no upstream may get.
 type guard interface {
-	Blocks(parts []uint64) bool
+	Blocks(c *call.Call) bool
 }
 
 // recorder logs and counts finished calls.
@@ -115,7 +115,7 @@
 	Streams streams
 	// Upstreams tells whether any upstream can go on with a stream.
 	Upstreams upstreams
-	// Guard tells which prompts to refuse before they wait for a slot.
+	// Guard tells which calls to refuse before they wait for a slot.
 	Guard guard
 	// Recorder receives the record of each finished call.
 	Recorder recorder
@@ -154,7 +154,7 @@
 		return p.submit(ctx, c)
 	}
 	c.Digest = requestdigest.Of(c)
-	if p.Guard.Blocks(c.Parts) {
+	if p.Guard.Blocks(c) {
 		return nil, refusal.CrashingPrompt
 	}
 	if err := p.bindStream(ctx, c); err != nil {
--- a/internal/wire/pipeline/prompt_test.go
+++ b/internal/wire/pipeline/prompt_test.go
@@ -15,10 +15,10 @@
 	"siskinrun/pkg/verdict"
 )
 
-// blockAll blocks every prompt that has parts.
+// blockAll blocks every call that has something in common with others.
 type blockAll struct{}
 
-func (blockAll) Blocks(parts []uint64) bool { return len(parts) > 0 }
+func (blockAll) Blocks(c *call.Call) bool { return len(c.Traits()) > 0 }
 
 // lastRecord keeps the record of the last call.
 type lastRecord struct {
@@ -43,6 +43,6 @@
 	is.Equal(f.Code, refusal.CodeCrashingPrompt)
 	is.Equal(f.Status, 503)
 	is.Equal(f.Verdict, verdict.NotRun)
-	is.Equal(f.RetryAfter, time.Duration(0))
+	is.Equal(f.RetryAfter, time.Minute) // a caller stops rather than comes back
 	is.Equal(l.record.Attempts, 0)
 }
