Hold no batch item back for what requests did

Items with a part under which upstreams ended waited until their job's window closed.

The executor no longer keeps such items without a slot, and the runner backs off after each refusal alike.

--- a/internal/jobs/executor/end.go
+++ b/internal/jobs/executor/end.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/jobs/entry"
-	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
 
@@ -15,10 +14,6 @@
 // shorter than a round trip to the ledger need not be reported.
 func (p *scheduler) finishRun(now time.Time, t *task, o *entry.Outcome) {
 	s := p.groups[t.group]
-	if o.GetResult().GetCode() == refusal.CodeCrashingPrompt && s.tasks[t.item.Fence] == t && !p.draining && !t.stopping {
-		p.holdBack(now, t)
-		return
-	}
 	again := t.preempting && o.Kind == entry.Outcome_YIELD && !p.draining && now.Before(s.sessionExpires)
 	if !again || s.tasks[t.item.Fence] != t {
 		p.endTask(t, o)
@@ -40,18 +35,6 @@
 	p.pending = slices.Insert(p.pending, 0, t)
 }
 
-// holdBack keeps an item that no upstream may get until its lease is returned, without a slot. Returned at once, it would
-// be leased again and again.
-func (p *scheduler) holdBack(now time.Time, t *task) {
-	t.upstream.started--
-	t.upstream = nil
-	t.stop = nil
-	t.heldBack = true
-	t.pendingSince = now
-	t.notBefore = now.Add(pendingTimeout)
-	p.pending = append(p.pending, t)
-}
-
 // endTask queues the outcome of a task and frees its slot. A task that may not be repeated keeps its slot until
 // the outcome is recorded, so that a lost host leaves no more such items with an unknown outcome than its windows
 // allow.
--- a/internal/jobs/executor/scheduler.go
+++ b/internal/jobs/executor/scheduler.go
@@ -32,8 +32,6 @@
 	preempting bool
 	// notBefore is the earliest time at which the task may start again.
 	notBefore time.Time
-	// heldBack says that no upstream may get the item; it waits without a slot until its lease is returned.
-	heldBack bool
 	// preemptedOutcome is the outcome of a preempted run, which is reported if no other run follows on this host.
 	preemptedOutcome *entry.Outcome
 	// stop cancels the run of a started task.
@@ -166,9 +164,7 @@
 		}
 	}
 	for _, t := range p.pending {
-		if !t.heldBack {
-			r.reserve(t.item.Target, 1)
-		}
+		r.reserve(t.item.Target, 1)
 	}
 	for _, s := range p.groups {
 		for _, w := range s.requested {
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -113,7 +113,7 @@
 // backOff waits after a refusal of an item that was not sent, so that it is not retried at once.
 func (r *Runner) backOff(ctx context.Context, err error) {
 	f := refusal.Of(err)
-	if f.Verdict == verdict.NotRun && f.Code != refusal.CodeCrashingPrompt {
+	if f.Verdict == verdict.NotRun {
 		_ = r.Timer.Sleep(ctx, min(max(f.RetryAfter, minBackoff), maxBackoff))
 	}
 }
