--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -32,7 +32,7 @@
 // mayConfirm reports whether the call may be sent once more to confirm its end.
 func (s *stream) mayConfirm() bool {
 	d, c := s.dispatcher, s.call
-	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c.Parts) || lostTooOften(c) {
+	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c) || lostTooOften(c) {
 		return false
 	}
 	return c.Record.Attempts < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
@@ -50,7 +50,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stop := d.Timer.After(confirmTime, func(time.Time) { cancel() })
-	a, t, err := q.try(ctx, u)
+	a, t, err := q.try(ctx, u, nothing)
 	stop()
 	if err != nil {
 		s.call.Record.Attempts, s.call.Record.Tried, s.call.Record.Lost = c.Record.Attempts, c.Record.Tried, c.Record.Lost
