Let no given-up call end as complete while its end is confirmed

A stream whose caller's key was withdrawn, or whose host stopped, while the host asked for what follows its last event would have ended as complete: a confirmation that is not to be had ends the stream. A call that was given up now ends with that reason. Found when the confirmation was read again. TestStreamGivenUpWhileItsEndIsConfirmedIsNotComplete failed without the change.

--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -20,7 +20,7 @@
 // It ends the current attempt with cause, and returns nil if no upstream can be asked.
 func (s *stream) confirm(ctx context.Context, offset int, cause error) *answer.Answer {
 	s.endAttempt(ctx, cause)
-	for s.mayConfirm() {
+	for ctx.Err() == nil && s.mayConfirm() {
 		a, sent := s.ask(ctx, offset)
 		if a != nil || !sent {
 			return a
--- a/internal/wire/dispatch/unframed_test.go
+++ b/internal/wire/dispatch/unframed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -160,3 +161,23 @@
 		})
 	}
 }
+
+// TestStreamGivenUpWhileItsEndIsConfirmedIsNotComplete guards against a stream that ends as complete because its call was
+// cancelled while a host asked for what follows.
+func TestStreamGivenUpWhileItsEndIsConfirmedIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	b.dispatcher.PlainStreams = true
+	silent := script{text: unframedHeaders, keep: true}
+	b.picker.upstreams = []upstream.Upstream{startScripted(t, "x", script{text: unframedHeaders + events(1, 3)}, silent)}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a, err := b.dispatcher.Serve(ctx, b.streamed(true))
+	is.NoErr(err)
+	p := make([]byte, len(events(1, 3)))
+	_, err = io.ReadFull(a.Body, p)
+	is.NoErr(err)
+	time.AfterFunc(100*time.Millisecond, cancel)
+	_, err = io.ReadAll(a.Body)
+	is.True(err != nil)
+}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -148,7 +148,7 @@
 	return r.events == 0 && r.reached > 0 && r.reached < r.next
 }
 
-// confirm asks for what follows the last event, and ends the stream if that cannot be asked.
+// confirm asks for what follows the last event, and ends the stream if that cannot be asked; a call that was given up has no end.
 func (r *Reader) confirm(cause error) {
 	_ = r.Answer.Body.Close()
 	a := (*answer.Answer)(nil)
@@ -156,7 +156,7 @@
 		a = r.Confirm(r.Context, r.next, cause)
 	}
 	if a == nil {
-		r.finish(nil)
+		r.finish(r.Context.Err())
 		return
 	}
 	r.confirming = true
