Let calls wait for permits instead of queueing at full upstreams without a limit

Cause: the slots of a service count an upstream that names a rate limit by the permits at hand. A call that was let in for such a slot and found no permit at that moment was sent to an upstream without a limit, however full that was. In bursts all calls there began late, while permits of the others stayed unused.

Change: while an upstream of a pool names a limit, one without a limit takes no more calls than it has slots. Further ones wait for a permit as long as they may, or are refused. If only full upstreams are eligible, one of them still gets the call.

Test: TestCallsBeyondTheLimitsDoNotQueueAtOtherUpstreams failed on the code before: 87 of 369 calls late with 11 of 12 upstreams limited, 56 with 8. Now none, 291 and 323 start in time where 282 and 313 did, the others are refused.

--- a/internal/routing/permits/outlook.go
+++ b/internal/routing/permits/outlook.go
@@ -48,6 +48,12 @@
 	return n.peak, 1 - min(saved/reserveShare, 1)
 }
 
+// Named reports whether an incarnation of an upstream names a limit.
+func (s *Service) Named(name string, incarnation uint64) bool {
+	_, ok := s.limit(name, incarnation)
+	return ok
+}
+
 // committedUsed reports whether the committed rate of an upstream is known to be used.
 func (s *Service) committedUsed(name string) bool {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/routing/picker/limit_load_test.go
@@ -0,0 +1,147 @@
+package picker_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/data/demand"
+	"siskinrun/internal/data/outcome"
+	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/limits/meter"
+	"siskinrun/internal/routing/picker"
+)
+
+const (
+	// loadSlots is the number of requests that an upstream of a limitedLoad runs at a time, for answerTime each.
+	loadSlots  = 8
+	answerTime = 750 * time.Millisecond
+	// permitPatience is how long a call waits for a permit, and latestStart how long after its arrival it must start.
+	permitPatience = 210 * time.Millisecond
+	latestStart    = 300 * time.Millisecond
+)
+
+// limitedLoad plays calls to upstreams of which some name a rate limit.
+type limitedLoad struct {
+	picker *picker.Picker
+	meters map[string]*meter.Meter
+	// free holds when the slots of each upstream become free.
+	free map[string][]time.Time
+	// running holds the ends of the calls that run, in order.
+	running []callEnd
+	// started, late and refused count calls.
+	started, late, refused int
+}
+
+// callEnd is the end of a call at an upstream.
+type callEnd struct {
+	at       time.Time
+	upstream string
+}
+
+func newLimitedLoad(upstreams, limited int, limit float64) *limitedLoad {
+	l := &limitedLoad{picker: picker.NewPicker(1), meters: map[string]*meter.Meter{}, free: map[string][]time.Time{}}
+	var all []upstream.Upstream
+	for i := range upstreams {
+		u := upstream.Upstream{Name: fmt.Sprint("u", i), Service: "s", Slots: loadSlots}
+		all = append(all, u)
+		l.free[u.Name] = make([]time.Time, loadSlots)
+		if i < limited {
+			l.meters[u.Name] = &meter.Meter{}
+			l.meters[u.Name].SetRate(start, limit)
+		}
+	}
+	l.picker.Limits = l
+	l.picker.SetUpstreams(all, start)
+	return l
+}
+
+func (l *limitedLoad) Next(name string, _ uint64, now time.Time) (time.Time, float64) {
+	m := l.meters[name]
+	if m == nil {
+		return time.Time{}, 0
+	}
+	_, peak := m.Delays(now)
+	return now.Add(peak), 1 - m.Saved(now)
+}
+
+func (l *limitedLoad) Named(name string, _ uint64) bool { return l.meters[name] != nil }
+
+// play lets calls arrive at a rate from one time after the start to another.
+func (l *limitedLoad) play(perSecond float64, from, to time.Duration) {
+	gap := time.Duration(float64(time.Second) / perSecond)
+	for d := from; d < to; d += gap {
+		l.call(start.Add(d))
+	}
+}
+
+// call sends one call, at once or when there is a permit, or refuses it.
+func (l *limitedLoad) call(now time.Time) {
+	l.finish(now)
+	d := demand.Demand{Service: "s"}
+	u, ok := l.picker.Pick(now, d)
+	at := now
+	if !ok {
+		u, at, ok = l.picker.Soonest(now, d)
+	}
+	if m := l.meters[u.Name]; ok && m != nil {
+		_, ok = m.Take(now, true, permitPatience)
+	}
+	if !ok {
+		l.refused++
+		return
+	}
+	l.run(u.Name, now, later(at, now))
+}
+
+// run starts a call that arrived at one time and was sent at another in the first slot that is free.
+func (l *limitedLoad) run(name string, arrived, sent time.Time) {
+	slots := l.free[name]
+	slices.SortFunc(slots, time.Time.Compare)
+	begun := later(slots[0], sent)
+	slots[0] = begun.Add(answerTime)
+	l.picker.Started(name)
+	l.running = append(l.running, callEnd{at: slots[0], upstream: name})
+	if begun.Sub(arrived) > latestStart {
+		l.late++
+		return
+	}
+	l.started++
+}
+
+// finish ends the calls that have ended by a time.
+func (l *limitedLoad) finish(now time.Time) {
+	l.running = slices.DeleteFunc(l.running, func(e callEnd) bool {
+		if e.at.After(now) {
+			return false
+		}
+		l.picker.Finished(e.upstream, outcome.Succeeded, answerTime, now)
+		return true
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// TestCallsBeyondTheLimitsDoNotQueueAtOtherUpstreams guards against calls that all start late because the upstreams without a
+// limit get what the permits of the others do not cover.
+func TestCallsBeyondTheLimitsDoNotQueueAtOtherUpstreams(t *testing.T) {
+	for _, c := range []struct{ limited, least int }{{11, 240}, {8, 270}} {
+		t.Run(fmt.Sprint(c.limited, " of 12 limited"), func(t *testing.T) {
+			is := is.New(t)
+			l := newLimitedLoad(12, c.limited, 2.5)
+			l.play(20, 0, 4*time.Second)
+			l.play(120, 4*time.Second, 6400*time.Millisecond)
+			t.Logf("%d started in time, %d late, %d refused", l.started, l.late, l.refused)
+			is.Equal(l.late, 0)
+			is.True(l.started >= c.least)
+		})
+	}
+}
--- a/internal/routing/picker/limit_test.go
+++ b/internal/routing/picker/limit_test.go
@@ -22,6 +22,13 @@
 	return f.next[name], f.used[name]
 }
 
+// Named reports whether an upstream has either.
+func (f fixedLimits) Named(name string, _ uint64) bool {
+	_, next := f.next[name]
+	_, used := f.used[name]
+	return next || used
+}
+
 func newLimitedPicker(n int, l fixedLimits, now time.Time) *picker.Picker {
 	c := picker.NewPicker(1)
 	c.Limits = l
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -99,7 +99,7 @@
 	least, prompts := 0.0, 0.0
 	ties := 0
 	for _, v := range list {
-		if !c.allowed(v.member, d, now) {
+		if !c.allowed(p, v.member, d, now) {
 			continue
 		}
 		s := c.score(v, d, p.median, now)
@@ -124,26 +124,8 @@
 }
 
 // allowed reports whether an upstream may get a request now.
-func (c *Picker) allowed(m *member, d *demand.Demand, now time.Time) bool {
-	return c.eligible(m, d) && !c.closed(m, now)
-}
-
-// closed reports whether an upstream has no permit now under the rate limit that it names.
-func (c *Picker) closed(m *member, now time.Time) bool {
-	if c.Limits == nil {
-		return false
-	}
-	t, _ := c.Limits.Next(m.upstream.Name, m.upstream.Incarnation, now)
-	return t.After(now)
-}
-
-// limitCost returns the cost of the reserve of an upstream that names a rate limit.
-func (c *Picker) limitCost(m *member, now time.Time) float64 {
-	if c.Limits == nil {
-		return 0
-	}
-	_, used := c.Limits.Next(m.upstream.Name, m.upstream.Incarnation, now)
-	return c.LimitWeight * used
+func (c *Picker) allowed(p *pool, m *member, d *demand.Demand, now time.Time) bool {
+	return c.eligible(m, d) && !c.closed(m, now) && !c.overfilled(p, m, now)
 }
 
 // eligible reports whether an upstream may get a request once it has a permit.
@@ -229,7 +211,7 @@
 	var best *member
 	least := 0.0
 	for _, m := range p.all {
-		if !c.allowed(m, d, now) {
+		if !c.allowed(p, m, d, now) {
 			continue
 		}
 		s := c.score(candidate{member: m}, d, p.median, now)
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -36,12 +36,6 @@
 	DefaultReportTTL = 4 * time.Second
 )
 
-// limits tells when upstreams have their next permits under the rate limits that they name, and how much of their reserve
-// for times at which others are full is used, from 0 to 1.
-type limits interface {
-	Next(name string, incarnation uint64, now time.Time) (at time.Time, used float64)
-}
-
 // sweepInterval is the minimum time between two updates of ejections and median latencies.
 const sweepInterval = 250 * time.Millisecond
 
@@ -134,32 +128,6 @@
 	return m.upstream, true
 }
 
-// Soonest returns the upstream for a request that has its next permit first and when that is, for a request for which Pick
-// finds none. It returns false if no upstream would get the request with a permit either.
-func (c *Picker) Soonest(now time.Time, d demand.Demand) (upstream.Upstream, time.Time, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.pools[poolOf(&d)]
-	if !ok || c.Limits == nil {
-		return upstream.Upstream{}, time.Time{}, false
-	}
-	var best *member
-	var soonest time.Time
-	for _, m := range p.all {
-		if !c.eligible(m, &d) {
-			continue
-		}
-		t, _ := c.Limits.Next(m.upstream.Name, m.upstream.Incarnation, now)
-		if best == nil || t.Before(soonest) {
-			best, soonest = m, t
-		}
-	}
-	if best == nil {
-		return upstream.Upstream{}, time.Time{}, false
-	}
-	return best.upstream, soonest, true
-}
-
 // Started counts a request that was sent to an upstream.
 func (c *Picker) Started(name string) {
 	c.mu.Lock()
@@ -325,5 +293,6 @@
 	c.Ejection.Sweep(now)
 	for _, p := range c.pools {
 		p.updateMedian()
+		c.updateLimited(p)
 	}
 }
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -25,6 +25,8 @@
 	domains   map[string][]*member
 	median    float64
 	latencies []float64
+	// limited says that an upstream of the pool names a rate limit.
+	limited bool
 }
 
 // tombstone remembers a removed upstream and the requests that still run on it.
