End sessions between hosts by their connections

Cause: Session.Close of the multiplexer marks the session as shut down, waits for its receiver, and only then closes the streams. A reader of a stream polls without a pause in between.

Change: a session ends by its connection. Its receiver then closes it and the streams in one go.

--- a/internal/base/rpc/endpoint.go
+++ b/internal/base/rpc/endpoint.go
@@ -64,7 +64,7 @@
 	mu       sync.Mutex
 	handlers map[string]Handler
 	sessions map[sessionKey]*session
-	accepted map[*yamux.Session]struct{}
+	accepted map[*link]struct{}
 	group    *group.Group
 }
 
@@ -115,7 +115,7 @@
 	if err != nil {
 		return nil, refusal.NewNotRun(503, "peer-unreachable", err.Error()).WithRetryAfter(time.Second)
 	}
-	stop := l.startPings(s.Session())
+	stop := l.startPings(e, s)
 	b, reusable, err := roundTrip(ctx, s, method, body)
 	stop()
 	if reusable {
@@ -187,7 +187,7 @@
 		if err == nil {
 			return s, nil
 		}
-		_ = e.mux.Close()
+		e.mux.end()
 		e.mux = nil
 	}
 	n := l.Timer.Now()
@@ -225,12 +225,12 @@
 	for _, e := range l.sessions {
 		if e.mu.TryLock() {
 			if e.mux != nil {
-				_ = e.mux.Close()
+				e.mux.end()
 			}
 			e.mu.Unlock()
 		}
 	}
 	for m := range l.accepted {
-		_ = m.Close()
+		m.end()
 	}
 }
--- a/internal/base/rpc/ping.go
+++ b/internal/base/rpc/ping.go
@@ -18,6 +18,7 @@
 // the kernel closes the connection (see setUnackedTimeout).
 type pinger struct {
 	endpoint *Endpoint
+	peer     *session
 	mux      *yamux.Session
 
 	mu      sync.Mutex
@@ -25,9 +26,9 @@
 	cancel  func()
 }
 
-// startPings pings a session until stop is called.
-func (l *Endpoint) startPings(m *yamux.Session) (stop func()) {
-	w := &pinger{endpoint: l, mux: m}
+// startPings pings the session of a stream to a peer until stop is called.
+func (l *Endpoint) startPings(e *session, s *yamux.Stream) (stop func()) {
+	w := &pinger{endpoint: l, peer: e, mux: s.Session()}
 	w.arm()
 	return w.stop
 }
@@ -50,7 +51,7 @@
 // ping pings the session once, and schedules the next ping if the peer replies.
 func (w *pinger) ping() {
 	if _, err := w.mux.Ping(); err != nil {
-		_ = w.mux.Close()
+		w.peer.end(w.mux)
 		return
 	}
 	w.arm()
--- a/internal/base/rpc/session.go
+++ b/internal/base/rpc/session.go
@@ -37,7 +37,7 @@
 }
 
 // connect dials a peer and authenticates both sides with the shared secret.
-func (l *Endpoint) connect(ctx context.Context, to, lane string) (*yamux.Session, error) {
+func (l *Endpoint) connect(ctx context.Context, to, lane string) (*link, error) {
 	a, ok := l.address(to)
 	if !ok {
 		return nil, errors.Newf("unknown host %s", to)
@@ -62,7 +62,7 @@
 		_ = c.Close()
 		return nil, errors.Wrapf(err, "handshake with %s", to)
 	}
-	return yamux.Client(&coalescingConn{Conn: c}, muxConfig())
+	return newLink(c, yamux.Client)
 }
 
 func (l *Endpoint) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -159,9 +159,8 @@
 		_ = c.Close()
 		return
 	}
-	m, err := yamux.Server(&coalescingConn{Conn: c}, muxConfig())
+	m, err := newLink(c, yamux.Server)
 	if err != nil {
-		_ = c.Close()
 		return
 	}
 	l.track(m)
@@ -181,17 +180,17 @@
 	}
 }
 
-func (l *Endpoint) track(m *yamux.Session) {
+func (l *Endpoint) track(m *link) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.accepted == nil {
-		l.accepted = map[*yamux.Session]struct{}{}
+		l.accepted = map[*link]struct{}{}
 	}
 	l.accepted[m] = struct{}{}
 }
 
-func (l *Endpoint) untrack(m *yamux.Session) {
-	_ = m.Close()
+func (l *Endpoint) untrack(m *link) {
+	m.end()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.accepted, m)
--- a/internal/base/rpc/streams.go
+++ b/internal/base/rpc/streams.go
@@ -13,7 +13,7 @@
 // session holds the yamux session dialed to a peer on one lane, and when to dial again after a failure.
 type session struct {
 	mu      sync.Mutex
-	mux     *yamux.Session
+	mux     *link
 	retryAt time.Time
 	// idle holds the streams that the next calls can reuse.
 	idle []*yamux.Stream
@@ -23,7 +23,7 @@
 func (e *session) release(s *yamux.Stream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.mux == nil || e.mux.IsClosed() || s.Session() != e.mux || len(e.idle) >= maxIdleStreams {
+	if e.mux == nil || e.mux.IsClosed() || s.Session() != e.mux.Session || len(e.idle) >= maxIdleStreams {
 		_ = s.Close()
 		return
 	}
@@ -44,3 +44,12 @@
 	e.idle = e.idle[:n-1]
 	return s
 }
+
+// end ends a session of the peer unless another one has taken its place.
+func (e *session) end(m *yamux.Session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mux != nil && e.mux.Session == m {
+		e.mux.end()
+	}
+}
