Show that a limit of this host completes a broken item

When an answer without a framing leaves open whether an item's text is whole, the runner takes upstreams-limited as the word of an upstream that still serves. It is the refusal of this host, which has asked nobody: an item of a crashed upstream with a rate limit is completed with a part of its text.

--- /dev/null
+++ b/internal/jobs/runner/confirm_test.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/timer"
+	"siskinrun/internal/data/answer"
+	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/framing"
+	"siskinrun/internal/data/item"
+	"siskinrun/internal/data/itemline"
+	"siskinrun/internal/data/upstream"
+	"siskinrun/pkg/refusal"
+)
+
+// refusedPipeline answers the first call with two events without an end of their own, and refuses all others.
+type refusedPipeline struct {
+	refusal  *refusal.Refusal
+	answered bool
+}
+
+func (p *refusedPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
+	if p.answered {
+		return nil, p.refusal
+	}
+	p.answered = true
+	r := strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	return &answer.Answer{Status: 200, ContentType: eventStream, Length: -1, Framing: framing.None, Body: io.NopCloser(r)}, nil
+}
+
+// TestRefusalOfThisHostCompletesNoItem guards against an item that is completed with a part of its text, since a rate limit
+// held off the call that was to ask its upstream for the rest.
+func TestRefusalOfThisHostCompletesNoItem(t *testing.T) {
+	for _, c := range []struct {
+		refusal *refusal.Refusal
+		whole   bool
+	}{
+		{refusal.UpstreamsLimited, false},
+		{refusal.NewNotRun(503, "upstream-unreachable", ""), false},
+		{refusal.NewNotRun(503, "upstream-gone", ""), false},
+		{refusal.NewMayHaveRun(502, "upstream-lost", ""), false},
+		{refusal.NewNotRun(503, "upstream-busy", ""), true},
+	} {
+		t.Run(c.refusal.Code, func(t *testing.T) {
+			is := is.New(t)
+			b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
+			is.NoErr(err)
+			r := &Runner{
+				Pipeline:  &refusedPipeline{refusal: c.refusal},
+				Timer:     timer.NewService(),
+				Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+			}
+			a, err := r.Run(t.Context(), "u", item.Item{Line: b})
+			is.Equal(err == nil, c.whole)
+			is.Equal(string(a.Body)+string(a.Text), "a\nb") // what was made is kept
+		})
+	}
+}
