Refuse bodies of callers that end early

A call whose body was broken off beyond its first bytes was served with what had come, and a file was kept as whole: the HTTP library ends a body that is shorter than its length without an error, and its function for a whole body returns the text of an error in place of a body whose chunks break off.

All bodies of callers are read by one reader, which knows the length and refuses what ends before it: 400, not run. Files are read as they arrive, as their limit meant.

--- a/internal/wire/callerapi/files.go
+++ b/internal/wire/callerapi/files.go
@@ -1,7 +1,6 @@
 package callerapi
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"mime"
@@ -114,11 +113,7 @@
 		q.Refuse(ingress.TooLarge(q.server.MaxFileBytes))
 		return
 	}
-	var r io.Reader = bytes.NewReader(x.Request.Body())
-	if s := x.RequestBodyStream(); s != nil {
-		r = s
-	}
-	r = &limitedReader{reader: r, remaining: q.server.MaxFileBytes, limit: q.server.MaxFileBytes}
+	var r io.Reader = &limitedReader{reader: ingress.Body(x), remaining: q.server.MaxFileBytes, limit: q.server.MaxFileBytes}
 	name, purpose, r, err := q.parseForm(r)
 	if err != nil {
 		x.SetConnectionClose()
--- a/internal/wire/ingress/pass.go
+++ b/internal/wire/ingress/pass.go
@@ -128,14 +128,10 @@
 		x.SetConnectionClose()
 		return nil, TooLarge(limit)
 	}
-	r := x.RequestBodyStream()
-	if r == nil {
-		return append([]byte(nil), x.Request.Body()...), nil
-	}
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	b, err := io.ReadAll(io.LimitReader(Body(x), limit+1))
 	if err != nil {
 		x.SetConnectionClose()
-		return nil, refusal.NewNotRun(fasthttp.StatusBadRequest, "bad-body", "the request body is incomplete")
+		return nil, errCutBody
 	}
 	if int64(len(b)) > limit {
 		x.SetConnectionClose()
