Believe no end that an answer without a framing confirms

A stream whose answer had no framing was asked for what follows; an answer without a framing and without an event, which an upstream that is lost leaves as well, counted as "nothing". Two upstreams lost one after the other ended the stream as complete.

Only a framing that reaches its end says that nothing follows, and only if the answer is not one that began anew and ended before the place. Anything else is asked again, as often as the route has attempts left; then the close is believed as before, since a fleet whose answers never have a framing cannot say more. That is what remains: as many answers without a framing as the route has attempts, each lost where it tells nothing.

--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/data/answer"
+	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/sse"
 	"siskinrun/internal/data/streamend"
 	"siskinrun/pkg/refusal"
@@ -31,7 +32,7 @@
 	// Resume reopens the stream at the given event after cause broke it; an error ends the stream.
 	Resume func(ctx context.Context, offset int, cause error) (*answer.Answer, error)
 	// Confirm reopens the stream at the given event, where an answer ended that does not say whether it was whole, and again
-	// when cause broke that off. It returns nil if that is not possible, which ends the stream.
+	// when cause broke that off or it does not say so either. It returns nil if that is not possible, which ends the stream.
 	Confirm func(ctx context.Context, offset int, cause error) *answer.Answer
 	// EndsWithBody says that the end of the body ends the stream, and that its first event may have any number.
 	EndsWithBody bool
@@ -163,13 +164,18 @@
 	r.open(a)
 }
 
-// confirmed ends a stream of which nothing follows, or asks again if err broke the answer off.
+// confirmed ends a stream of which nothing follows by the framing of the answer that was to tell, and asks again otherwise.
 func (r *Reader) confirmed(err error) {
-	if err == io.EOF {
+	switch {
+	case err != io.EOF:
+		r.confirm(err)
+	case r.behind():
+		r.confirm(io.ErrUnexpectedEOF)
+	case r.Answer.Framing == framing.None:
+		r.confirm(nil)
+	default:
 		r.finish(nil)
-		return
 	}
-	r.confirm(err)
 }
 
 // drain reads the rest of the body so that the connection can be reused.
