Count no refused connection among the runs that confirm an end

After upstreams had crashed, a stream whose answer had no framing ended as complete between two events: connections that crashed upstreams refuse, before the first answer or while the end was to be confirmed, counted towards max_attempts, so that no upstream was asked for the rest. The line call of one names five attempts on upstreams of which one had run.

--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -87,6 +87,9 @@
 			t.call.Record.Lost++
 			d.Guard.Lost(t.upstream, t.call.Parts, t.headers)
 		}
+		if o == outcome.Unreachable {
+			t.call.Record.Unreachable++
+		}
 		if o == outcome.Cancelled {
 			d.Canceller.Cancel(t.upstream, t.call.ID)
 		}
--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -21,8 +21,8 @@
 func (s *stream) confirm(ctx context.Context, offset int, cause error) *answer.Answer {
 	s.endAttempt(ctx, cause)
 	for s.mayConfirm() {
-		a, sent := s.ask(ctx, offset)
-		if a != nil || !sent {
+		a, asked := s.ask(ctx, offset)
+		if a != nil || !asked {
 			return a
 		}
 	}
@@ -35,15 +35,16 @@
 	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c.Parts) || lostTooOften(c) {
 		return false
 	}
-	return c.Record.Attempts < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
+	return len(s.silent) < maxUnreachable && c.Record.Attempts-c.Record.Unreachable < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
 }
 
-// ask sends the call once, to any upstream that may get it now, and returns the stream with which it answers. It reports
-// whether the call was sent.
+// ask makes one attempt, on any upstream that may get the call now and has not been silent before, and returns the stream with
+// which it answers. It reports whether there was such an upstream.
 func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool) {
 	d, c := s.dispatcher, *s.call
 	c.Offset = offset
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
+	q.demand.Tried = s.silent
 	u, ok := q.pick()
 	if !ok || !q.take(ctx, u, 0).Granted {
 		return nil, false
@@ -53,7 +54,9 @@
 	a, t, err := q.try(ctx, u)
 	stop()
 	if err != nil {
-		s.call.Record.Attempts, s.call.Record.Tried, s.call.Record.Lost = c.Record.Attempts, c.Record.Tried, c.Record.Lost
+		s.silent = append(s.silent, u.Name)
+		s.call.Record.Attempts, s.call.Record.Unreachable = c.Record.Attempts, c.Record.Unreachable
+		s.call.Record.Tried, s.call.Record.Lost = c.Record.Tried, c.Record.Lost
 		return nil, true
 	}
 	s.switchTo(&c, t)
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -33,6 +33,8 @@
 	attempt    *attempt
 	resumes    int
 	lastEvent  time.Time
+	// silent lists the upstreams that did not answer when they were to confirm the end.
+	silent []string
 	// recordedAt is when other hosts were last told what began the stream.
 	recordedAt time.Time
 }
@@ -183,4 +185,5 @@
 	s.call.Record.UpstreamVersion = c.Record.UpstreamVersion
 	s.call.Record.FirstEvent = c.Record.FirstEvent
 	s.call.Record.Lost = c.Record.Lost
+	s.call.Record.Unreachable = c.Record.Unreachable
 }
