Count no run that a busy upstream refused among those that confirm an end

A stream whose answer had no framing and was closed between two events ended as complete while upstreams were full: their refusals, before the first answer or when the end was to be confirmed, counted as runs, so that after max_attempts of them the close was believed.

--- a/cmd/siskinrun/confirm_test.go
+++ b/cmd/siskinrun/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -28,6 +29,15 @@
 	}
 }
 
+// TestEndIsNotConfirmedByBusyUpstreams guards against a close between two events that counts as the end of a stream, since
+// upstreams that were too busy to run the call used up the attempts.
+func TestEndIsNotConfirmedByBusyUpstreams(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	busy := cut{"length", whole, 0, false, http.StatusServiceUnavailable}
+	f.askEach(ctx, t, streamPath, []cut{{"none", closed, 5, false, 0}, busy, busy, busy}, wantWhole)
+	f.askEach(ctx, t, streamPath, []cut{busy, busy, {"none", closed, 5, false, 0}}, wantWhole)
+}
+
 // TestSilentUpstreamDoesNotHoldTheEndOfAWholeStream guards against a stream that its caller gives up, since the upstream that
 // is asked whether anything follows is silent after its headers.
 func TestSilentUpstreamDoesNotHoldTheEndOfAWholeStream(t *testing.T) {
--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -69,7 +69,7 @@
 	// events is the number of events that the answer holds, and inside says that a part of the next one follows.
 	events int
 	inside bool
-	// status is the status of the answer, zero for 200.
+	// status is the status of the answer, zero for 200; one of 503 says that the request did not run.
 	status int
 }
 
@@ -160,6 +160,9 @@
 	}
 	h := fmt.Sprintf("HTTP/1.1 %d %s\r\n", cmp.Or(p.status, 200), http.StatusText(cmp.Or(p.status, 200)))
 	h += "Content-Type: text/event-stream\r\nX-Response-Signature: " + worker + "\r\n" + wire.AttemptID + ": " + id + "\r\n"
+	if p.status == http.StatusServiceUnavailable {
+		h += wire.NotExecuted + ": 1\r\n"
+	}
 	head := q.Method == http.MethodHead
 	if _, err := io.WriteString(c, h+p.write(l, head)); err != nil {
 		return false
--- a/internal/data/callrecord/record.go
+++ b/internal/data/callrecord/record.go
@@ -30,8 +30,8 @@
 	Parts []uint64
 	// Lost is the number of attempts whose upstream was lost before it began its answer.
 	Lost int
-	// Unreachable is the number of attempts of which no byte was sent.
-	Unreachable int
+	// NotRun is the number of attempts that certainly did not run.
+	NotRun int
 	// RateLimit is the rate limit that the upstream named with its answer.
 	RateLimit ratelimit.Value
 	// HeldOff is the number of times that a rate limit held the call off an upstream, and HeldBy the last of these limits
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -16,6 +16,7 @@
 	"siskinrun/internal/data/outcome"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
+	"siskinrun/pkg/verdict"
 )
 
 const (
@@ -87,8 +88,8 @@
 			t.call.Record.Lost++
 			d.Guard.Lost(t.upstream, t.call.Parts, t.headers)
 		}
-		if o == outcome.Unreachable {
-			t.call.Record.Unreachable++
+		if err != nil && refusal.Of(err).Verdict == verdict.NotRun {
+			t.call.Record.NotRun++
 		}
 		if o == outcome.Cancelled {
 			d.Canceller.Cancel(t.upstream, t.call.ID)
--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -35,16 +35,16 @@
 	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c.Parts) || lostTooOften(c) {
 		return false
 	}
-	return len(s.silent) < maxUnreachable && c.Record.Attempts-c.Record.Unreachable < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
+	return len(s.refused) < maxUnreachable && c.Record.Attempts-c.Record.NotRun < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
 }
 
-// ask makes one attempt, on any upstream that may get the call now and has not been silent before, and returns the stream with
+// ask makes one attempt, on any upstream that may get the call now and has not refused it before, and returns the stream with
 // which it answers. It reports whether there was such an upstream.
 func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool) {
 	d, c := s.dispatcher, *s.call
 	c.Offset = offset
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
-	q.demand.Tried = s.silent
+	q.demand.Tried = s.refused
 	u, ok := q.pick()
 	if !ok || !q.take(ctx, u, 0).Granted {
 		return nil, false
@@ -54,8 +54,8 @@
 	a, t, err := q.try(ctx, u)
 	stop()
 	if err != nil {
-		s.silent = append(s.silent, u.Name)
-		s.call.Record.Attempts, s.call.Record.Unreachable = c.Record.Attempts, c.Record.Unreachable
+		s.refused = append(s.refused, u.Name)
+		s.call.Record.Attempts, s.call.Record.NotRun = c.Record.Attempts, c.Record.NotRun
 		s.call.Record.Tried, s.call.Record.Lost = c.Record.Tried, c.Record.Lost
 		return nil, true
 	}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -33,8 +33,8 @@
 	attempt    *attempt
 	resumes    int
 	lastEvent  time.Time
-	// silent lists the upstreams that did not answer when they were to confirm the end.
-	silent []string
+	// refused lists the upstreams that did not run the call, or were lost, when they were to confirm the end.
+	refused []string
 	// recordedAt is when other hosts were last told what began the stream.
 	recordedAt time.Time
 }
@@ -185,5 +185,5 @@
 	s.call.Record.UpstreamVersion = c.Record.UpstreamVersion
 	s.call.Record.FirstEvent = c.Record.FirstEvent
 	s.call.Record.Lost = c.Record.Lost
-	s.call.Record.Unreachable = c.Record.Unreachable
+	s.call.Record.NotRun = c.Record.NotRun
 }
