Bound the wait for what confirms an end to its first event

The end of a whole stream without a framing came to its caller after 4 s, when callers have given it up as stalled, where the upstream that was asked for the rest sent its headers and no event: the bound of 500 ms ended with the headers.

It now ends with the first event or the end of that answer, and is 750 ms, so that two such waits are within two seconds, after which callers give up. An upstream that takes longer is given up by this host, which is no failure of the upstream.

--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// confirmTime is how long the end of a stream waits for an upstream to say that nothing follows.
-	confirmTime = 500 * time.Millisecond
+	// confirmTime is how long the end of a stream waits for an upstream to go on with it or to say that nothing follows.
+	confirmTime = 750 * time.Millisecond
 	// maxConfirmRuns is the number of runs of a call up to which it is sent to confirm its end, if its route names none.
 	maxConfirmRuns = 3
 )
@@ -49,11 +49,10 @@
 	if !ok || !q.take(ctx, u, 0).Granted {
 		return nil, false
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	stop := d.Timer.After(confirmTime, func(time.Time) { cancel() })
+	ctx = s.await(ctx)
 	a, t, err := q.try(ctx, u)
-	stop()
 	if err != nil {
+		s.awaited()
 		s.refused = append(s.refused, u.Name)
 		s.call.Record.Attempts, s.call.Record.NotRun = c.Record.Attempts, c.Record.NotRun
 		s.call.Record.Tried, s.call.Record.Lost = c.Record.Tried, c.Record.Lost
@@ -61,8 +60,26 @@
 	}
 	s.switchTo(&c, t)
 	if !isStream(&c, a) {
+		s.awaited()
 		_ = a.Body.Close()
 		return nil, true
 	}
 	return a, true
 }
+
+// await returns a context for an attempt, which ends after confirmTime unless awaited is called before.
+func (s *stream) await(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	s.awaiting = ctx
+	s.stopAwaiting = s.dispatcher.Timer.After(confirmTime, func(time.Time) { cancel() })
+	return ctx
+}
+
+// awaited says that the attempt that was to confirm the end, if there is one, has gone on with the stream or ended.
+func (s *stream) awaited() {
+	if s.awaiting == nil {
+		return
+	}
+	s.stopAwaiting()
+	s.awaiting = nil
+}
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -35,6 +35,9 @@
 	lastEvent  time.Time
 	// refused lists the upstreams that did not run the call, or were lost, when they were to confirm the end.
 	refused []string
+	// awaiting is the context of the attempt that is to confirm the end, while it has not gone on with the stream.
+	awaiting     context.Context
+	stopAwaiting func()
 	// recordedAt is when other hosts were last told what began the stream.
 	recordedAt time.Time
 }
@@ -63,6 +66,7 @@
 
 // event counts an event and records the gap since the previous one.
 func (s *stream) event(int) {
+	s.awaited()
 	n := s.dispatcher.Timer.Now()
 	g := n.Sub(s.lastEvent)
 	s.lastEvent = n
@@ -133,6 +137,10 @@
 
 // endAttempt ends the current attempt and records its end with the call.
 func (s *stream) endAttempt(ctx context.Context, err error) {
+	if s.awaiting != nil && err != nil {
+		ctx = s.awaiting
+	}
+	s.awaited()
 	s.attempt.end(ctx, err)
 	r := &s.attempt.call.Record
 	s.call.Record.Lost = max(s.call.Record.Lost, r.Lost)
