Complete no item by a limit of this host

An item was listed as completed with a part of its text where its upstream was lost between two events of an answer without a framing, and the limit of that upstream held off the call that was to ask for the rest: this host's own refusal counted as the word of an upstream that still serves.

Only an upstream that refuses the call itself says that it serves. The run failed, its text is kept and the next run goes on after it.

--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -115,8 +115,7 @@
 	}
 	a, err := r.Pipeline.Batch(ctx, u, r.call(i, l))
 	if err != nil {
-		f := refusal.Of(err)
-		return f.Code == refusal.CodeUpstreamsLimited || f.Code == codeBusy, err
+		return refusal.Of(err).Code == codeBusy, err
 	}
 	defer func() { _ = a.Body.Close() }()
 	if a.ContentType != eventStream || a.Status >= minErrorStatus {
