Complete an item of which nothing is left where no answer has a framing

An item that has its whole text, since its last run broke off after the last event or a limit held off the confirmation, was run again and again where upstreams answer without a framing: an answer without an event counted as cut each time, whatever the item had.

Such an answer leaves open whether anything is left, as one that ends after an event does: the same upstream is asked once more, and its word is enough if it still serves. An item without any text is still never completed by it.

TestItemIsCompletedWhereNothingIsLeftOfIt failed before (answer-cut); the tests of the package and the three tests of items with real hosts pass.

--- a/internal/jobs/runner/confirm_test.go
+++ b/internal/jobs/runner/confirm_test.go
@@ -15,6 +15,7 @@
 	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/item"
 	"siskinrun/internal/data/itemline"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
 )
@@ -62,3 +63,20 @@
 		})
 	}
 }
+
+// TestItemIsCompletedWhereNothingIsLeftOfIt guards against an item that has its whole text and is run for ever, since no
+// answer has a framing.
+func TestItemIsCompletedWhereNothingIsLeftOfIt(t *testing.T) {
+	is := is.New(t)
+	b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
+	is.NoErr(err)
+	r := &Runner{
+		Pipeline:  emptyPipeline{},
+		Timer:     timer.NewService(),
+		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+	}
+	start := streamstart.Start{Service: "s", Version: "v"}
+	a, err := r.Run(t.Context(), "u", item.Item{Line: b, NextEvent: 3, Text: []byte("a\nb"), Start: start})
+	is.NoErr(err)
+	is.Equal(string(a.Body), "a\nb")
+}
--- a/internal/jobs/runner/output.go
+++ b/internal/jobs/runner/output.go
@@ -60,6 +60,9 @@
 	case streamend.Empty:
 		return false, errEmpty
 	case streamend.Cut:
+		if o.next > 0 {
+			return false, nil // nothing may be left
+		}
 		return false, errCut
 	case streamend.Unsaid:
 		return false, nil
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -122,7 +122,7 @@
 		return true, nil
 	}
 	whole, err := o.read(a, r.watch(cancel))
-	return whole || o.events == 0 && err == errCut, err
+	return whole || o.events == 0 && err == nil, err
 }
 
 // watch returns a function to call for each event of a stream. Once none has come for Silence, stalled is called.
