End no stream without its marker as complete

On the project's own interface a stream ends with [DONE]. One that ended before it, and whose events have no numbers so that it cannot go on, reached its caller as complete: the end of the body was kept as the reason of the failure, and a reader that fails with the end of its body has reached it.

An end before the marker is an unexpected one.

--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -95,6 +95,9 @@
 		r.end()
 		return
 	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		r.resume(err)
 		return
