--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -115,15 +115,14 @@
 	}
 	a, err := r.Pipeline.Batch(ctx, u, r.call(i, l))
 	if err != nil {
-		f := refusal.Of(err)
-		return f.Code == refusal.CodeUpstreamsLimited || f.Code == codeBusy, err
+		return refusal.Of(err).Code == codeBusy, err
 	}
 	defer func() { _ = a.Body.Close() }()
 	if a.ContentType != eventStream || a.Status >= minErrorStatus {
 		return true, nil
 	}
 	whole, err := o.read(a, r.watch(cancel))
-	return whole || o.events == 0 && err == errCut, err
+	return whole || o.events == 0 && err == nil, err
 }
 
 // watch returns a function to call for each event of a stream. Once none has come for Silence, stalled is called.
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -17,6 +17,7 @@
 	"siskinrun/internal/data/outcome"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
+	"siskinrun/pkg/verdict"
 )
 
 const (
@@ -93,6 +94,9 @@
 			d.Guard.Lost(t.upstream, t.call, t.started, t.headers)
 		}
 		t.over()
+		if err != nil && refusal.Of(err).Verdict == verdict.NotRun {
+			t.call.Record.NotRun++
+		}
 		if o == outcome.Cancelled {
 			d.Canceller.Cancel(t.upstream, t.call.ID)
 		}
--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// confirmTime is how long the end of a stream waits for an upstream to say that nothing follows.
-	confirmTime = 500 * time.Millisecond
+	// confirmTime is how long the end of a stream waits for an upstream to go on with it or to say that nothing follows.
+	confirmTime = 750 * time.Millisecond
 	// maxConfirmRuns is the number of runs of a call up to which it is sent to confirm its end, if its route names none.
 	maxConfirmRuns = 3
 )
@@ -21,8 +21,8 @@
 func (s *stream) confirm(ctx context.Context, offset int, cause error) *answer.Answer {
 	s.endAttempt(ctx, cause)
 	for ctx.Err() == nil && s.mayConfirm() {
-		a, sent := s.ask(ctx, offset)
-		if a != nil || !sent {
+		a, asked := s.ask(ctx, offset)
+		if a != nil || !asked {
 			return a
 		}
 	}
@@ -35,31 +35,51 @@
 	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c) || lostTooOften(c) {
 		return false
 	}
-	return c.Record.Attempts < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
+	return len(s.refused) < maxUnreachable && c.Record.Attempts-c.Record.NotRun < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
 }
 
-// ask sends the call once, to any upstream that may get it now, and returns the stream with which it answers. It reports
-// whether the call was sent.
+// ask makes one attempt, on any upstream that may get the call now and has not refused it before, and returns the stream with
+// which it answers. It reports whether there was such an upstream.
 func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool) {
 	d, c := s.dispatcher, *s.call
 	c.Offset = offset
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
+	q.demand.Tried = s.refused
 	u, ok := q.pick()
 	if !ok || !q.take(ctx, u, 0).Granted {
 		return nil, false
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	stop := d.Timer.After(confirmTime, func(time.Time) { cancel() })
+	ctx = s.await(ctx)
 	a, t, err := q.try(ctx, u, nothing)
-	stop()
 	if err != nil {
-		s.call.Record.Attempts, s.call.Record.Tried, s.call.Record.Lost = c.Record.Attempts, c.Record.Tried, c.Record.Lost
+		s.awaited()
+		s.refused = append(s.refused, u.Name)
+		s.call.Record.Attempts, s.call.Record.NotRun = c.Record.Attempts, c.Record.NotRun
+		s.call.Record.Tried, s.call.Record.Lost = c.Record.Tried, c.Record.Lost
 		return nil, true
 	}
 	s.switchTo(&c, t)
 	if !isStream(&c, a) {
+		s.awaited()
 		_ = a.Body.Close()
 		return nil, true
 	}
 	return a, true
 }
+
+// await returns a context for an attempt, which ends after confirmTime unless awaited is called before.
+func (s *stream) await(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	s.awaiting = ctx
+	s.stopAwaiting = s.dispatcher.Timer.After(confirmTime, func(time.Time) { cancel() })
+	return ctx
+}
+
+// awaited says that the attempt that was to confirm the end, if there is one, has gone on with the stream or ended.
+func (s *stream) awaited() {
+	if s.awaiting == nil {
+		return
+	}
+	s.stopAwaiting()
+	s.awaiting = nil
+}
