Stop a request that was answered before and then ends upstreams

What had been answered within two seconds at a host was ruled out as the cause there, and calls that had been answered before were tried side by side until the third end, while five were needed.

No answer before a loss rules a trait out any more: it is suspected from the first end on, and the next answer, which comes in milliseconds for what many ask for, frees it. Only a part of a prompt that was answered in the two seconds before waits for a second end. For a trait that was answered before upstreams that end after the headers count in a chain as well, so that a group that is killed counts once; with that four ends are enough.

The table tests of parts hold.

--- a/internal/fleet/rendezvous/ranking_test.go
+++ b/internal/fleet/rendezvous/ranking_test.go
@@ -94,3 +94,25 @@
 		r.First("9c41d07be2a35f68", 3)
 	}
 }
+
+func TestHostsOfAllFailureDomainsAgreeOnOwners(t *testing.T) {
+	is := is.New(t)
+	var l []host.Host
+	for i := range 320 {
+		l = append(l, host.Host{Name: fmt.Sprint("h", i), FailureDomain: fmt.Sprint("d", i%15)})
+	}
+	owners := map[string]int{}
+	for k := range 1000 {
+		o, ok := rendezvous.NewRanking(slices.Clone(l), "d3").Owner(fmt.Sprint(k))
+		is.True(ok)
+		if k%50 == 0 {
+			p, _ := rendezvous.NewRanking(slices.Clone(l), "d9").Owner(fmt.Sprint(k))
+			is.Equal(o, p)
+		}
+		owners[o]++
+	}
+	is.True(len(owners) > 100)
+	is.True(len(owners) <= 15*8) // few hosts, so that no host gets a session with each other one
+	_, ok := rendezvous.NewRanking(nil, "").Owner("x")
+	is.True(!ok)
+}
--- a/internal/routing/quarantine/judge.go
+++ b/internal/routing/quarantine/judge.go
@@ -11,11 +11,11 @@
 	// neededEnds is the number of upstreams that must have ended under a trait on which no answer has ever begun.
 	neededEnds = 3
 	// neededEndsIfGood is the same number for a trait that was answered before, since its last answer.
-	neededEndsIfGood = 5
-	// suspectEnds is the number of ends from which on calls with a trait are sent one at a time, and suspectEndsIfGood the
-	// number for a trait that was answered before.
-	suspectEnds       = 1
-	suspectEndsIfGood = 3
+	neededEndsIfGood = 4
+	// suspectEndsIfFresh is the number of ends from which on calls with a part of a prompt that was answered freshAnswer
+	// before are sent one at a time; all others are from the first one on.
+	suspectEndsIfFresh = 2
+	freshAnswer        = 2 * time.Second
 	// retrialFactor is the time to the next trial of a quarantined trait, in times between its last two ends.
 	retrialFactor = 10
 	minRetrial    = time.Minute
@@ -30,7 +30,7 @@
 		if len(l) < neededEnds {
 			continue
 		}
-		if _, ok := q.good.last(t); !ok && len(ends(l)) >= neededEnds {
+		if _, ok := q.good.last(t); !ok && q.ends(t, l) >= neededEnds {
 			q.blocked[t] = q.companions(t, l)
 		}
 	}
@@ -39,7 +39,7 @@
 		if len(l) < neededEndsIfGood {
 			continue
 		}
-		if _, ok := q.good.last(t); ok && len(ends(q.unexplained(t))) >= neededEndsIfGood {
+		if _, ok := q.good.last(t); ok && q.ends(t, q.unexplained(t)) >= neededEndsIfGood {
 			turned = append(turned, t)
 		}
 	}
@@ -88,17 +88,20 @@
 	return ok && !l.at.After(at)
 }
 
-// ends returns the times at which upstreams ended in these losses. Upstreams are also killed in groups: one that ends before
-// the headers of its answers counts only if it got the call after the last end that counts.
-func ends(losses []*loss) []time.Time {
-	var counted []time.Time
+// ends returns how many upstreams count against a trait. Upstreams are also killed in groups: one counts only if it got its
+// call after the last end that counts. Where the headers of the answer had come each counts, unless the trait was answered
+// before.
+func (q *Quarantine) ends(t crashevidence.Trait, losses []*loss) int {
+	_, good := q.good.last(t)
+	n := 0
+	var last time.Time
 	for _, x := range byUpstream(losses) {
-		n := len(counted)
-		if x.Answering || n == 0 || x.sent.After(counted[n-1]) {
-			counted = append(counted, x.at)
+		if n == 0 || x.Answering && !good || x.sent.After(last) {
+			n++
+			last = x.at
 		}
 	}
-	return counted
+	return n
 }
 
 // byUpstream returns one loss for each upstream, in the order of their ends. Of calls lost with one upstream the first that
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -8,9 +8,6 @@
 	"siskinrun/internal/data/crashevidence"
 )
 
-// freshAnswer is the age up to which an answer on a trait rules it out as the cause of a loss.
-const freshAnswer = 2 * time.Second
-
 // Quarantine weighs which trait of calls makes upstreams crash: a part of their prompts, or the whole request. A trait is
 // to blame if several upstreams ended under it and none has begun to answer on it since. It is not safe for concurrent use.
 type Quarantine struct {
@@ -66,18 +63,26 @@
 	return worst, most > 0
 }
 
-// suspicion returns the number of ends for which a trait is suspected, zero if there are too few.
+// suspicion returns the number of ends for which a trait is suspected, zero if there are too few. Many calls share a part of
+// a prompt that was answered a moment before an upstream ended, and the next answer is about to come.
 func (q *Quarantine) suspicion(t crashevidence.Trait) int {
 	if len(q.byTrait[t]) == 0 {
 		return 0
 	}
-	n := len(ends(q.unexplained(t)))
-	if _, good := q.good.last(t); good && n < suspectEndsIfGood || n < suspectEnds {
+	l := q.unexplained(t)
+	n := q.ends(t, l)
+	if n < suspectEndsIfFresh && !t.Request && q.fresh(t, l) {
 		return 0
 	}
 	return n
 }
 
+// fresh reports whether a trait was answered a moment before the first of these losses.
+func (q *Quarantine) fresh(t crashevidence.Trait, losses []*loss) bool {
+	at, ok := q.good.last(t)
+	return ok && !slices.ContainsFunc(losses, func(x *loss) bool { return x.at.Sub(at) > freshAnswer })
+}
+
 // compare orders traits: parts of prompts first, then by number.
 func compare(a, b crashevidence.Trait) int {
 	switch {
@@ -92,7 +97,7 @@
 
 // Ends returns the number of upstreams that count against a trait.
 func (q *Quarantine) Ends(t crashevidence.Trait) int {
-	return len(ends(q.unexplained(t)))
+	return q.ends(t, q.unexplained(t))
 }
 
 // Quarantined returns the quarantined traits, parts of prompts first.
@@ -143,15 +148,10 @@
 }
 
 // Lost records a call that was sent at a time and whose upstream was lost before it began to answer, and returns what other
-// hosts should know of it. Traits that were answered a moment ago are not the cause.
+// hosts should know of it.
 func (q *Quarantine) Lost(now, sent time.Time, upstream uint64, traits []crashevidence.Trait, answering bool) (crashevidence.Loss, bool) {
 	l := crashevidence.Loss{Upstream: upstream, Answering: answering, SentBefore: max(now.Sub(sent), 1)}
-	for _, t := range traits {
-		at, ok := q.good.last(t)
-		if (!ok || now.Sub(at) > freshAnswer) && len(l.Traits) < maxTraits {
-			l.Traits = append(l.Traits, t)
-		}
-	}
+	l.Traits = slices.Clone(traits[:min(len(traits), maxTraits)])
 	if len(l.Traits) == 0 {
 		return l, false
 	}
--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -43,7 +43,13 @@
 // usualTime is the time after which a call is lost that had been sent before a group of upstreams was killed.
 const usualTime = 100 * time.Millisecond
 
+// lost is an upstream that ends after the headers of an answer, just after it got the call.
 func lost(pause time.Duration, upstream uint64, traits ...trait) event {
+	return event{pause: pause, lost: traits, upstream: upstream, answering: true, sent: soon / 2}
+}
+
+// cut is the same where the call had been sent long before.
+func cut(pause time.Duration, upstream uint64, traits ...trait) event {
 	return event{pause: pause, lost: traits, upstream: upstream, answering: true, sent: usualTime}
 }
 
@@ -187,6 +193,21 @@
 			[][]trait{{request}},
 			nil,
 		},
+		{
+			"upstreams that end at once after the headers",
+			[]event{cut(0, 1, deadly), cut(0, 2, deadly), cut(0, 3, deadly)},
+			[][]trait{{deadly}},
+			[][]trait{{caller}},
+		},
+		{
+			"the same under a part that was answered before",
+			[]event{
+				began(0, caller), cut(later, 1, caller), cut(0, 2, caller), cut(0, 3, caller), cut(0, 4, caller), cut(0, 5, caller),
+				cut(0, 6, caller),
+			},
+			nil,
+			[][]trait{{caller}},
+		},
 		{
 			"a page that everybody polls while groups of upstreams are killed",
 			[]event{
@@ -201,7 +222,16 @@
 			"a request that turned ill with a release",
 			[]event{
 				began(0, request), crashed(later, 1, request), crashed(later, 2, request), crashed(later, 3, request),
-				crashed(later, 4, request), crashed(later, 5, request),
+				crashed(later, 4, request),
+			},
+			[][]trait{{request}},
+			nil,
+		},
+		{
+			"a request that was answered a moment before it turned ill",
+			[]event{
+				began(0, request), crashed(step+1, 1, request), crashed(step+1, 2, request), crashed(step+1, 3, request),
+				crashed(step+1, 4, request),
 			},
 			[][]trait{{request}},
 			nil,
@@ -383,13 +413,10 @@
 		{"parts go first", []event{crashed(0, 1, deadly, request)}, []trait{request, deadly}, deadly},
 		{"then the lower number", []event{crashed(0, 1, deadly, deadlier)}, []trait{deadlier, deadly}, deadly},
 		{"most ends first", []event{crashed(0, 1, deadly, request), crashed(later, 2, other, request)}, []trait{deadly, request}, request},
-		{"a page answered before", []event{began(0, page), crashed(later, 1, page), crashed(later, 2, page)}, []trait{page}, trait{}},
-		{
-			"a page answered before that turned ill",
-			[]event{began(0, page), crashed(later, 1, page), crashed(later, 2, page), crashed(later, 3, page)},
-			[]trait{page},
-			page,
-		},
+		{"a request answered a moment before", []event{began(0, page), crashed(soon, 1, page)}, []trait{page}, page},
+		{"a part answered a moment before", []event{began(0, topic), crashed(soon, 1, topic)}, []trait{topic}, trait{}},
+		{"the second end under it", []event{began(0, topic), crashed(soon, 1, topic), crashed(step+1, 2, topic)}, []trait{topic}, topic},
+		{"a part answered long before", []event{began(0, topic), crashed(later, 1, topic)}, []trait{topic}, topic},
 		{
 			"a part of calls lost with a quarantined one",
 			[]event{lost(0, 1, deadly, topic), lost(soon, 2, deadly), lost(soon, 3, deadly)},
