Let operators see and lift what is in quarantine

A request or a part of a prompt that was quarantined by bad luck, or mended by a release, came back only with its next trial. A lift is recorded as an answer with all traits that block only together, and spreads as one. Control hosts, which get no news, refuse with 503, so that the client asks another host.

--- a/internal/product/server/edges.go
+++ b/internal/product/server/edges.go
@@ -88,6 +88,8 @@
 	p.operatorServer.Handle("GET", "/v1/upstreams", p.showUpstreams)
 	p.operatorServer.Handle("GET", "/v1/groups", p.showGroups)
 	p.operatorServer.Handle("POST", "/v1/groups/replace", p.replace)
+	p.operatorServer.Handle("GET", "/v1/quarantine", p.guard.List)
+	p.operatorServer.Handle("POST", "/v1/quarantine/lift", p.guard.Lift)
 	p.operatorServer.Handle("GET", "/v1/burn", p.observations.showBurn)
 	p.operatorServer.Handle("GET", "/v1/why", p.observations.showWhy)
 	if s.Settings.Fleet.Profiles {
--- a/internal/routing/promptguard/news.go
+++ b/internal/routing/promptguard/news.go
@@ -204,7 +204,7 @@
 		return nil, refusal.NewNotRun(400, "malformed-query", err.Error())
 	}
 	if !g.Topology().TakesPart() {
-		return nil, refusal.NewNotRun(503, "takes-no-part", "this host gets no news of crashes")
+		return nil, takesNoPart
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -110,6 +110,11 @@
 	return l
 }
 
+// Companions returns the traits that block only together with a quarantined one.
+func (q *Quarantine) Companions(t crashevidence.Trait) []crashevidence.Trait {
+	return slices.Clone(q.blocked[t])
+}
+
 // Size returns the number of losses that are not explained.
 func (q *Quarantine) Size() int {
 	return len(q.losses)
