Take the marker of a stream's end for one only as an event of its own

A stream ended as complete, and what followed was discarded, after an event whose text quotes data: [DONE]: the marker was looked for anywhere in an event.

The marker is the whole data of an event.

--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -21,7 +21,8 @@
 // errEmpty is the failure of an upstream whose answer holds no event and is whole by its framing: it was not lost.
 var errEmpty = refusal.NewMayHaveRun(502, "stream-empty", "the upstream's stream has no event")
 
-var doneMarker = []byte("data: [DONE]")
+// doneMarker is the data of the event that ends a stream.
+var doneMarker = []byte("[DONE]")
 
 // Reader reads whole events and resumes a broken stream after the last event read.
 type Reader struct {
@@ -123,7 +124,7 @@
 	if r.Event != nil {
 		r.Event(r.next - 1)
 	}
-	if !r.EndsWithBody && bytes.Contains(e.Raw, doneMarker) {
+	if !r.EndsWithBody && bytes.Equal(e.Data(), doneMarker) {
 		r.drain()
 		r.finish(nil)
 	}
