Count no comment among the events of a stream

An upstream that keeps its stream open with comments lost an event for each: a comment was counted as an event, so that the next numbered one was taken for one that was passed on already and left out, and the stream ended as complete. An item of a batch job failed at each comment, as at an event without a number.

Comments are passed on to callers, take no place among the events and say nothing about whether an answer has any; items leave them out.

--- a/internal/data/sse/event.go
+++ b/internal/data/sse/event.go
@@ -70,6 +70,16 @@
 	return d
 }
 
+// Comment reports whether the event holds nothing but comments, by which an upstream keeps its stream open.
+func (e Event) Comment() bool {
+	for l := range bytes.Lines(e.Raw) {
+		if l = bytes.TrimRight(l, "\r\n"); len(l) > 0 && l[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 func parse(b []byte) Event {
 	e := Event{Raw: b}
 	for l := range bytes.Lines(b) {
--- a/internal/jobs/runner/confirm_test.go
+++ b/internal/jobs/runner/confirm_test.go
@@ -80,3 +80,14 @@
 	is.NoErr(err)
 	is.Equal(string(a.Body), "a\nb")
 }
+
+// TestCommentsBreakNoItem guards against an item whose run fails, since its upstream keeps the stream open with comments.
+func TestCommentsBreakNoItem(t *testing.T) {
+	is := is.New(t)
+	o := newOutput(item.Item{})
+	r := strings.NewReader(": ping\n\nid: 1\ndata: a\n\n: ping\n\nid: 2\ndata: b\n\n")
+	whole, err := o.read(&answer.Answer{Framing: framing.Chunks, Body: io.NopCloser(r)}, func(bool) {})
+	is.NoErr(err)
+	is.True(whole)
+	is.Equal(string(o.text), "a\nb")
+}
--- a/internal/jobs/runner/output.go
+++ b/internal/jobs/runner/output.go
@@ -42,6 +42,9 @@
 		if err != nil {
 			return err
 		}
+		if e.Comment() {
+			continue
+		}
 		if err := o.add(e); err != nil {
 			return err
 		}
--- a/internal/wire/relay/end_test.go
+++ b/internal/wire/relay/end_test.go
@@ -63,6 +63,7 @@
 		{"between events", event + ": ping\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
 		{"before the first", ": ping\n\n" + event + "id: 2\ndata: b\n\n"},
 		{"after the last", event + ": ping\n\n"},
+		{"of two lines", event + ": ping\r\n: pong\r\n\r\nid: 2\ndata: b\n\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -103,6 +103,10 @@
 		r.resume(err)
 		return
 	}
+	if e.Comment() {
+		r.pending = e.Raw
+		return
+	}
 	n, ok := int(e.ID), e.Numbered
 	if ok && !r.numbered && r.EndsWithBody {
 		r.next = n
