Take a stream for one whatever the parameters of its media type

An answer of type text/event-stream with a charset, or in other letters, was no stream to the host: its events were held back until the whole answer was there, it did not go on when it broke, one without a framing that was cut inside an event was passed on as whole, and the text of a batch item was the raw stream.

The media type is compared without its parameters and regardless of case, at one place for callers and items.

--- a/internal/data/answer/answer.go
+++ b/internal/data/answer/answer.go
@@ -2,10 +2,14 @@
 
 import (
 	"io"
+	"strings"
 
 	"siskinrun/internal/data/framing"
 )
 
+// eventStream is the media type of a stream of events.
+const eventStream = "text/event-stream"
+
 // Answer is the status, the headers and the body stream of an upstream's answer.
 type Answer struct {
 	// Status is the HTTP status.
@@ -23,3 +27,9 @@
 	// Body returns io.EOF only after the complete body.
 	Body io.ReadCloser
 }
+
+// EventStream reports whether the body is a stream of events by its media type, whatever its parameters.
+func (a *Answer) EventStream() bool {
+	t, _, _ := strings.Cut(a.ContentType, ";")
+	return strings.EqualFold(strings.TrimSpace(t), eventStream)
+}
--- a/internal/jobs/runner/confirm_test.go
+++ b/internal/jobs/runner/confirm_test.go
@@ -32,7 +32,7 @@
 	}
 	p.answered = true
 	r := strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
-	return &answer.Answer{Status: 200, ContentType: eventStream, Length: -1, Framing: framing.None, Body: io.NopCloser(r)}, nil
+	return &answer.Answer{Status: 200, ContentType: "text/event-stream", Length: -1, Framing: framing.None, Body: io.NopCloser(r)}, nil
 }
 
 // TestRefusalOfThisHostCompletesNoItem guards against an item that is completed with a part of its text, since a rate limit
@@ -91,3 +91,27 @@
 	is.True(whole)
 	is.Equal(string(o.text), "a\nb")
 }
+
+// TestItemOfAStreamWithParametersHoldsTheDataOfItsEvents guards against an item whose text is the raw stream, since its media
+// type names a charset.
+func TestItemOfAStreamWithParametersHoldsTheDataOfItsEvents(t *testing.T) {
+	is := is.New(t)
+	b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
+	is.NoErr(err)
+	r := &Runner{
+		Pipeline:  charsetPipeline{},
+		Timer:     timer.NewService(),
+		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+	}
+	a, err := r.Run(t.Context(), "u", item.Item{Line: b})
+	is.NoErr(err)
+	is.Equal(string(a.Body), "a")
+}
+
+// charsetPipeline answers with a whole stream whose media type has a parameter.
+type charsetPipeline struct{}
+
+func (charsetPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
+	r := strings.NewReader("id: 1\ndata: a\n\n")
+	return &answer.Answer{Status: 200, ContentType: "text/event-stream; charset=utf-8", Framing: framing.Chunks, Body: io.NopCloser(r)}, nil
+}
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -23,7 +23,6 @@
 
 const (
 	maxAnswerBytes = 4 << 20
-	eventStream    = "text/event-stream"
 	minErrorStatus = 400
 	codeBusy       = "upstream-busy"
 	minBackoff     = 100 * time.Millisecond
@@ -73,7 +72,7 @@
 		return itemanswer.Answer{}, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if l.Inline && a.ContentType == eventStream && a.Status < minErrorStatus {
+	if l.Inline && a.EventStream() && a.Status < minErrorStatus {
 		return r.collectStream(ctx, name, i, l, a, cancel)
 	}
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
@@ -118,7 +117,7 @@
 		return refusal.Of(err).Code == codeBusy, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if a.ContentType != eventStream || a.Status >= minErrorStatus {
+	if !a.EventStream() || a.Status >= minErrorStatus {
 		return true, nil
 	}
 	whole, err := o.read(a, r.watch(cancel))
--- a/internal/jobs/runner/stalled_test.go
+++ b/internal/jobs/runner/stalled_test.go
@@ -37,7 +37,7 @@
 		}
 		return nil
 	})
-	return &answer.Answer{Status: 200, ContentType: eventStream, Length: -1, Body: r}, nil
+	return &answer.Answer{Status: 200, ContentType: "text/event-stream", Length: -1, Body: r}, nil
 }
 
 // TestUpstreamThatSendsNoEventsDoesNotHoldAnItem guards against a stalled upstream that keeps an item by a byte now and then.
--- a/internal/jobs/runner/version_test.go
+++ b/internal/jobs/runner/version_test.go
@@ -41,7 +41,7 @@
 	if end < itemEvents {
 		r = io.MultiReader(r, cutReader{})
 	}
-	return &answer.Answer{Status: 200, ContentType: eventStream, Length: -1, Body: io.NopCloser(r)}, nil
+	return &answer.Answer{Status: 200, ContentType: "text/event-stream", Length: -1, Body: io.NopCloser(r)}, nil
 }
 
 // cutReader fails like a connection that was reset.
@@ -117,7 +117,7 @@
 
 func (emptyPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
 	return &answer.Answer{
-		Status: 200, ContentType: eventStream, Length: -1, Framing: framing.None, Body: io.NopCloser(strings.NewReader("")),
+		Status: 200, ContentType: "text/event-stream", Length: -1, Framing: framing.None, Body: io.NopCloser(strings.NewReader("")),
 	}, nil
 }
 
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	eventStream = "text/event-stream"
-	methodHead  = "HEAD"
+	methodHead = "HEAD"
 	// statusNoContent is the status of an answer without a body, and minOtherStatus the least one that is no success.
 	statusNoContent = 204
 	minOtherStatus  = 300
@@ -181,7 +180,7 @@
 
 // isStream reports whether an answer is a stream of events: a failure and an answer without a body are none.
 func isStream(c *call.Call, a *answer.Answer) bool {
-	return c.Stream && a.ContentType == eventStream && c.Method != methodHead && a.Status < minOtherStatus && a.Status != statusNoContent
+	return c.Stream && a.EventStream() && c.Method != methodHead && a.Status < minOtherStatus && a.Status != statusNoContent
 }
 
 // switchTo makes t the current attempt of the stream.
