Refuse an answer that switches to another protocol

A caller got status 101 of an upstream that closes its connection after it: only the lack of a length on a connection that stays open refused such an answer.

An answer whose status is none of a final one is refused. TestAnswerThatSwitchesProtocolsIsRefused failed before in the case with Connection: close.

--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -34,6 +34,8 @@
 	idleTTLDivisor = 2
 	// maxDrainBytes is the longest body of a refusal that is read so that its connection can be reused.
 	maxDrainBytes = 4 << 10
+	// minFinalStatus is the least status of an answer that none follows.
+	minFinalStatus = 200
 )
 
 // Transport sends calls to upstreams over HTTP/1.1, one at a time on each connection.
@@ -128,6 +130,10 @@
 	c.Record.RateLimit = r.RateLimit
 	e.report(c, r)
 	e.reportLimit(c, r, sent)
+	if p.StatusCode() < minFinalStatus {
+		fasthttp.ReleaseResponse(p)
+		return nil, protocolError("the answer switches to another protocol")
+	}
 	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && !p.SkipBody {
 		fasthttp.ReleaseResponse(p)
 		return nil, protocolError("the answer has a body without a length on a persistent connection")
