Pass on answers that have no body by their status

An answer of status 204 or 304 without a length, on a connection that stays open, was refused as one whose end nobody can know: 502, though the upstream's answer was whole.

What has no body to read ends with its head, whatever its framing would be. TestAnswerThatHasNoBodyByItsStatusIsWhole failed before in four of six cases; the tests of internal/wire/transport and internal/wire/dispatch, TestAnswerWithoutBodyStaysWhole and TestWholeStreamsStayWhole pass.

--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -134,7 +134,7 @@
 		fasthttp.ReleaseResponse(p)
 		return nil, protocolError("the answer switches to another protocol")
 	}
-	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && !p.SkipBody {
+	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && p.BodyStream() != nil {
 		fasthttp.ReleaseResponse(p)
 		return nil, protocolError("the answer has a body without a length on a persistent connection")
 	}
@@ -219,7 +219,7 @@
 	b := &body{transport: e, conn: k, response: p, reader: p.BodyStream(), deadline: c.Deadline}
 	if b.reader == nil {
 		b.reader = emptyReader{}
-		a.Length = 0
+		a.Length, a.Framing = 0, framing.Length
 	}
 	a.Body = b
 	return a
