Let refusals use up no run of a broken stream

A stream that may go on broke off for good after its first failure where busy upstreams had refused its call before: each refusal counted as a run, as it does not where a call is tried again before its answer.

TestBrokenStreamGoesOnAfterRefusals failed before (cut after event 5 of 20, 4 of 6) and passes, with its case that has used up its runs; TestBrokenStreamsGoOnOrBreakOff and the tests of ends that are confirmed pass.

--- a/cmd/siskinrun/confirm_test.go
+++ b/cmd/siskinrun/confirm_test.go
@@ -38,6 +38,17 @@
 	f.askEach(ctx, t, streamPath, []cut{busy, busy, {"none", closed, 5, false, 0}}, wantWhole)
 }
 
+// TestBrokenStreamGoesOnAfterRefusals guards against a stream that breaks off for good, since upstreams that were too busy to run
+// the call used up its attempts.
+func TestBrokenStreamGoesOnAfterRefusals(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	busy := cut{"length", whole, 0, false, http.StatusServiceUnavailable}
+	broken := cut{"chunks", reset, 5, true, 0}
+	f.askEach(ctx, t, streamPath, []cut{busy, busy, broken}, wantWhole)
+	f.askEach(ctx, t, streamPath, []cut{busy, busy, broken, broken}, wantWhole)
+	f.askEach(ctx, t, streamPath, []cut{busy, broken, broken, broken}, wantBroken)
+}
+
 // TestSilentUpstreamDoesNotHoldTheEndOfAWholeStream guards against a stream that its caller gives up, since the upstream that
 // is asked whether anything follows is silent after its headers.
 func TestSilentUpstreamDoesNotHoldTheEndOfAWholeStream(t *testing.T) {
--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -35,7 +35,7 @@
 	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c.Parts) || lostTooOften(c) {
 		return false
 	}
-	return len(s.refused) < maxUnreachable && c.Record.Attempts-c.Record.NotRun < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
+	return len(s.refused) < maxUnreachable && s.runs() < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
 }
 
 // ask makes one attempt, on any upstream that may get the call now and has not refused it before, and returns the stream with
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -117,7 +117,7 @@
 	if c.Record.Events > 0 && !c.Start.Known() {
 		return nil, err
 	}
-	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, s.call.Record.Attempts) {
+	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, s.runs()) {
 		return nil, err
 	}
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
@@ -134,6 +134,11 @@
 	return a, nil
 }
 
+// runs returns the number of attempts that may have run.
+func (s *stream) runs() int {
+	return s.call.Record.Attempts - s.call.Record.NotRun
+}
+
 // endAttempt ends the current attempt and records its end with the call.
 func (s *stream) endAttempt(ctx context.Context, err error) {
 	if s.awaiting != nil && err != nil {
