--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	eventStream = "text/event-stream"
-	methodHead  = "HEAD"
+	methodHead = "HEAD"
 	// statusNoContent is the status of an answer without a body, and minOtherStatus the least one that is no success.
 	statusNoContent = 204
 	minOtherStatus  = 300
@@ -118,7 +117,7 @@
 	if c.Record.Events > 0 && !c.Start.Known() {
 		return nil, err
 	}
-	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, s.call.Record.Attempts) {
+	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, s.runs()) {
 		return nil, err
 	}
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
@@ -135,6 +134,11 @@
 	return a, nil
 }
 
+// runs returns the number of attempts that may have run.
+func (s *stream) runs() int {
+	return s.call.Record.Attempts - s.call.Record.NotRun
+}
+
 // endAttempt ends the current attempt and records its end with the call.
 func (s *stream) endAttempt(ctx context.Context, err error) {
 	if s.awaiting != nil && err != nil {
@@ -185,7 +189,7 @@
 
 // isStream reports whether an answer is a stream of events: a failure and an answer without a body are none.
 func isStream(c *call.Call, a *answer.Answer) bool {
-	return c.Stream && a.ContentType == eventStream && c.Method != methodHead && a.Status < minOtherStatus && a.Status != statusNoContent
+	return c.Stream && a.EventStream() && c.Method != methodHead && a.Status < minOtherStatus && a.Status != statusNoContent
 }
 
 // switchTo makes t the current attempt of the stream.
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -34,6 +34,8 @@
 	idleTTLDivisor = 2
 	// maxDrainBytes is the longest body of a refusal that is read so that its connection can be reused.
 	maxDrainBytes = 4 << 10
+	// minFinalStatus is the least status of an answer that none follows.
+	minFinalStatus = 200
 )
 
 // Transport sends calls to upstreams over HTTP/1.1, one at a time on each connection.
@@ -129,7 +131,11 @@
 	c.Record.RateLimit = r.RateLimit
 	e.report(c, r)
 	e.reportLimit(c, r, sent)
-	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && !p.SkipBody {
+	if p.StatusCode() < minFinalStatus {
+		fasthttp.ReleaseResponse(p)
+		return nil, protocolError("the answer switches to another protocol")
+	}
+	if p.Header.ContentLength() == lengthIdentity && !p.ConnectionClose() && p.BodyStream() != nil {
 		fasthttp.ReleaseResponse(p)
 		return nil, protocolError("the answer has a body without a length on a persistent connection")
 	}
@@ -215,7 +221,7 @@
 	b := &body{transport: e, conn: k, response: p, reader: p.BodyStream(), deadline: c.Deadline}
 	if b.reader == nil {
 		b.reader = emptyReader{}
-		a.Length = 0
+		a.Length, a.Framing = 0, framing.Length
 	}
 	a.Body = b
 	return a
