Pass comments of a stream on at once, from its first event on

The reader of events now returns a comment by itself; those before the first event wait for it, 4 KiB at most, and later ones pass at once.

--- a/internal/data/sse/event.go
+++ b/internal/data/sse/event.go
@@ -27,11 +27,11 @@
 	Numbered bool
 }
 
-// Read returns the next complete event, with the comments before it. It returns io.EOF only at the end of an event or
-// comment, and io.ErrUnexpectedEOF within one.
+// Read returns the next complete event, or a comment. It returns io.EOF only at the end of an event, and
+// io.ErrUnexpectedEOF within one.
 func Read(r *bufio.Reader) (Event, error) {
 	var b []byte
-	line, block := 0, 0 // where the line under way begins in b, and the block under way
+	line := 0 // where the line under way begins in b
 	for {
 		l, err := r.ReadSlice('\n')
 		b = append(b, l...)
@@ -41,31 +41,17 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err == io.EOF && len(b) > block {
+		if err == io.EOF && len(b) > 0 {
 			return Event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return Event{}, err
 		}
-		ends := len(bytes.TrimRight(b[line:], "\r\n")) == 0 && len(bytes.TrimSpace(b[block:])) > 0
-		if ends && !isComment(b[block:]) {
+		if len(bytes.TrimRight(b[line:], "\r\n")) == 0 && len(bytes.TrimSpace(b)) > 0 {
 			return parse(b), nil
 		}
 		line = len(b)
-		if ends {
-			block = len(b)
-		}
-	}
-}
-
-// isComment reports whether a block holds comments and no field.
-func isComment(b []byte) bool {
-	for l := range bytes.Lines(b) {
-		if l[0] != ':' && len(bytes.TrimRight(l, "\r\n")) > 0 {
-			return false
-		}
 	}
-	return true
 }
 
 // Data returns the data lines of the event, separated by line feeds.
--- a/internal/data/sse/event_test.go
+++ b/internal/data/sse/event_test.go
@@ -40,6 +40,9 @@
 					is.Equal(err, c.end)
 					break
 				}
+				if e.Comment() {
+					continue
+				}
 				data = append(data, string(e.Data()))
 				ids = append(ids, e.ID)
 			}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -15,8 +15,12 @@
 	"siskinrun/pkg/refusal"
 )
 
-// maxDrainBytes bounds the bytes that are read after the end of a stream.
-const maxDrainBytes = 1 << 20
+const (
+	// maxDrainBytes bounds the bytes that are read after the end of a stream.
+	maxDrainBytes = 1 << 20
+	// maxHeldBytes bounds the comments before the first event that are kept; further ones are left out.
+	maxHeldBytes = 4 << 10
+)
 
 // errEmpty is the failure of an upstream whose answer holds no event and is whole by its framing: it was not lost.
 var errEmpty = refusal.NewMayHaveRun(502, "stream-empty", "the upstream's stream has no event")
@@ -55,9 +59,11 @@
 	reached int
 	// confirming says that the open answer is to tell whether anything follows, and has brought no event.
 	confirming bool
-	pending    []byte
-	err        error
-	closed     bool
+	// comments holds what came before the first event.
+	comments []byte
+	pending  []byte
+	err      error
+	closed   bool
 }
 
 // Read implements io.Reader.Read.
@@ -104,7 +110,7 @@
 		return
 	}
 	if e.Comment() {
-		r.pending = e.Raw
+		r.comment(e.Raw)
 		return
 	}
 	n, ok := int(e.ID), e.Numbered
@@ -124,7 +130,8 @@
 	r.events++
 	r.confirming = false
 	r.next++
-	r.pending = e.Raw
+	r.pending = append(r.comments, e.Raw...)
+	r.comments = nil
 	if r.Event != nil {
 		r.Event(r.next - 1)
 	}
@@ -134,6 +141,17 @@
 	}
 }
 
+// comment passes a comment on, once the stream has an event: until then the call may still be refused.
+func (r *Reader) comment(raw []byte) {
+	if r.started {
+		r.pending = raw
+		return
+	}
+	if len(r.comments)+len(raw) <= maxHeldBytes {
+		r.comments = append(r.comments, raw...)
+	}
+}
+
 // end ends the stream with its answer, unless an upstream that was lost leaves the same.
 func (r *Reader) end() {
 	if r.behind() {
