Ask another upstream for the end of a stream where one is at its limit

A stream whose answer had no framing and was closed between two events ended as complete where the first upstream picked to be asked for the rest had no permit left: none other was tried.

TestEndIsConfirmedByAnUpstreamThatHasAPermit failed before (complete after event 3 of 5) and passes with the tests of the package. Where no upstream has a permit, the close is still believed.

--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -38,7 +38,7 @@
 	return len(s.refused) < maxUnreachable && s.runs() < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
 }
 
-// ask makes one attempt, on any upstream that may get the call now and has not refused it before, and returns the stream with
+// ask makes one attempt, on any upstream that may get the call now and is none of those in refused, and returns the stream with
 // which it answers. It reports whether there was such an upstream.
 func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool) {
 	d, c := s.dispatcher, *s.call
@@ -46,9 +46,13 @@
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
 	q.demand.Tried = s.refused
 	u, ok := q.pick()
-	if !ok || !q.take(ctx, u, 0).Granted {
+	if !ok {
 		return nil, false
 	}
+	if !q.take(ctx, u, 0).Granted {
+		s.refused = append(s.refused, u.Name)
+		return nil, true
+	}
 	ctx = s.await(ctx)
 	a, t, err := q.try(ctx, u)
 	if err != nil {
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -32,7 +32,7 @@
 	attempt    *attempt
 	resumes    int
 	lastEvent  time.Time
-	// refused lists the upstreams that did not run the call, or were lost, when they were to confirm the end.
+	// refused lists the upstreams that had no permit, did not run the call or were lost when they were to confirm the end.
 	refused []string
 	// awaiting is the context of the attempt that is to confirm the end, while it has not gone on with the stream.
 	awaiting     context.Context
