Keep the news of a lost failure domain within a host's budget

After 50 upstreams were lost with eight calls each, 80 hosts in memory spent 139 kB a second and host where control may spend 19. Hosts told each other of the same losses every second and for good: where an answer began within milliseconds of a loss, a host that heard late of the loss took it for later than the answer, the others had explained it, and each believed its own times.

News now has its age as of the sending, not as of the gathering. A host keeps the numbers of losses that answers explained here, and says of them that the answer came after the loss, whatever the other host takes for its time. A comparison carries 32 losses at most; an empty answer is not weighed anew.

TestAnswerExplainsALossWhateverOthersTakeForItsTime holds the cause.

--- a/internal/routing/promptguard/guard.go
+++ b/internal/routing/promptguard/guard.go
@@ -57,9 +57,10 @@
 	trials *trials.Trials
 	local  *trials.Trials
 	number uint64
-	// news is what other hosts are to be told soon, if telling is set.
+	// news is what other hosts are to be told soon, if telling is set; its ages are as of gathered.
 	news       crashevidence.Evidence
 	telling    bool
+	gathered   time.Time
 	broadcasts int
 	group      *group.Group
 	// name is the name of this host, ranked the ranking of all hosts, as of rankedAt.
--- a/internal/routing/promptguard/news.go
+++ b/internal/routing/promptguard/news.go
@@ -24,8 +24,9 @@
 	// maxBroadcasts is the number of messages with news that a host may send to each other one in one compareInterval;
 	// comparisons carry the rest.
 	maxBroadcasts = 16
-	// maxTold is the maximum number of losses in one message.
-	maxTold = 256
+	// maxTold is the maximum number of losses in one message with news, maxCompared that in a comparison.
+	maxTold     = 256
+	maxCompared = 32
 )
 
 // broadcast tells other hosts soon, unless this host has told too much of late.
@@ -33,8 +34,18 @@
 	if g.group == nil || g.broadcasts >= maxBroadcasts || len(g.news.Losses) >= maxTold {
 		return // this host has not started, or comparisons have to do
 	}
-	g.news.Losses = append(g.news.Losses, e.Losses...)
-	g.news.Good = append(g.news.Good, e.Good...)
+	if !g.telling {
+		g.gathered = g.Timer.Now()
+	}
+	since := g.Timer.Now().Sub(g.gathered)
+	for _, l := range e.Losses {
+		l.Age -= since
+		g.news.Losses = append(g.news.Losses, l)
+	}
+	for _, x := range e.Good {
+		x.Age -= since
+		g.news.Good = append(g.news.Good, x)
+	}
 	if g.telling {
 		return
 	}
@@ -55,7 +66,15 @@
 	g.news = crashevidence.Evidence{}
 	g.telling = false
 	g.broadcasts++
+	since := g.Timer.Now().Sub(g.gathered)
 	g.mu.Unlock()
+	for i := range e.Losses {
+		e.Losses[i].Age += since
+		e.Losses[i].Idle = min(e.Losses[i].Idle+since, e.Losses[i].Age)
+	}
+	for i := range e.Good {
+		e.Good[i].Age += since
+	}
 	b, err := encode(e)
 	if err == nil {
 		g.tell(b, g.Topology().Tell())
@@ -140,7 +159,7 @@
 		known[x.ID] = true
 	}
 	l := slices.DeleteFunc(g.quarantine.Losses(n), func(x crashevidence.Loss) bool { return known[x.ID] })
-	l = l[:min(len(l), maxTold)]
+	l = l[:min(len(l), maxCompared)]
 	return crashevidence.Evidence{Losses: l, Good: g.quarantine.KnownGood(n, append(slices.Clone(l), e.Losses...))}
 }
 
@@ -159,11 +178,14 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	cleared := g.quarantine.Learn(g.Timer.Now(), e.Good)
-	g.merge(e)
 	if method == methodCompare {
 		g.refresh(sent)
 	}
+	if len(e.Losses)+len(e.Good) == 0 {
+		return e, nil
+	}
+	cleared := g.quarantine.Learn(g.Timer.Now(), e.Good)
+	g.merge(e)
 	return e, cleared
 }
 
@@ -214,6 +236,6 @@
 	}
 	n := g.Timer.Now()
 	l := g.quarantine.Losses(n)
-	l = l[:min(len(l), maxTold)]
+	l = l[:min(len(l), maxCompared)]
 	return encode(crashevidence.Evidence{Losses: l, Good: g.quarantine.KnownGood(n, l), Fingerprint: f})
 }
--- a/internal/routing/quarantine/loss.go
+++ b/internal/routing/quarantine/loss.go
@@ -135,7 +135,7 @@
 		return false
 	}
 	y.Traits = q.openTraits(y)
-	if len(y.Traits) == 0 {
+	if _, ok := q.settled.last(l.ID); ok || len(y.Traits) == 0 {
 		return false
 	}
 	q.expire(now)
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -16,6 +16,8 @@
 	byTrait map[crashevidence.Trait][]*loss
 	traits  int
 	good    goodTraits
+	// settled holds the IDs of losses that answers have explained: what others tell of their times may be later.
+	settled goodHashes
 	expired time.Time
 	// blocked maps each quarantined trait to its companions: the other traits, not known to be good, that all calls lost
 	// with it had. Until a call without them is lost, any of them may be the cause.
@@ -129,16 +131,20 @@
 		}
 		q.good.add(now, now, t)
 	}
-	q.clear(cleared)
+	q.clear(now, cleared)
 	return cleared
 }
 
 // clear takes traits out of the losses that answers on them explain.
-func (q *Quarantine) clear(traits []crashevidence.Trait) {
+func (q *Quarantine) clear(now time.Time, traits []crashevidence.Trait) {
 	for _, t := range traits {
 		for _, x := range slices.Clone(q.byTrait[t]) {
-			if q.answeredSince(x, t) {
-				q.strip(x, t)
+			if !q.answeredSince(x, t) {
+				continue
+			}
+			q.strip(x, t)
+			if len(x.Traits) == 0 {
+				q.settled.add(now, now, x.ID)
 			}
 		}
 	}
@@ -200,7 +206,7 @@
 			cleared = append(cleared, g)
 		}
 	}
-	q.clear(open)
+	q.clear(now, open)
 	return cleared
 }
 
@@ -220,20 +226,45 @@
 // KnownGood returns those traits of losses on which an upstream has begun to answer.
 func (q *Quarantine) KnownGood(now time.Time, losses []crashevidence.Loss) []crashevidence.Good {
 	var l []crashevidence.Good
-	seen := map[crashevidence.Trait]bool{}
+	place := map[crashevidence.Trait]int{}
 	for _, x := range losses {
 		for _, t := range x.Traits {
-			at, ok := q.good.last(t)
-			if !ok || seen[t] {
+			age, ok := q.answerAge(now, x, t)
+			if !ok {
 				continue
 			}
-			seen[t] = true
-			l = append(l, crashevidence.Good{Trait: t, Age: max(now.Sub(at), 0)})
+			i, seen := place[t]
+			if !seen {
+				i = len(l)
+				place[t] = i
+				l = append(l, crashevidence.Good{Trait: t, Age: age})
+			}
+			l[i].Age = min(l[i].Age, age)
 		}
 	}
 	return l
 }
 
+// answerAge returns the age of the last answer on a trait of a loss that another host tells. An answer that came after the
+// loss here is told as one that did, whatever the other host takes for the time of the loss.
+func (q *Quarantine) answerAge(now time.Time, l crashevidence.Loss, t crashevidence.Trait) (time.Duration, bool) {
+	at, ok := q.good.last(t)
+	age := max(now.Sub(at), 0)
+	if ok && q.explained(l.ID, t) {
+		age = min(age, l.Age)
+	}
+	return age, ok
+}
+
+// explained reports whether an answer has explained a trait of a loss here.
+func (q *Quarantine) explained(id uint64, t crashevidence.Trait) bool {
+	if x := q.losses[id]; x != nil {
+		return !slices.Contains(x.Traits, t)
+	}
+	_, ok := q.settled.last(id)
+	return ok
+}
+
 // use keeps a quarantined trait that is still asked for.
 func (q *Quarantine) use(now time.Time, t crashevidence.Trait) {
 	for _, x := range q.byTrait[t] {
--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -476,6 +476,29 @@
 	}
 }
 
+// TestAnswerExplainsALossWhateverOthersTakeForItsTime guards against hosts that tell each other of an explained loss for good,
+// since the news of it took longer than that of the answer.
+func TestAnswerExplainsALossWhateverOthersTakeForItsTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	x, y := quarantine.NewQuarantine(), quarantine.NewQuarantine()
+	for u, traits := range [][]trait{{caller, request}, {caller, page}} {
+		l, _ := x.Lost(now, now.Add(-step), uint64(u), traits, false)
+		y.Merge(now.Add(soon), crashevidence.Evidence{Losses: []crashevidence.Loss{l}}) // late
+	}
+	now = now.Add(time.Millisecond)
+	is.Equal(len(x.Began(now, []trait{caller, request})), 2)
+	y.Learn(now, []crashevidence.Good{{Trait: caller}, {Trait: request}})
+	is.True(x.Fingerprint() != y.Fingerprint())
+	now = now.Add(time.Second)
+	told := y.Losses(now)
+	better, news := x.Merge(now, crashevidence.Evidence{Losses: told})
+	is.True(!news)
+	y.Learn(now, better)
+	is.Equal(x.Fingerprint(), y.Fingerprint())
+	is.Equal(y.Size(), 1)
+}
+
 func BenchmarkBegan(b *testing.B) {
 	q := quarantine.NewQuarantine()
 	now := time.Unix(1000, 0)
