Believe no end of a stream whose confirmations break off

A stream that may go on, of which an answer without a framing was closed between two events, reached its caller as complete where each upstream that was asked for the rest broke off or was silent: the close was believed then.

Such a stream now breaks off, and its caller may take it up. The close is believed only where nobody can be asked, or where upstreams that frame no answer say, without breaking off, that nothing follows. What it costs: a whole stream without a framing is broken if all that are asked for its end break off.

Two cases of TestUnframedAnswers had an upstream that breaks off again when it is asked for the end; it says now that nothing is left, and a further case holds that the stream is broken where it breaks off.

--- a/cmd/siskinrun/confirm_test.go
+++ b/cmd/siskinrun/confirm_test.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// TestEndIsNotBelievedWhereConfirmationsBreakOff guards against a close between two events that counts as the end of a stream,
+// since each upstream that is asked for the rest breaks off or is silent.
+func TestEndIsNotBelievedWhereConfirmationsBreakOff(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	for _, next := range []cut{
+		{"none", reset, 0, false, 0}, {"chunks", reset, 0, false, 0}, {"length", closed, 0, false, 0}, {"chunks", holds, 0, false, 0},
+	} {
+		f.askEach(ctx, t, streamPath, []cut{{"none", closed, 5, false, 0}, next, next}, wantBroken)
+	}
+}
+
 // TestEndIsNotConfirmedByBusyUpstreams guards against a close between two events that counts as the end of a stream, since
 // upstreams that were too busy to run the call used up the attempts.
 func TestEndIsNotConfirmedByBusyUpstreams(t *testing.T) {
--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"siskinrun/internal/data/answer"
+	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
 
@@ -16,17 +17,30 @@
 	maxConfirmRuns = 3
 )
 
+// errUnconfirmed is the failure of a stream whose end upstreams were asked to confirm, of which the last one broke off.
+var errUnconfirmed = refusal.NewMayHaveRun(statusBadGateway, "stream-lost", "no upstream confirmed the end of the stream")
+
 // confirm asks an upstream for what follows the given offset, since the answer that ended there did not say that it was whole.
 // It ends the current attempt with cause, and returns nil if no upstream can be asked.
-func (s *stream) confirm(ctx context.Context, offset int, cause error) *answer.Answer {
+func (s *stream) confirm(ctx context.Context, offset int, cause error) (*answer.Answer, error) {
 	s.endAttempt(ctx, cause)
+	var broken error
+	if cause != nil {
+		broken = errUnconfirmed
+	}
 	for ctx.Err() == nil && s.mayConfirm() {
-		a, asked := s.ask(ctx, offset)
-		if a != nil || !asked {
-			return a
+		a, asked, err := s.ask(ctx, offset)
+		if a != nil {
+			return a, nil
+		}
+		if !asked {
+			break
+		}
+		if err != nil && refusal.Of(err).Verdict != verdict.NotRun {
+			broken = errUnconfirmed
 		}
 	}
-	return nil
+	return nil, broken
 }
 
 // mayConfirm reports whether the call may be sent once more to confirm its end.
@@ -39,19 +53,19 @@
 }
 
 // ask makes one attempt, on any upstream that may get the call now and is none of those in refused, and returns the stream with
-// which it answers. It reports whether there was such an upstream.
-func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool) {
+// which it answers. It reports whether there was such an upstream; the error is that of the attempt.
+func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool, error) {
 	d, c := s.dispatcher, *s.call
 	c.Offset = offset
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
 	q.demand.Tried = s.refused
 	u, ok := q.pick()
 	if !ok {
-		return nil, false
+		return nil, false, nil
 	}
 	if !q.take(ctx, u, 0).Granted {
 		s.refused = append(s.refused, u.Name)
-		return nil, true
+		return nil, true, nil
 	}
 	ctx = s.await(ctx)
 	a, t, err := q.try(ctx, u, nothing)
@@ -60,15 +74,15 @@
 		s.refused = append(s.refused, u.Name)
 		s.call.Record.Attempts, s.call.Record.NotRun = c.Record.Attempts, c.Record.NotRun
 		s.call.Record.Tried, s.call.Record.Lost = c.Record.Tried, c.Record.Lost
-		return nil, true
+		return nil, true, err
 	}
 	s.switchTo(&c, t)
 	if !isStream(&c, a) {
 		s.awaited()
 		_ = a.Body.Close()
-		return nil, true
+		return nil, true, nil
 	}
-	return a, true
+	return a, true, nil
 }
 
 // await returns a context for an attempt, which ends after confirmTime unless awaited is called before.
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 
@@ -37,8 +38,9 @@
 	// Resume reopens the stream at the given event after cause broke it; an error ends the stream.
 	Resume func(ctx context.Context, offset int, cause error) (*answer.Answer, error)
 	// Confirm reopens the stream at the given event, where an answer ended that does not say whether it was whole, and again
-	// when cause broke that off or it does not say so either. It returns nil if that is not possible, which ends the stream.
-	Confirm func(ctx context.Context, offset int, cause error) *answer.Answer
+	// when cause broke that off or it does not say so either. It returns nil if that is not possible, which ends the stream
+	// with the error if there is one.
+	Confirm func(ctx context.Context, offset int, cause error) (*answer.Answer, error)
 	// EndsWithBody says that the end of the body ends the stream, and that its first event may have any number.
 	EndsWithBody bool
 	// First is the number of the first event that the caller asked for, zero for a stream from its start.
@@ -178,12 +180,13 @@
 // confirm asks for what follows the last event, and ends the stream if that cannot be asked; a call that was given up has no end.
 func (r *Reader) confirm(cause error) {
 	_ = r.Answer.Body.Close()
-	a := (*answer.Answer)(nil)
+	var a *answer.Answer
+	var err error
 	if r.numbered {
-		a = r.Confirm(r.Context, r.next, cause)
+		a, err = r.Confirm(r.Context, r.next, cause)
 	}
 	if a == nil {
-		r.finish(r.Context.Err())
+		r.finish(cmp.Or(r.Context.Err(), err))
 		return
 	}
 	r.confirming = true
