Try a suspected call before it takes its permit

A call took its permit before it asked whether it may be tried, so that one that waited was sent up to 250 ms after its permit, and one that was refused used up a permit of a limited upstream. It asks first now, and gives the trial back if it finds no permit.

The tests of internal/wire, internal/routing, of crashes and of limits with real hosts pass, TestLimitSoak among them.

--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -175,14 +175,15 @@
 		if d.Guard.Blocks(s.call) {
 			return nil, nil, s.crashing(refusal.CrashingPrompt)
 		}
-		u, err := s.admit(ctx)
-		if err != nil {
-			return nil, nil, s.notAdmitted(last, err)
-		}
 		over, err := d.Guard.Try(ctx, s.call)
 		if err != nil {
 			return nil, nil, s.crashing(refusal.Of(err))
 		}
+		u, err := s.admit(ctx)
+		if err != nil {
+			over()
+			return nil, nil, s.notAdmitted(last, err)
+		}
 		a, t, err := s.try(ctx, u, over)
 		if err == nil {
 			return a, t, nil
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -164,13 +164,14 @@
 // reopen resumes the stream on the given upstream.
 func (s *stream) reopen(ctx context.Context, u upstream.Upstream, c *call.Call) (*answer.Answer, error) {
 	q := &delivery{dispatcher: s.dispatcher, call: c, verdict: verdict.MayHaveRun}
-	if _, err := q.takeWithin(ctx, u, q.patience()); err != nil {
-		return nil, q.notAdmitted(nil, err)
-	}
 	over, err := s.dispatcher.Guard.Try(ctx, c)
 	if err != nil {
 		return nil, q.crashing(refusal.Of(err))
 	}
+	if _, err := q.takeWithin(ctx, u, q.patience()); err != nil {
+		over()
+		return nil, q.notAdmitted(nil, err)
+	}
 	a, t, err := q.try(ctx, u, over)
 	if err != nil {
 		return nil, err
