Play a whole request that crashes workers in the soak

The soak had a part of a prompt as its ill actor. A request that ends each worker 60 ms after it began, before any byte of the answer, now comes every 200 ms as well, while hosts are killed and suspended and workers crash and change their versions.

--- a/cmd/siskinrun/away_host_test.go
+++ b/cmd/siskinrun/away_host_test.go
@@ -64,13 +64,6 @@
 	return answered
 }
 
-func (f *plainFleet) deadlySends(r plainRequest) int {
-	c := f.deadly[r]
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.sends)
-}
-
 // TestHostThatWasAwayKnowsRequestsThatCrashUpstreams guards against a host that starts or wakes up and sends what all others
 // know to crash upstreams.
 func TestHostThatWasAwayKnowsRequestsThatCrashUpstreams(t *testing.T) {
@@ -84,7 +77,7 @@
 	if d := begin.Add(awayTime).Sub(f.timer.Now()); d > 0 {
 		is.NoErr(f.timer.Sleep(f.context, d))
 	}
-	before := f.deadlySends(r)
+	before := f.deadly[r].sent()
 
 	g := group.NewGroup(f.context)
 	g.Go("ahead", func(ctx context.Context) error {
@@ -95,13 +88,13 @@
 	is.NoErr(f.processes[asleep].Process.Signal(syscall.SIGCONT))
 	answered := f.askBack("woken", asleep, r)
 	_ = g.Wait()
-	woken := f.deadlySends(r) - before
+	woken := f.deadly[r].sent() - before
 	f.awaitServing(f.context, asleep)
 
 	f.kill(killed)
 	f.start(killed)
 	answeredStart := f.askBack("started", killed, r)
-	started := f.deadlySends(r) - before - woken
+	started := f.deadly[r].sent() - before - woken
 	f.awaitServing(f.context, killed)
 	t.Logf("%d ended in all; the woken host sent %d of %d, the started one %d of %d", f.deadly[r].count(), woken, answered, started, answeredStart)
 	is.Equal(woken, 0)
--- a/cmd/siskinrun/crashing_prompt_test.go
+++ b/cmd/siskinrun/crashing_prompt_test.go
@@ -97,6 +97,8 @@
 	name   string
 	every  time.Duration
 	prompt func(n int) string
+	// path is the path of the requests, empty for the usual one.
+	path string
 
 	mu       sync.Mutex
 	sent     int
@@ -120,7 +122,7 @@
 }
 
 func (r *traffic) send(ctx context.Context, host string, n int) {
-	s, err := r.fleet.open(ctx, host, streamRequest{id: fmt.Sprint(r.name, "-", n), prompt: r.prompt(n)})
+	s, err := r.fleet.open(ctx, host, streamRequest{id: fmt.Sprint(r.name, "-", n), prompt: r.prompt(n), path: r.path})
 	if err != nil {
 		return
 	}
--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -28,6 +28,7 @@
 const (
 	platformTimeout = time.Minute
 	streamPath      = "/ask/"
+	usualPath       = streamPath + "1"
 	streamHost      = "desk.example"
 	// routeTimeout is the timeout of the route, and usualPatience how long a client waits unless it says so.
 	routeTimeout  = 8 * time.Second
@@ -217,6 +218,8 @@
 	after   int
 	// prompt lists the parts of the prompt.
 	prompt string
+	// path is the path of the request, empty for the usual one.
+	path string
 	// patience is how long the client waits, zero for the usual time.
 	patience time.Duration
 }
@@ -235,7 +238,7 @@
 
 // open sends an attempt to an entry host and returns its answer once the headers have come.
 func (f *platformFleet) open(ctx context.Context, host string, s streamRequest) (*clientStream, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+streamPath+"1", strings.NewReader("x"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+cmp.Or(s.path, usualPath), strings.NewReader("x"))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/siskinrun/platform_soak_test.go
+++ b/cmd/siskinrun/platform_soak_test.go
@@ -27,6 +27,8 @@
 	maxMixedStreams = 2
 	// calm is the time without faults before and while sends are judged.
 	calm = 3500 * time.Millisecond
+	// deadlyPath is the path of a request that is deadly as a whole.
+	deadlyPath = streamPath + "deadly"
 	// minTakeUps is the number of streams taken up from which on their share is judged.
 	minTakeUps = 12
 )
@@ -40,9 +42,13 @@
 type versionSoak struct {
 	*crashFleet
 	random *rand.Rand
+	// whole is what became of requests that are deadly as a whole.
+	whole crashes
 
 	mu      sync.Mutex
 	workers []*platformWorker
+	// refused counts the streams that were not opened by what they were answered.
+	refused map[string]int
 	mixed   int
 	takenUp int
 	wentOn  int
@@ -65,7 +71,7 @@
 func playVersionSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
 	p, ctx := newPlatformFleet(t)
-	s := &versionSoak{crashFleet: &crashFleet{platformFleet: p}, random: rand.New(rand.NewPCG(seed, seed))}
+	s := &versionSoak{crashFleet: &crashFleet{platformFleet: p}, random: rand.New(rand.NewPCG(seed, seed)), refused: map[string]int{}}
 	for i := range soakWorkers {
 		w := s.startWorker(ctx, fmt.Sprint("i-", i), fmt.Sprint("v", i%2))
 		s.arm(ctx, w)
@@ -84,19 +90,23 @@
 		return fmt.Sprintf("caller:100,%s:9,topic%d:50,d%d:10", deadlyPart, n%5, n)
 	}}
 	g.Go("deadly", deadly.run)
+	whole := &traffic{fleet: s.crashFleet, name: "whole", every: 200 * time.Millisecond, path: deadlyPath, prompt: func(int) string { return "" }}
+	g.Go("whole", whole.run)
 	s.injectFaults(ctx)
 	is.NoErr(s.timer.Sleep(ctx, calm))
-	before := s.sends()
+	before, wholeBefore := s.crashes.sent(), s.whole.sent()
 	is.NoErr(s.timer.Sleep(ctx, calm))
-	late := s.sends() - before
+	late, wholeLate := s.crashes.sent()-before, s.whole.sent()-wholeBefore
 	stop()
 	_ = g.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("seed %d: %d streams opened, %d begun, %d taken up, %d went on, %d mixed; %d crashes, %d sends while calm",
-		seed, s.opened, s.begun, s.takenUp, s.wentOn, s.mixed, s.crashes.count(), late)
+	t.Logf("seed %d: %d streams opened, %d begun, %d taken up, %d went on, %d mixed; %d crashes, %d sends while calm; "+
+		"a deadly request was sent %d times, %d while calm, answers %v; refused streams %v",
+		seed, s.opened, s.begun, s.takenUp, s.wentOn, s.mixed, s.crashes.count(), late, s.whole.sent(), wholeLate, whole.statuses, s.refused)
 	is.True(s.mixed <= maxMixedStreams)
 	is.True(late <= maxLateSends)
+	is.Equal(wholeLate, 0)
 	is.True(s.takenUp < minTakeUps || 2*s.wentOn*s.opened >= s.begun*s.takenUp)
 }
 
@@ -105,6 +115,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.deadly = deadlyPart
+	w.begins = s.beginsWhole
 	w.received = func(prompt string) {
 		if isDeadly(prompt) {
 			s.crashes.add(&s.crashes.sends, s.timer.Now())
@@ -121,10 +132,13 @@
 	}
 }
 
-func (s *versionSoak) sends() int {
-	s.crashes.mu.Lock()
-	defer s.crashes.mu.Unlock()
-	return len(s.crashes.sends)
+// beginsWhole counts requests that are deadly as a whole, and reports whether a request is one.
+func (s *versionSoak) beginsWhole(q *http.Request) bool {
+	if q.URL.Path != deadlyPath {
+		return false
+	}
+	s.whole.add(&s.whole.sends, s.timer.Now())
+	return true
 }
 
 // injectFaults starts faults of hosts and workers, which overlap, and waits until all have ended.
@@ -199,9 +213,17 @@
 			_ = s.timer.Sleep(ctx, workerStep)
 			continue
 		}
+		refused := ""
+		if c.status != http.StatusOK {
+			b, _ := io.ReadAll(c.body)
+			refused = plainAnswer{status: c.status, body: string(b)}.kind()
+		}
 		err = c.read(1 + r.IntN(workerEvents))
 		_ = c.body.Close()
 		s.count(func() {
+			if refused != "" {
+				s.refused[refused]++
+			}
 			s.opened++
 			if c.last > 0 {
 				s.begun++
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -39,6 +39,8 @@
 	alive bool
 	// deadly is the part of a prompt on which the worker ends when it begins to write.
 	deadly string
+	// begins, if set, reports whether the worker ends with a request that it begins to run, before any byte of the answer.
+	begins func(q *http.Request) bool
 	// received, if set, is called with the prompt of each request.
 	received func(prompt string)
 	// limit, if set, returns the limit that the worker names at a time, empty for none.
@@ -230,8 +232,15 @@
 	w.mu.Lock()
 	at := w.fleet.timer.Now()
 	w.runs = append(w.runs, workerRun{at, q.Header.Get(wire.AttemptID), p})
-	received, deadly, limit := w.received, w.deadly, w.limit
+	received, deadly, limit, begins := w.received, w.deadly, w.limit, w.begins
 	w.mu.Unlock()
+	if begins != nil && begins(q) {
+		if w.fleet.timer.Sleep(ctx, deadlyDelay) == nil {
+			w.crash()
+			w.ended(w)
+		}
+		return false
+	}
 	if received != nil {
 		received(p)
 	}
