--- a/cmd/siskinrun/cut_answers_test.go
+++ b/cmd/siskinrun/cut_answers_test.go
@@ -70,7 +70,7 @@
 			f.plan(id, cuts...)
 			f.cases++
 			h := f.entries[f.cases%len(f.entries)]
-			s := f.ask(ctx, h, streamRequest{id: id, path: path})
+			s := f.ask(ctx, h, streamRequest{id: id, path: path + "1"})
 			check(t, id, s)
 			f.askSound(ctx, t, h)
 			is.New(t).NoErr(f.timer.Sleep(ctx, caseInterval))
--- a/cmd/siskinrun/host_end_test.go
+++ b/cmd/siskinrun/host_end_test.go
@@ -24,7 +24,7 @@
 				is := is.New(t)
 				id := t.Name()
 				f.plan(id, cut{framing, holds, 5, false, 0})
-				c, err := f.open(ctx, h, streamRequest{id: id, path: oncePath})
+				c, err := f.open(ctx, h, streamRequest{id: id, path: oncePath + "1"})
 				is.NoErr(err)
 				is.NoErr(c.read(5))
 				if stops {
--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -28,6 +28,7 @@
 const (
 	platformTimeout = time.Minute
 	streamPath      = "/ask/"
+	usualPath       = streamPath + "1"
 	streamHost      = "desk.example"
 	// routeTimeout is the timeout of the route, and usualPatience how long a client waits unless it says so.
 	routeTimeout  = 8 * time.Second
@@ -239,7 +240,7 @@
 
 // open sends an attempt to an entry host and returns its answer once the headers have come.
 func (f *platformFleet) open(ctx context.Context, host string, s streamRequest) (*clientStream, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+cmp.Or(s.path, streamPath)+"1", strings.NewReader(cmp.Or(s.body, "x")))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+":7443"+cmp.Or(s.path, usualPath), strings.NewReader(cmp.Or(s.body, "x")))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/siskinrun/whole_answers_test.go
+++ b/cmd/siskinrun/whole_answers_test.go
@@ -59,7 +59,7 @@
 				runs := 0
 				for i := range wholeStreams {
 					id := fmt.Sprint(t.Name(), "-", i)
-					wantWhole(t, id, f.ask(ctx, f.entries[i%cutHosts], streamRequest{id: id, path: path}))
+					wantWhole(t, id, f.ask(ctx, f.entries[i%cutHosts], streamRequest{id: id, path: path + "1"}))
 					runs += f.ran(id)
 				}
 				t.Logf("%d streams, %d runs", wholeStreams, runs)
