--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -213,7 +213,7 @@
 // streamRequest is one attempt of a client at a stream.
 type streamRequest struct {
 	id string
-	// path is the path of the request, empty for streamPath.
+	// path is the path of the request, empty for the usual one.
 	path string
 	// resumes is the attempt that received the first event, and after the number of the last event received, if any.
 	resumes string
