--- a/cmd/siskinrun/once_test.go
+++ b/cmd/siskinrun/once_test.go
@@ -121,8 +121,8 @@
 	})
 }
 
-// reset ends a connection at once.
-func reset(k *net.TCPConn) {
+// resetConnection ends a connection at once.
+func resetConnection(k *net.TCPConn) {
 	_ = k.SetLinger(0)
 	_ = k.Close()
 }
@@ -140,7 +140,7 @@
 			w.count(q)
 			_, _ = io.WriteString(k, text(q))
 			time.Sleep(20 * time.Millisecond) // the text arrives before the reset
-			reset(k)
+			resetConnection(k)
 		}
 	}
 	cases := []struct {
@@ -151,7 +151,7 @@
 	}{
 		{"reset after the head of a long request", longBody, func(w *onceWorker, k *net.TCPConn, q *http.Request) {
 			w.count(q)
-			reset(k)
+			resetConnection(k)
 		}, lost},
 		{"closed inside a long request", longBody, func(w *onceWorker, k *net.TCPConn, q *http.Request) {
 			w.count(q)
