--- a/internal/product/server/server.go
+++ b/internal/product/server/server.go
@@ -37,6 +37,8 @@
 	Listeners map[string]net.Listener
 	// Dial, if set, replaces the dialer between hosts.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialUpstream, if set, replaces the dialer of connections to upstreams.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 	// LogWriter, if set, is the writer behind Log; the host runs it until its last log line.
 	LogWriter *logwriter.Writer
 	// Dialect, if set, replaces the product's own wire formats.
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -63,6 +63,7 @@
 		BodyReadTimeout: m.StreamIdleTimeout.Duration(),
 		ConnectTimeout:  m.ConnectTimeout.Duration(),
 		RateLimit:       p.permits.Observe,
+		Dial:            s.DialUpstream,
 	}
 	if s.Dialect != nil {
 		x.Dialect = s.Dialect.Upstreams
