--- /dev/null
+++ b/cmd/siskinrun/link_fleet_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"siskinrun/internal/base/logwriter"
+	"siskinrun/internal/product/server"
+	"siskinrun/internal/product/settings"
+	"siskinrun/platform"
+	"siskinrun/platform/wire"
+)
+
+const (
+	linkHosts = 9
+	// linkEngines is the number of workers for streams, and linkDesks of those for other calls.
+	linkEngines = 12
+	linkDesks   = 3
+	// tellPath is the path of streams that may not be resumed, and singlePath that of calls that may run once.
+	tellPath   = "/tell/"
+	singlePath = "/single/"
+	openPath   = "/open/"
+)
+
+// linkNetwork is the prefix of the addresses of the hosts of a linkFleet.
+var linkNetwork = cmp.Or(os.Getenv("SISKINRUN_TEST_NETWORK"), "127.0.18.")
+
+const linkConfiguration = `{"version": 8, "routes": [
+  {"name": "ask", "host": "` + streamHost + `", "path_prefix": "` + streamPath + `", "route_type": "streaming",
+    "timeout_ms": 8000, "target_latency_ms": 300, "service": "lm", "max_attempts": 3, "public": true, "sticky": true,
+    "resumable": true, "gap_target_ms": 400},
+  {"name": "tell", "host": "` + streamHost + `", "path_prefix": "` + tellPath + `", "route_type": "streaming",
+    "timeout_ms": 8000, "target_latency_ms": 300, "service": "lm", "max_attempts": 3, "public": true, "sticky": true,
+    "resumable": false, "gap_target_ms": 400},
+  {"name": "open", "host": "` + streamHost + `", "path_prefix": "` + openPath + `", "route_type": "idempotent",
+    "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true},
+  {"name": "single", "host": "` + streamHost + `", "path_prefix": "` + singlePath + `", "route_type": "non_idempotent",
+    "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true}],
+  "services": [{"name": "lm", "health_path": "/healthz", "max_conns": 200, "protocol": "h1", "engine": {"slots": 8}},
+    {"name": "desk", "health_path": "` + plainHealthPath + `", "max_conns": 400, "protocol": "h1"}],
+  "limits": {}}`
+
+// linkFleet is a fleet whose entry hosts run in this process, so that their links to upstreams can be lost.
+type linkFleet struct {
+	*plainFleet
+	board   *switchboard
+	engines []*platformWorker
+}
+
+// newLinkFleet starts a control host, entry hosts in three failure domains and workers, and returns once all hosts serve.
+func newLinkFleet(t *testing.T) (*linkFleet, context.Context) {
+	t.Helper()
+	var hosts []string
+	for i := range linkHosts {
+		hosts = append(hosts, fmt.Sprint(linkNetwork, 31+i))
+	}
+	p, ctx := preparePlatformFleet(t, linkNetwork+"11", hosts, "")
+	f := &linkFleet{plainFleet: p.newPlain(ctx, plainSetup{}), board: newSwitchboard()}
+	t.Cleanup(f.board.end) // before the hosts stop
+	f.serve(f.control)
+	for _, h := range hosts {
+		f.serve(h)
+	}
+	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, linkConfiguration) })
+	for i := range linkEngines {
+		w := &platformWorker{
+			fleet: p, id: fmt.Sprint("e-", i), service: "lm", zone: string(rune('a' + i%len(platformEntries))), version: "v1", born: 1,
+			alive: true,
+		}
+		f.engines = append(f.engines, w)
+		f.run(ctx, w)
+	}
+	for i := range linkDesks {
+		f.startPlain(ctx, i, 0)
+	}
+	for _, h := range hosts {
+		f.awaitServing(ctx, h)
+	}
+	is.New(t).NoErr(f.timer.Sleep(ctx, time.Second)) // all hosts have heard of all workers
+	return f, ctx
+}
+
+// serve runs a host in this process until the test ends.
+func (f *linkFleet) serve(host string) {
+	f.t.Helper()
+	load := func() (*settings.Settings, error) {
+		s, err := settings.Load(filepath.Join(f.folder, host+".json"), "")
+		if err == nil {
+			s.Limits.MemoryBytes = 0 // the limit is one of the process
+		}
+		return s, err
+	}
+	is := is.New(f.t)
+	s, err := load()
+	is.NoErr(err)
+	is.NoErr(s.ReadSecrets())
+	f.logs[host] = &bytes.Buffer{}
+	l := &logwriter.Writer{Out: f.logs[host]}
+	h := &server.Server{
+		LogWriter: l, Dialect: platform.NewDialect(), Name: host, Settings: s, Reload: load, DialUpstream: f.board.dialer(host),
+		Log: zerolog.New(l).Level(zerolog.WarnLevel).With().Timestamp().Str("host", host).Logger(),
+	}
+	f.group.Go(host, func(ctx context.Context) error {
+		if err := h.Run(ctx); err != nil {
+			f.t.Errorf("%s: %v", host, err)
+		}
+		return nil
+	})
+}
+
+// cut sets the links between hosts and all upstreams.
+func (f *linkFleet) cut(l link, hosts ...string) {
+	for _, h := range hosts {
+		f.board.set(h, "", l)
+	}
+}
+
+// streamRuns returns how often workers began to run each attempt at a stream.
+func (f *linkFleet) streamRuns() map[string]int {
+	m := map[string]int{}
+	for _, w := range f.engines {
+		for _, r := range w.ran() {
+			m[r.id]++
+		}
+	}
+	return m
+}
--- a/cmd/siskinrun/plain_fleet_test.go
+++ b/cmd/siskinrun/plain_fleet_test.go
@@ -53,8 +53,9 @@
 	mu sync.Mutex
 	// workers holds the current run of the worker of each slot.
 	workers map[int]*plainWorker
-	// reached holds the attempts that reached workers, and refused those that were answered as not run.
-	reached, refused map[string]bool
+	// reached counts how often each attempt reached workers, and refused holds those that were answered as not run.
+	reached map[string]int
+	refused map[string]bool
 	// itemCrashes holds how many workers are still to crash under an item.
 	itemCrashes map[string]int
 }
@@ -77,11 +78,7 @@
 func startPlainFleet(t testing.TB, s plainSetup, deadly ...plainRequest) *plainFleet {
 	t.Helper()
 	p, ctx := startPlatformFleet(t, platformHosts(s.hosts), "")
-	f := &plainFleet{
-		platformFleet: p, plainSetup: s, context: ctx, deadly: map[plainRequest]*crashes{}, workers: map[int]*plainWorker{},
-		reached: map[string]bool{}, refused: map[string]bool{},
-		itemCrashes: map[string]int{},
-	}
+	f := p.newPlain(ctx, s)
 	for _, r := range deadly {
 		f.deadly[r] = &crashes{}
 	}
@@ -96,6 +93,14 @@
 	return f
 }
 
+// newPlain returns the fleet as one before plain workers, of which none runs yet.
+func (f *platformFleet) newPlain(ctx context.Context, s plainSetup) *plainFleet {
+	return &plainFleet{
+		platformFleet: f, plainSetup: s, context: ctx, deadly: map[plainRequest]*crashes{}, workers: map[int]*plainWorker{},
+		reached: map[string]int{}, refused: map[string]bool{}, itemCrashes: map[string]int{},
+	}
+}
+
 // awaitServing waits until a host serves.
 func (f *plainFleet) awaitServing(ctx context.Context, host string) {
 	f.t.Helper()
@@ -111,7 +116,7 @@
 func (f *plainFleet) reach(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reached[id] = true
+	f.reached[id]++
 }
 
 // untrue returns the number of attempts that reached a worker though they were answered as not run.
@@ -120,7 +125,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for id := range f.refused {
-		if f.reached[id] {
+		if f.reached[id] > 0 {
 			n++
 			f.t.Logf("%s was refused and reached a worker", id)
 		}
--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -56,8 +56,10 @@
 
 // platformFleet is one control host and some entry hosts that speak the platform's wire formats, with stand-in workers.
 type platformFleet struct {
-	t         testing.TB
-	folder    string
+	t      testing.TB
+	folder string
+	// control is the address of the control host.
+	control   string
 	program   string
 	entries   []string
 	processes map[string]*exec.Cmd
@@ -68,7 +70,7 @@
 }
 
 var platformSettings = `{"site": "s",
-  "fleet": {"dialect": "platform", "trusted-network": true, "seeds": ["` + platformControl + `:7440"], "forming": true,
+  "fleet": {"dialect": "platform", "trusted-network": true, "seeds": ["%[4]s:7440"], "forming": true,
     "ledger-groups": 1, "freshness-lease": "3500ms", "losses": 1, "finish-withdrawn": true, "drain": "500ms",
     "hosts": {"%[1]s": {"failure-domain": "%[2]s", %[3]s "peers": "%[1]s:7440", "operators": "%[1]s:7441"}}},
   "limits": {"header-bytes": 16384, "body-bytes": 4194304, "file-bytes": 4194304, "concurrency": 4096,
@@ -96,12 +98,27 @@
 
 // startPlatformFleet is newPlatformFleetOf with a line of settings for what the control host keeps, empty for all.
 func startPlatformFleet(t testing.TB, entries []string, keeps string) (*platformFleet, context.Context) {
+	t.Helper()
+	f, ctx := preparePlatformFleet(t, platformControl, entries, keeps)
+	f.program = buildProgram(t)
+	f.start(platformControl)
+	for _, h := range entries {
+		f.start(h)
+	}
+	f.await(ctx, "configuration", func() error {
+		return f.post(ctx, wire.PathConfigReplace, platformConfiguration)
+	})
+	return f, ctx
+}
+
+// preparePlatformFleet writes the settings of a control host and some entry hosts, and returns the fleet before any of them
+// runs, with a context that ends after the test.
+func preparePlatformFleet(t testing.TB, control string, entries []string, keeps string) (*platformFleet, context.Context) {
 	t.Helper()
 	f := &platformFleet{
-		t: t, folder: t.TempDir(), entries: entries, processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
+		t: t, folder: t.TempDir(), control: control, entries: entries, processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
 		timer: timer.NewService(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	f.program = buildProgram(t)
 	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
 	f.group = group.NewGroup(ctx)
 	f.group.Go("timer", f.timer.Run)
@@ -117,23 +134,16 @@
 			}
 		}
 	})
-	f.write(platformControl, "a", `"control": "`+platformControl+`:7442", `+keeps+` "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
+	f.write(control, "a", `"control": "`+control+`:7442", `+keeps+` "data-folder": "`+filepath.Join(f.folder, "data")+`",`)
 	for i, h := range entries {
 		f.write(h, string(rune('a'+i%len(platformEntries))), `"callers": "`+h+`:7443", "readiness": "`+h+`:7444",`)
 	}
-	f.start(platformControl)
-	for _, h := range entries {
-		f.start(h)
-	}
-	f.await(ctx, "configuration", func() error {
-		return f.post(ctx, wire.PathConfigReplace, platformConfiguration)
-	})
 	return f, ctx
 }
 
 func (f *platformFleet) write(host, domain, rest string) {
 	f.t.Helper()
-	s := fmt.Sprintf(platformSettings, host, domain, rest)
+	s := fmt.Sprintf(platformSettings, host, domain, rest, f.control)
 	is.New(f.t).NoErr(os.WriteFile(filepath.Join(f.folder, host+".json"), []byte(s), 0o600))
 }
 
@@ -172,7 +182,7 @@
 
 // post sends a message of a worker or the operator to the control host.
 func (f *platformFleet) post(ctx context.Context, path, body string) error {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+platformControl+":7442"+path, strings.NewReader(body))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.control+":7442"+path, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
