Open streams between hosts

A host can open a stream to a method of a peer and then read and write bytes, on a session of its own so that these hold no call up. The session is pinged while a stream is open, so that a peer that falls silent ends it in about a second.

--- a/internal/base/rpc/call.go
+++ b/internal/base/rpc/call.go
@@ -90,7 +90,10 @@
 	o := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 	for {
 		f := &frame.Frame{}
-		if err := o.UnmarshalFrom(r, f); err != nil || !l.serveCall(ctx, from, s, f) {
+		if err := o.UnmarshalFrom(r, f); err != nil {
+			return
+		}
+		if l.serveOpen(ctx, from, &streamConn{Stream: s, in: r}, f) || !l.serveCall(ctx, from, s, f) {
 			return
 		}
 	}
--- a/internal/base/rpc/endpoint.go
+++ b/internal/base/rpc/endpoint.go
@@ -66,6 +66,8 @@
 	sessions map[sessionKey]*session
 	accepted map[*link]struct{}
 	group    *group.Group
+
+	streamHandlers map[string]StreamHandler
 }
 
 // Handler serves a call of the peer named from.
--- a/internal/base/rpc/endpoint_test.go
+++ b/internal/base/rpc/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 
@@ -77,3 +78,54 @@
 	_, err := a.Call(context.Background(), "b", "echo", nil)
 	is.Equal(refusal.Of(err).Code, "peer-unreachable")
 }
+
+func TestOpenStreamsCarryBytesBothWaysAndRefusals(t *testing.T) {
+	is := is.New(t)
+	a, b := newPair(t, "s", "s")
+	b.HandleStream("echo", func(_ context.Context, from string, body []byte, open func() (net.Conn, error)) error {
+		c, err := open()
+		if err != nil {
+			return err
+		}
+		_, _ = io.WriteString(c, from+string(body))
+		_, _ = io.CopyN(c, c, 3)
+		return nil
+	})
+	b.HandleStream("full", func(context.Context, string, []byte, func() (net.Conn, error)) error {
+		return refusal.NewNotRun(503, "full", "no room")
+	})
+	run(t, a, b)
+	c, err := a.Open(context.Background(), "b", "echo", []byte("?"))
+	is.NoErr(err)
+	_, err = io.WriteString(c, "xyz")
+	is.NoErr(err)
+	got, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(got), "a?xyz")
+	is.NoErr(c.Close())
+	_, err = a.Open(context.Background(), "b", "full", nil)
+	is.Equal(refusal.Of(err).Code, "full")
+	is.Equal(refusal.Of(err).Verdict, verdict.NotRun)
+	_, err = a.Open(context.Background(), "b", "none", nil)
+	is.Equal(refusal.Of(err).Code, "unknown-method")
+}
+
+func TestStreamEndsWhenItsPeerIsClosed(t *testing.T) {
+	is := is.New(t)
+	a, b := newPair(t, "s", "s")
+	closed := make(chan struct{})
+	b.HandleStream("hold", func(_ context.Context, _ string, _ []byte, open func() (net.Conn, error)) error {
+		c, err := open()
+		if err != nil {
+			return err
+		}
+		defer close(closed)
+		_, err = io.Copy(io.Discard, c)
+		return err
+	})
+	run(t, a, b)
+	c, err := a.Open(context.Background(), "b", "hold", nil)
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	<-closed
+}
--- a/internal/base/rpc/ping.go
+++ b/internal/base/rpc/ping.go
@@ -20,6 +20,8 @@
 	endpoint *Endpoint
 	peer     *session
 	mux      *yamux.Session
+	// holders is the number of open streams for which it pings, guarded by the lock of peer.
+	holders int
 
 	mu      sync.Mutex
 	stopped bool
@@ -28,9 +30,14 @@
 
 // startPings pings the session of a stream to a peer until stop is called.
 func (l *Endpoint) startPings(e *session, s *yamux.Stream) (stop func()) {
-	w := &pinger{endpoint: l, peer: e, mux: s.Session()}
+	return l.newPinger(e, s.Session()).stop
+}
+
+// newPinger returns a pinger that pings a session until it is stopped.
+func (l *Endpoint) newPinger(e *session, m *yamux.Session) *pinger {
+	w := &pinger{endpoint: l, peer: e, mux: m}
 	w.arm()
-	return w.stop
+	return w
 }
 
 // arm schedules the next ping.
--- a/internal/base/rpc/streams.go
+++ b/internal/base/rpc/streams.go
@@ -17,6 +17,8 @@
 	retryAt time.Time
 	// idle holds the streams that the next calls can reuse.
 	idle []*yamux.Stream
+	// held pings the session while streams of Open are open, nil if none is.
+	held *pinger
 }
 
 // release keeps a stream for reuse, or closes it if the session has ended or has enough idle streams.
