Reach upstreams through other hosts where the own links are lost

Cause: a host had one path to an upstream, its own connection, and took the failure of the path for that of the upstream.

Change: reachability holds the path to each upstream. A connection that fails, or takes two fifths of its timeout, makes the connector ask other hosts which of them reach the upstream; it then connects through one of these, the gateway, which copies bytes in a tunnel. All that is decided about a call stays with the host that its caller has: key, rate, permit, choice of upstream, attempts, verdict, resumption. How the upstream ended its side crosses the tunnel, so a reset does not look like a close, and the loss of the gateway is no evidence against the upstream. Connections that are silent on a lost path are ended if their call may run again, so that it goes on through a gateway. Lost paths are tried three times a second, and used again once a connection comes about. A host that has lost a path tunnels for nobody, so there is one hop at most. Nothing is sent while no connection fails.

--- a/internal/data/callrecord/record.go
+++ b/internal/data/callrecord/record.go
@@ -22,6 +22,8 @@
 	Upstream string
 	// UpstreamVersion is the software version of that upstream, empty if it is not known.
 	UpstreamVersion string
+	// Gateway is the host that carried the last attempt to the upstream, empty for none.
+	Gateway string
 	// FirstEvent is the number of the first event that the last attempt asked for, zero for a stream from its start.
 	FirstEvent int
 	// Resumes is the ID of the earlier call whose stream this one goes on with, empty for a stream from its start.
--- a/internal/data/outcome/outcome.go
+++ b/internal/data/outcome/outcome.go
@@ -16,9 +16,11 @@
 	Cancelled
 	// Broken means that the connection ended before the complete answer, as when the upstream's process ends.
 	Broken
+	// PathLost means that the way to the upstream was lost under the exchange, which is no evidence about the upstream.
+	PathLost
 )
 
-var names = [...]string{"succeeded", "failed", "timed-out", "unreachable", "cancelled", "broken"}
+var names = [...]string{"succeeded", "failed", "timed-out", "unreachable", "cancelled", "broken", "path-lost"}
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
--- /dev/null
+++ b/internal/data/pathanswer/doc.go
@@ -0,0 +1,2 @@
+// Package pathanswer describes what a host says of its paths to upstreams.
+package pathanswer
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -32,14 +32,17 @@
 	"siskinrun/internal/routing/picker"
 	"siskinrun/internal/routing/planner"
 	"siskinrun/internal/routing/promptguard"
+	"siskinrun/internal/routing/reachability"
 	"siskinrun/internal/routing/rollout"
 	"siskinrun/internal/state/control"
 	"siskinrun/internal/state/diskspace"
 	"siskinrun/internal/state/proposal"
 	"siskinrun/internal/wire/callerapi"
+	"siskinrun/internal/wire/connector"
 	"siskinrun/internal/wire/directory"
 	"siskinrun/internal/wire/metricspage"
 	"siskinrun/internal/wire/pipeline"
+	"siskinrun/internal/wire/tunnel"
 	"siskinrun/internal/wire/upstreamapi"
 )
 
@@ -82,6 +85,9 @@
 	// assignment assigns the upstreams to the hosts that run batch items, as of the last list of upstreams.
 	assignment     atomic.Pointer[assignment.Assignment]
 	picker         *picker.Picker
+	paths          *reachability.Table
+	connector      *connector.Connector
+	tunnels        *tunnel.Service
 	batchLimiter   *batchlimit.Limiter
 	capacity       *capacity.Controller
 	lane           *lane.Lane
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -114,6 +114,11 @@
 	})
 }
 
+// gatewayHosts returns the hosts through which this one may reach upstreams.
+func (p *components) gatewayHosts() []host.Host {
+	return slices.DeleteFunc(p.batchHosts(), func(h host.Host) bool { return h.Name == p.server.Name })
+}
+
 // recordHosts returns the hosts that keep the records of streams: those that take calls, unless they are dead, or all if
 // there are none. A host that is only suspected stays among them, since hosts suspect others at different times.
 func (p *components) recordHosts() []host.Host {
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -6,6 +6,7 @@
 	"siskinrun/internal/routing/batchlimit"
 	"siskinrun/internal/routing/inflight"
 	"siskinrun/internal/routing/picker"
+	"siskinrun/internal/routing/reachability"
 	"siskinrun/internal/routing/rollout"
 )
 
@@ -16,6 +17,8 @@
 	p.picker = picker.NewPicker(p.seed)
 	p.picker.LocalityWeight = s.Settings.Fleet.Weights.Locality
 	p.picker.Limits = p.permits
+	p.paths = reachability.NewTable(p.host.FailureDomain, p.seed)
+	p.picker.Paths = p.paths
 	p.batchLimiter = batchlimit.NewLimiter()
 	w := s.Settings.Fleet.Weights
 	p.batchLimiter.BatchWeight = w.BatchThroughput
@@ -37,6 +40,7 @@
 	p.rollout.SetUpstreams(l)
 	p.picker.SetUpstreams(l, n)
 	p.permits.Retain(l)
+	p.paths.SetUpstreams(l)
 	now := map[string]bool{}
 	for _, u := range l {
 		if !u.Leaving {
--- a/internal/product/server/server.go
+++ b/internal/product/server/server.go
@@ -135,7 +135,7 @@
 	}
 	g.Go("operator", p.operatorServer.Run)
 	g.Go("loads", (&loadUpdater{components: p}).run)
-	g.Go("reach", p.probeUnreachable)
+	g.Go("paths", p.connector.Run)
 }
 
 // serve answers callers and runs batch items until ctx or base ends, then hands over the leadership of groups.
@@ -153,6 +153,11 @@
 		p.returnRates(base)
 		return err
 	})
+	g.Go("tunnels", func(base context.Context) error {
+		<-w.Done()
+		p.drainTunnels(base, p.server.timer.Now())
+		return nil
+	})
 	g.Go("drive", func(context.Context) error {
 		if p.server.Dialect != nil && p.callerListener == nil {
 			return nil
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -29,6 +29,7 @@
 	p.observations = p.newObservations()
 	p.streams.Group = g
 	x := p.newTransport()
+	p.buildConnector(g, x)
 	p.pipeline = &pipeline.Pipeline{
 		Identifier:    &keyWatcher{authenticator: p.authenticator, group: g},
 		Configuration: p.distribution.View,
@@ -63,7 +64,6 @@
 		BodyReadTimeout: m.StreamIdleTimeout.Duration(),
 		ConnectTimeout:  m.ConnectTimeout.Duration(),
 		RateLimit:       p.permits.Observe,
-		Dial:            s.DialUpstream,
 	}
 	if s.Dialect != nil {
 		x.Dialect = s.Dialect.Upstreams
--- a/internal/routing/ejection/detector.go
+++ b/internal/routing/ejection/detector.go
@@ -144,7 +144,7 @@
 		return
 	}
 	m.probeSent = time.Time{}
-	if o == outcome.Cancelled {
+	if o == outcome.Cancelled || o == outcome.PathLost {
 		return
 	}
 	if o == outcome.Unreachable {
--- a/internal/routing/inflight/tracker.go
+++ b/internal/routing/inflight/tracker.go
@@ -100,6 +100,19 @@
 	return t.batch[name]
 }
 
+// Total returns the number of attempts that this host has in flight.
+func (t *Tracker) Total() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, m := range []map[string]int{t.online, t.batch} {
+		for _, c := range m {
+			n += c
+		}
+	}
+	return n
+}
+
 // Refresh updates the peers' counts of the named upstreams.
 func (t *Tracker) Refresh(names []string) {
 	cancel := 0
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -152,6 +152,9 @@
 	if m.upstream.FailureDomain != d.FailureDomain {
 		s += c.LocalityWeight
 	}
+	if c.Paths != nil && !c.Paths.Direct(m.upstream.Name) {
+		s += c.GatewayWeight
+	}
 	if len(d.PrefixHashes) > 0 {
 		s += c.PrefixWeight * uncachedShare(v, len(d.PrefixHashes))
 	}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -27,6 +27,9 @@
 	// DefaultLimitWeight is the default cost of an upstream that has used all of its reserve under a rate limit, as a share of
 	// the slots.
 	DefaultLimitWeight = 2.0
+	// DefaultGatewayWeight is the default cost of an upstream that this host reaches only through another one, as a share of
+	// the slots.
+	DefaultGatewayWeight = 0.5
 	// DefaultWarmUp is the default time in which a new upstream reaches its full number of slots.
 	DefaultWarmUp = 5 * time.Second
 	// DefaultReportTTL is the default time after which a report is ignored.
@@ -36,6 +39,11 @@
 // sweepInterval is the minimum time between two updates of ejections and median latencies.
 const sweepInterval = 250 * time.Millisecond
 
+// paths tells which upstreams this host reaches by itself.
+type paths interface {
+	Direct(name string) bool
+}
+
 // Picker picks upstreams; it is safe for concurrent use.
 //
 // A pick costs the same at any number of upstreams: it scores a bounded sample and
@@ -55,6 +63,8 @@
 	DisplacementWeight float64
 	// LimitWeight is the cost of an upstream that has used all of its reserve under a rate limit, as a share of the slots.
 	LimitWeight float64
+	// GatewayWeight is the cost of an upstream that this host reaches only through another one, as a share of the slots.
+	GatewayWeight float64
 	// WarmUp is the time in which a new upstream reaches its full number of slots.
 	WarmUp time.Duration
 	// ReportTTL is the time after which a report is ignored.
@@ -65,6 +75,8 @@
 	Affinity *affinity.Index
 	// Limits, if set, tells which upstreams take no request now.
 	Limits limits
+	// Paths, if set, tells which upstreams this host reaches by itself.
+	Paths paths
 
 	mu         sync.Mutex
 	random     *rand.Rand
@@ -87,6 +99,7 @@
 
 		DisplacementWeight: DefaultDisplacementWeight,
 		LimitWeight:        DefaultLimitWeight,
+		GatewayWeight:      DefaultGatewayWeight,
 
 		WarmUp:     DefaultWarmUp,
 		ReportTTL:  DefaultReportTTL,
--- a/internal/routing/retry/budget.go
+++ b/internal/routing/retry/budget.go
@@ -94,7 +94,7 @@
 
 // Observe records the outcome of one attempt on any upstream.
 func (r *Budget) Observe(o outcome.Outcome) {
-	if o == outcome.Cancelled {
+	if o == outcome.Cancelled || o == outcome.PathLost {
 		return
 	}
 	r.mu.Lock()
--- a/internal/wire/accounting/recorder.go
+++ b/internal/wire/accounting/recorder.go
@@ -45,6 +45,9 @@
 			Dur("held-off-limit-age-ms", r.HeldByAge).
 			Str("held-off-limit-from", r.HeldBy.Host)
 	}
+	if r.Gateway != "" {
+		e = e.Str("gateway", r.Gateway)
+	}
 	if r.PermitWait > 0 {
 		e = e.Dur("permit-wait-ms", r.PermitWait)
 	}
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -28,6 +28,8 @@
 	codeUnreachable = "upstream-unreachable"
 	// codeLost is the code of an attempt whose connection ended before the answer.
 	codeLost = "upstream-lost"
+	// codePathLost is the code of an attempt whose way to the upstream was lost.
+	codePathLost = "path-lost"
 )
 
 // attempt is one attempt to run a call on one upstream.
@@ -56,6 +58,7 @@
 	c.Record.Upstream = u.Name
 	c.Record.UpstreamVersion = u.Version
 	c.Record.FirstEvent = c.Offset
+	c.Record.Gateway = ""
 	d.Picker.Started(u.Name)
 	d.Observer.Begin(u.Name, c)
 	return &attempt{dispatcher: d, upstream: u, call: c, started: d.Timer.Now()}
@@ -138,6 +141,8 @@
 		return outcome.Cancelled
 	case refusal.Of(err).Code == codeUnreachable:
 		return outcome.Unreachable
+	case refusal.Of(err).Code == codePathLost:
+		return outcome.PathLost
 	case refusal.Of(err).Code == "upstream-timeout":
 		return outcome.TimedOut
 	case broken(err):
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -201,6 +201,7 @@
 	s.call.Record.Upstream = c.Record.Upstream
 	s.call.Record.UpstreamVersion = c.Record.UpstreamVersion
 	s.call.Record.FirstEvent = c.Record.FirstEvent
+	s.call.Record.Gateway = c.Record.Gateway
 	s.call.Record.Lost = c.Record.Lost
 	s.call.Record.NotRun = c.Record.NotRun
 }
--- a/internal/wire/transport/body.go
+++ b/internal/wire/transport/body.go
@@ -28,10 +28,15 @@
 	}
 	_ = b.conn.SetReadDeadline(b.transport.Timer.Deadline(d))
 	n, err := b.reader.Read(p)
-	if err != nil {
+	if err == nil {
+		return n, nil
+	}
+	if err != io.EOF && b.conn.pathLost(err) {
+		err = newPathLost()
+	} else {
 		err = opaque(err)
-		b.finish(err)
 	}
+	b.finish(err)
 	return n, err
 }
 
--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -29,15 +29,46 @@
 	idleTTL   time.Duration
 	idleSince time.Time
 	stopAbort func() bool
+	// gateway is the host that carries the connection, empty for none.
+	gateway string
+	// repeatable says that the call may run again.
+	repeatable bool
+	// lastByte is when the connection last brought something, as the time since processStart.
+	lastByte    atomic.Int64
+	interrupted atomic.Bool
+	// ended takes the connection out of the running ones.
+	ended func()
 }
 
+// processStart is the origin of the times of connections.
+var processStart = time.Now()
+
 func newConn(c net.Conn, address string) *conn {
 	k := &conn{Conn: c, address: address}
-	k.in = bufio.NewReaderSize(c, readBufferSize)
+	k.in = bufio.NewReaderSize(k, readBufferSize)
 	k.out = bufio.NewWriter(k)
 	return k
 }
 
+// Read implements io.Reader.Read.
+func (k *conn) Read(b []byte) (int, error) {
+	n, err := k.Conn.Read(b)
+	if n > 0 {
+		k.touch()
+	}
+	return n, err
+}
+
+// touch notes that the connection has brought something.
+func (k *conn) touch() {
+	k.lastByte.Store(int64(time.Since(processStart)))
+}
+
+// silence returns for how long the connection has brought nothing.
+func (k *conn) silence() time.Duration {
+	return time.Since(processStart) - time.Duration(k.lastByte.Load())
+}
+
 // Write implements io.Writer.Write.
 func (k *conn) Write(b []byte) (int, error) {
 	n, err := k.Conn.Write(b)
@@ -66,6 +97,9 @@
 	if k.stopAbort != nil {
 		k.stopAbort()
 	}
+	if k.ended != nil {
+		k.ended()
+	}
 	_ = k.Conn.Close()
 }
 
@@ -78,6 +112,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return refusal.NewMayHaveRun(504, "cancelled", "the call was cancelled while it ran")
+	case k.pathLost(err):
+		return newPathLost()
 	case errors.As(err, &n) && n.Timeout():
 		return refusal.NewMayHaveRun(504, "upstream-timeout", "the upstream did not answer in time")
 	default:
--- a/internal/wire/transport/idle.go
+++ b/internal/wire/transport/idle.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -8,43 +9,58 @@
 	"time"
 
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/upstream"
 )
 
 // acquireConn returns an idle connection if the call may be repeated, or else a new one. The upstream may just be
 // closing an idle connection, and the call could then be lost.
 func (e *Transport) acquireConn(ctx context.Context, address string, q *call.Call) (*conn, error) {
-	if q.RouteConfig.Repeatable {
+	u := q.Upstream
+	u.Address = address
+	if q.RouteConfig.Repeatable && (e.Connector == nil || e.Connector.Sound(u.Name)) {
 		if k := e.takeIdle(address, q.ID); k != nil {
 			return k, nil
 		}
 	}
-	d := e.ConnectTimeout
-	if d == 0 {
-		d = defaultConnectTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	c, err := e.dial(ctx, address)
+	c, g, err := e.connect(ctx, u)
 	if err != nil {
 		return nil, err
 	}
 	if e.TLS != nil {
-		t := tls.Client(c, e.TLS)
-		if err := t.HandshakeContext(ctx); err != nil {
-			_ = c.Close()
+		if c, err = e.handshake(ctx, c); err != nil {
 			return nil, err
 		}
-		c = t
 	}
-	return newConn(c, address), nil
+	k := newConn(c, address)
+	k.gateway = g
+	q.Record.Gateway = g
+	return k, nil
 }
 
-func (e *Transport) dial(ctx context.Context, address string) (net.Conn, error) {
-	if e.Dial != nil {
-		return e.Dial(ctx, address)
+func (e *Transport) connectTimeout() time.Duration {
+	return cmp.Or(e.ConnectTimeout, defaultConnectTimeout)
+}
+
+// connect opens a connection and returns the gateway that carries it, empty for none.
+func (e *Transport) connect(ctx context.Context, u upstream.Upstream) (net.Conn, string, error) {
+	if e.Connector != nil {
+		return e.Connector.Connect(ctx, u)
+	}
+	d := net.Dialer{Timeout: e.connectTimeout()}
+	c, err := d.DialContext(ctx, "tcp", u.Address)
+	return c, "", err
+}
+
+// handshake returns the TLS connection over c, and closes c if it does not come about.
+func (e *Transport) handshake(ctx context.Context, c net.Conn) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.connectTimeout())
+	defer cancel()
+	t := tls.Client(c, e.TLS)
+	if err := t.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return nil, err
 	}
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
+	return t, nil
 }
 
 // takeIdle returns an idle connection for the call with an ID, or nil. It leaves alone one that answered a call with that ID
@@ -79,10 +95,12 @@
 
 // putIdle keeps a connection for the next call, unless a late copy of its last answer could not be told from the next answer.
 func (e *Transport) putIdle(k *conn) {
-	if k.anonymous || k.in.Buffered() > 0 || !k.stopAbort() {
+	if k.gateway != "" || k.anonymous || k.in.Buffered() > 0 || !k.stopAbort() {
 		k.close()
 		return
 	}
+	k.ended()
+	k.ended = nil
 	k.idleSince = e.Timer.Now()
 	k.sent.Store(0)
 	e.mu.Lock()
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -18,6 +18,7 @@
 	"siskinrun/internal/data/call"
 	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/loadreport"
+	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/data/upstreamlimit"
 	"siskinrun/pkg/refusal"
 )
@@ -58,11 +59,19 @@
 	ConnectTimeout time.Duration
 	// BodyReadTimeout is the longest wait for the next bytes of a response body, and for the headers of a streamed batch item.
 	BodyReadTimeout time.Duration
-	// Dial, if set, replaces net.Dialer.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Connector opens connections, nil for the dialer of the standard library.
+	Connector connector
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// running are the connections with a call, by address.
+	running map[string]map[*conn]bool
+}
+
+// connector opens connections to upstreams, some of them through another host, the gateway.
+type connector interface {
+	Sound(upstream string) bool
+	Connect(ctx context.Context, u upstream.Upstream) (c net.Conn, gateway string, err error)
 }
 
 // Do sends c to the address and returns its answer with an unread body; the error is a refusal whose verdict says
@@ -73,6 +82,7 @@
 		return nil, unreachable(err)
 	}
 	k.stopAbort = context.AfterFunc(ctx, k.abort)
+	e.started(k, c)
 	a, err := e.roundTrip(k, c)
 	var f *refusal.Refusal
 	if errors.As(err, &f) {
