--- a/internal/routing/reachability/path.go
+++ b/internal/routing/reachability/path.go
@@ -81,6 +81,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.doubtful, func(_ string, p *path) bool { return !p.doubted(now) })
+	t.updateTroubled()
 	return slices.Sorted(maps.Keys(t.doubtful))
 }
 
