Let calls that are silent on a lost path take up no slot

A call that may run once waits for its path to come back. It counted as in flight for the three seconds until its caller left, in the fleet's counts of its upstream and in the slots of its host, while the upstream had ended the run: with 33 such streams of 96 slots the hosts refused and queued calls (120 late in the two seconds after the cut).

After a second of silence on a path that is lost, the attempt is taken out of the counts and gives its slot back; its caller still waits.

--- a/internal/data/call/call.go
+++ b/internal/data/call/call.go
@@ -72,6 +72,11 @@
 	StartBy, StartDeadline time.Time
 	// Upstream is the upstream of the current attempt.
 	Upstream upstream.Upstream
+	// Release gives the slot of the call back before the call ends, nil if it has none.
+	Release func()
+	// Stranded, if set, is told that the current attempt has been silent since its path was lost, so that it takes up nothing
+	// that others could use.
+	Stranded func()
 	// Record accumulates the record of the call.
 	Record callrecord.Record
 }
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -48,6 +48,8 @@
 	// over ends the trial that the attempt may be.
 	over func()
 	once sync.Once
+	// uncount takes the attempt out of the counts of those in flight.
+	uncount func(o outcome.Outcome)
 }
 
 func (d *Dispatcher) begin(u upstream.Upstream, c *call.Call) *attempt {
@@ -61,7 +63,24 @@
 	c.Record.Gateway = ""
 	d.Picker.Started(u.Name)
 	d.Observer.Begin(u.Name, c)
-	return &attempt{dispatcher: d, upstream: u, call: c, started: d.Timer.Now()}
+	t := &attempt{dispatcher: d, upstream: u, call: c, started: d.Timer.Now()}
+	var once sync.Once
+	t.uncount = func(o outcome.Outcome) {
+		once.Do(func() {
+			d.Picker.Finished(u.Name, o, t.latency, d.Timer.Now())
+			d.Observer.End(u.Name, c)
+		})
+	}
+	c.Stranded = t.strand
+	return t
+}
+
+// strand takes an attempt that is silent since its path was lost out of all counts, though its caller still waits for it.
+func (t *attempt) strand() {
+	t.uncount(outcome.PathLost)
+	if t.call.Release != nil {
+		t.call.Release()
+	}
 }
 
 // answered records the time to the start of the answer.
@@ -88,9 +107,8 @@
 		d := t.dispatcher
 		o := classify(ctx, err)
 		t.recordEnd(ctx, err)
-		d.Picker.Finished(t.upstream.Name, o, t.latency, d.Timer.Now())
+		t.uncount(o)
 		d.RetryBudget.Observe(o)
-		d.Observer.End(t.upstream.Name, t.call)
 		if o == outcome.Broken && !t.begun {
 			t.call.Record.Lost++
 			t.logLost()
--- a/internal/wire/pipeline/dispatch.go
+++ b/internal/wire/pipeline/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"siskinrun/internal/data/answer"
@@ -60,14 +61,15 @@
 	if err != nil {
 		return nil, err
 	}
+	c.Release = sync.OnceFunc(l)
 	n := p.Timer.Now()
 	c.Record.Waited = n.Sub(c.Arrived)
 	a, err := p.Dispatcher.Serve(ctx, c)
 	if limited(err) {
-		l()
+		c.Release()
 		return nil, err
 	}
-	t.onEnd(l)
+	t.onEnd(c.Release)
 	if err == nil {
 		t.onEnd(func() { p.Lane.Served(c.RouteConfig.Service, p.Timer.Now().Sub(n)) })
 	}
--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -33,6 +33,8 @@
 	gateway string
 	// repeatable says that the call may run again.
 	repeatable bool
+	// stranded tells the call that it is silent on a lost path.
+	stranded func()
 	// lastByte is when the connection last brought something, as the time since processStart.
 	lastByte    atomic.Int64
 	interrupted atomic.Bool
--- a/internal/wire/transport/interrupt.go
+++ b/internal/wire/transport/interrupt.go
@@ -9,12 +9,17 @@
 	"siskinrun/pkg/refusal"
 )
 
-// silentTime is how long a connection has brought nothing when it counts as silent.
-const silentTime = 500 * time.Millisecond
+const (
+	// silentTime is how long a connection has brought nothing when it counts as silent.
+	silentTime = 500 * time.Millisecond
+	// strandedTime is how long a connection on a lost path has brought nothing when its upstream has likely ended the run.
+	strandedTime = time.Second
+)
 
 // started adds a connection with a call to the running ones.
 func (e *Transport) started(k *conn, c *call.Call) {
 	k.repeatable = c.RouteConfig.Repeatable || c.Batch
+	k.stranded = c.Stranded
 	k.touch()
 	k.ended = func() { e.remove(k) }
 	e.mu.Lock()
@@ -38,14 +43,14 @@
 }
 
 // Interrupt closes the idle connections to an address, and those that are silent under a call that may be repeated, so that
-// the calls go on by another path. Other calls wait for the path to come back.
+// the calls go on by another path. Other calls wait for the path to come back, and take up no slot meanwhile.
 func (e *Transport) Interrupt(address string) {
 	e.mu.Lock()
 	idle := e.idle[address]
 	delete(e.idle, address)
 	var silent []*conn
 	for k := range e.running[address] {
-		if k.gateway == "" && k.repeatable && k.silence() >= silentTime {
+		if k.gateway == "" && k.silence() >= silentTime {
 			silent = append(silent, k)
 		}
 	}
@@ -54,8 +59,19 @@
 		k.close()
 	}
 	for _, k := range silent {
+		k.interrupt()
+	}
+}
+
+// interrupt ends the call on the connection if it may be repeated, so that it goes on by another path.
+func (k *conn) interrupt() {
+	if k.repeatable {
 		k.interrupted.Store(true)
 		_ = k.Conn.Close()
+		return
+	}
+	if k.silence() >= strandedTime && k.stranded != nil {
+		k.stranded()
 	}
 }
 
