Let the soaks share their seeds, reservations and faults of hosts

The three soaks chose their seeds alike, and two of them killed, stopped and suspended hosts with the same lines. What a seed draws keeps its order. Seed 1 of TestSoak, TestVersionSoak and TestLimitSoak passes.

--- a/cmd/siskinrun/faults_test.go
+++ b/cmd/siskinrun/faults_test.go
@@ -34,23 +34,6 @@
 	_ = g.Wait()
 }
 
-// reserve reserves a host for a fault of its process. It returns false if another such fault is in progress.
-func (s *soak) reserve(host string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faulted[host] {
-		return false
-	}
-	s.faulted[host] = true
-	return true
-}
-
-func (s *soak) release(host string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.faulted, host)
-}
-
 // crash kills a host and restarts it after d. In half of the cases it leaves torn writes at the end of its journals.
 func (s *soak) crash(ctx context.Context, host string, d time.Duration) {
 	if !s.reserve(host) {
--- a/cmd/siskinrun/limit_soak_test.go
+++ b/cmd/siskinrun/limit_soak_test.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -22,8 +21,6 @@
 	limitSoakHosts   = 6
 	limitSoakWorkers = 4
 	limitSoakEvery   = 40 * time.Millisecond
-	// stopGrace is the time after which a host that was told to stop is killed.
-	stopGrace = 8 * time.Second
 )
 
 // limitSeeds lists the seeds that CI runs: fixed ones, and those that have ever failed, each with its cause.
@@ -35,6 +32,7 @@
 type limitSoak struct {
 	*platformFleet
 	limitedWorkers
+	hosts  *hostFaults
 	random *rand.Rand
 
 	mu       sync.Mutex
@@ -60,20 +58,14 @@
 // TestLimitSoak injects random faults, reproducible by seed, while workers name limits that begin, change and end, and checks
 // what workers got from the hosts that were left alone, and that what was refused has not run.
 func TestLimitSoak(t *testing.T) {
-	seeds := slices.Clone(limitSeeds)
-	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(i))
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playLimitSoak(t, seed) })
-	}
+	playSeeds(t, limitSeeds, playLimitSoak)
 }
 
 func playLimitSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
 	p, ctx := newPlatformFleetOf(t, platformHosts(limitSoakHosts))
 	s := &limitSoak{
-		platformFleet: p, random: rand.New(rand.NewPCG(seed, seed)), statuses: map[int]int{},
+		platformFleet: p, hosts: &hostFaults{fleet: p}, random: rand.New(rand.NewPCG(seed, seed)), statuses: map[int]int{},
 		limits: map[string][]limitSpell{}, restarts: map[string][]time.Time{},
 	}
 	for i := range limitSoakWorkers {
@@ -165,8 +157,6 @@
 func (s *limitSoak) injectFaults(ctx context.Context) {
 	g := group.NewGroup(ctx)
 	until := s.timer.Now().Add(*soakTime)
-	busy := map[string]bool{}
-	var mu sync.Mutex
 	for s.timer.Now().Before(until) {
 		_ = s.timer.Sleep(ctx, time.Duration(500+s.random.IntN(2500))*time.Millisecond)
 		d := time.Duration(200+s.random.IntN(1800)) * time.Millisecond
@@ -175,18 +165,12 @@
 		if kind == 3 {
 			name = w.id
 		}
-		mu.Lock()
-		taken := busy[name]
-		busy[name] = true
-		mu.Unlock()
-		if taken {
+		if !s.hosts.reserve(name) {
 			continue
 		}
 		g.Go("fault", func(ctx context.Context) error {
+			defer s.hosts.release(name)
 			s.play(ctx, kind, h, w, d)
-			mu.Lock()
-			defer mu.Unlock()
-			delete(busy, name)
 			return nil
 		})
 	}
@@ -205,27 +189,13 @@
 		return
 	}
 	host, from := s.entries[h], s.timer.Now()
-	s.mu.Lock()
-	p := s.processes[host]
-	s.mu.Unlock()
 	switch kind {
 	case 0:
-		_ = p.Process.Kill()
+		s.hosts.crash(ctx, host, d)
 	case 1:
-		_ = p.Process.Signal(syscall.SIGTERM)
-		stop := s.timer.After(stopGrace, func(time.Time) { _ = p.Process.Kill() })
-		defer stop()
+		s.hosts.terminate(ctx, host, d)
 	case 2:
-		_ = p.Process.Signal(syscall.SIGSTOP)
-		_ = s.timer.Sleep(ctx, d)
-		_ = p.Process.Signal(syscall.SIGCONT)
-	}
-	if kind != 2 {
-		_ = p.Wait()
-		_ = s.timer.Sleep(ctx, d)
-		s.mu.Lock()
-		s.start(host)
-		s.mu.Unlock()
+		s.hosts.suspend(ctx, host, d)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/siskinrun/platform_soak_test.go
+++ b/cmd/siskinrun/platform_soak_test.go
@@ -6,10 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -41,6 +39,7 @@
 // versionSoak plays faults of hosts and workers of several versions, with a prompt that crashes workers among the traffic.
 type versionSoak struct {
 	*crashFleet
+	hosts  *hostFaults
 	random *rand.Rand
 	// whole is what became of requests that are deadly as a whole.
 	whole crashes
@@ -59,19 +58,16 @@
 // TestVersionSoak injects random faults, reproducible by seed, while clients take streams up at other hosts and requests
 // with a deadly part come, and checks what clients and workers got.
 func TestVersionSoak(t *testing.T) {
-	seeds := slices.Clone(versionSeeds)
-	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(i))
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playVersionSoak(t, seed) })
-	}
+	playSeeds(t, versionSeeds, playVersionSoak)
 }
 
 func playVersionSoak(t *testing.T, seed uint64) {
 	is := is.New(t)
 	p, ctx := newPlatformFleet(t)
-	s := &versionSoak{crashFleet: &crashFleet{platformFleet: p}, random: rand.New(rand.NewPCG(seed, seed)), refused: map[string]int{}}
+	s := &versionSoak{
+		crashFleet: &crashFleet{platformFleet: p}, hosts: &hostFaults{fleet: p}, random: rand.New(rand.NewPCG(seed, seed)),
+		refused: map[string]int{},
+	}
 	for i := range soakWorkers {
 		w := s.startWorker(ctx, fmt.Sprint("i-", i), fmt.Sprint("v", i%2))
 		s.arm(ctx, w)
@@ -145,8 +141,6 @@
 func (s *versionSoak) injectFaults(ctx context.Context) {
 	g := group.NewGroup(ctx)
 	until := s.timer.Now().Add(*soakTime)
-	busy := map[string]bool{}
-	var mu sync.Mutex
 	for s.timer.Now().Before(until) {
 		_ = s.timer.Sleep(ctx, time.Duration(200+s.random.IntN(500))*time.Millisecond)
 		d := time.Duration(200+s.random.IntN(800)) * time.Millisecond
@@ -157,19 +151,13 @@
 		if kind >= 2 {
 			name = w.id
 		}
-		mu.Lock()
-		taken := busy[name]
-		busy[name] = true
-		mu.Unlock()
-		if taken {
+		if !s.hosts.reserve(name) {
 			continue
 		}
 		version := fmt.Sprint("v", s.random.IntN(3))
 		g.Go("fault", func(ctx context.Context) error {
+			defer s.hosts.release(name)
 			s.play(ctx, kind, host, w, version, d)
-			mu.Lock()
-			defer mu.Unlock()
-			delete(busy, name)
 			return nil
 		})
 	}
@@ -178,21 +166,11 @@
 
 // play plays one fault: a host is killed or suspended, or a worker crashes and comes back with its version or another one.
 func (s *versionSoak) play(ctx context.Context, kind int, host string, w *platformWorker, version string, d time.Duration) {
-	s.mu.Lock()
-	p := s.processes[host]
-	s.mu.Unlock()
 	switch kind {
 	case 0:
-		_ = p.Process.Kill()
-		_ = p.Wait()
-		_ = s.timer.Sleep(ctx, d)
-		s.mu.Lock()
-		s.start(host)
-		s.mu.Unlock()
+		s.hosts.crash(ctx, host, d)
 	case 1:
-		_ = p.Process.Signal(syscall.SIGSTOP)
-		_ = s.timer.Sleep(ctx, d)
-		_ = p.Process.Signal(syscall.SIGCONT)
+		s.hosts.suspend(ctx, host, d)
 	default:
 		w.crash()
 		_ = s.timer.Sleep(ctx, d)
--- a/cmd/siskinrun/soak_test.go
+++ b/cmd/siskinrun/soak_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -52,9 +51,9 @@
 	links   map[string]map[string]*proxy
 	runs    *runCounts
 	started time.Time
+	reservations
 
 	mu          sync.Mutex
-	faulted     map[string]bool
 	calls       []callRecord
 	events      []string
 	withdrawnAt map[string]time.Time
@@ -63,13 +62,7 @@
 // TestSoak injects random faults, reproducible by seed, into host processes and their links while calls, a batch job and
 // key changes run. It checks the answers of all calls against the runs that the back ends counted.
 func TestSoak(t *testing.T) {
-	seeds := slices.Clone(failedSeeds)
-	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(i))
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { newSoak(t, seed).playFaults() })
-	}
+	playSeeds(t, failedSeeds, func(t *testing.T, seed uint64) { newSoak(t, seed).playFaults() })
 }
 
 // newSoak creates a fleet in which each host reaches each other host through a separate proxy.
@@ -77,7 +70,7 @@
 	is := is.New(t)
 	s := &soak{
 		fleet: newFleet(t), random: rand.New(rand.NewPCG(seed, 5)), links: map[string]map[string]*proxy{},
-		runs: &runCounts{byBody: map[string]int{}}, faulted: map[string]bool{}, withdrawnAt: map[string]time.Time{},
+		runs: &runCounts{byBody: map[string]int{}}, withdrawnAt: map[string]time.Time{},
 	}
 	s.ownOverlays = true
 	const once = `"once": {"prefix": "/once/", "service": "desk", "repeatable": false, "price": 1, "timeout": "3s"},`
