--- a/internal/state/control/fleet_test.go
+++ b/internal/state/control/fleet_test.go
@@ -19,7 +19,10 @@
 	"siskinrun/internal/base/statemachine"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/state/control"
+	"siskinrun/internal/state/identity"
 	"siskinrun/internal/state/proposal"
+	"siskinrun/pkg/refusal"
+	"siskinrun/pkg/verdict"
 )
 
 // counter is a state machine that counts its commands.
@@ -170,3 +173,63 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// leader waits until a host leads the group and returns that host.
+func (f *fleet) leader(group uint32) *host {
+	ctx := testContext(f.t)
+	for ctx.Err() == nil {
+		for _, h := range f.hosts {
+			if h.control.Lead(group).Leading {
+				return h
+			}
+		}
+		pause()
+	}
+	f.t.Fatal("no host leads")
+	return nil
+}
+
+// awaitRepaired waits until the leader of the group reports it repaired.
+func (f *fleet) awaitRepaired(group uint32) {
+	f.await(func() bool { return f.leader(group).control.Status(group).Repaired })
+}
+
+// await waits until a condition is met.
+func (f *fleet) await(met func() bool) {
+	ctx := testContext(f.t)
+	for !met() {
+		if ctx.Err() != nil {
+			f.t.Fatal("the condition was not met in time")
+		}
+		pause()
+	}
+}
+
+func (f *fleet) propose(h *host, group uint32, times int) {
+	for range times {
+		if _, err := h.client.Propose(testContext(f.t), group, make([]byte, 500)); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+func (f *fleet) wantApplied(h *host, group uint32, n int) {
+	if _, err := h.client.Confirm(testContext(f.t), group); err != nil {
+		f.t.Fatal(err)
+	}
+	if v := h.counters[group].value(); v != uint64(n) {
+		f.t.Fatalf("%s has applied %d commands of group %d, want %d", h.name, v, group, n)
+	}
+}
+
+// replaceMember retries until the new host has joined the cluster.
+func (f *fleet) replaceMember(at *host, old identity.Identity, host string) error {
+	ctx := testContext(f.t)
+	for {
+		err := at.control.Replace(ctx, old, host)
+		if err == nil || refusal.Of(err).Verdict != verdict.NotRun || ctx.Err() != nil {
+			return err
+		}
+		pause()
+	}
+}
