--- /dev/null
+++ b/internal/measure/burnrate/minutes.go
@@ -0,0 +1,82 @@
+package burnrate
+
+import (
+	"siskinrun/internal/data/callrecord"
+	"siskinrun/internal/measure/burnreport"
+)
+
+// minute counts the online answers of an upstream in one minute and records whether batch calls ran.
+type minute struct {
+	number         int64
+	answered, late uint32
+	batch          bool
+}
+
+// markBatch marks the minutes in which a batch call ran.
+func (b *Tracker) markBatch(r callrecord.Record) {
+	end := r.EndedAt.Unix() / secondsPerMinute
+	start := r.EndedAt.Add(-r.Total+r.Waited).Unix() / secondsPerMinute
+	for n := max(start, end-minutesKept+1); n <= end; n++ {
+		if m := b.minuteOf(r.Upstream, n); m != nil {
+			m.batch = true
+		}
+	}
+}
+
+// minuteOf returns minute n of an upstream, or nil if it has been overwritten or the limit of upstreams is reached.
+func (b *Tracker) minuteOf(upstream string, n int64) *minute {
+	if upstream == "" {
+		return nil
+	}
+	u := b.upstreams[upstream]
+	if u == nil {
+		if len(b.upstreams) >= maxUpstreams {
+			b.evictIdleUpstreams(n)
+		}
+		if len(b.upstreams) >= maxUpstreams {
+			return nil
+		}
+		u = &[minutesKept]minute{}
+		b.upstreams[upstream] = u
+	}
+	m := &u[n%minutesKept]
+	if m.number > n {
+		return nil
+	}
+	if m.number < n {
+		*m = minute{number: n}
+	}
+	return m
+}
+
+// evictIdleUpstreams removes upstreams without a call in the minutes kept.
+func (b *Tracker) evictIdleUpstreams(now int64) {
+	for name, u := range b.upstreams {
+		idle := true
+		for _, m := range u {
+			idle = idle && m.number <= now-minutesKept
+		}
+		if idle {
+			delete(b.upstreams, name)
+		}
+	}
+}
+
+func (b *Tracker) reportMinutes(now int64) []burnreport.Minute {
+	var l []burnreport.Minute
+	for name, u := range b.upstreams {
+		for _, m := range u {
+			if m.number <= now-minutesKept || m.answered == 0 && !m.batch {
+				continue
+			}
+			l = append(l, burnreport.Minute{
+				Upstream: name,
+				Start:    m.number,
+				Answered: int64(m.answered),
+				Late:     int64(m.late),
+				Batch:    m.batch,
+			})
+		}
+	}
+	return l
+}
