--- a/internal/data/upstream/upstream.go
+++ b/internal/data/upstream/upstream.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "siskinrun/internal/base/duration"
+import (
+	"slices"
+
+	"siskinrun/internal/base/duration"
+)
 
 const (
 	// Engine is the kind of an upstream that runs models.
@@ -42,3 +46,11 @@
 	// Age is the time since the upstream sent the announcement.
 	Age duration.Duration `json:"age,omitempty"`
 }
+
+// SameContent reports whether two upstreams agree in everything but Age and Sequence.
+func (u Upstream) SameContent(v Upstream) bool {
+	return u.Name == v.Name && u.Address == v.Address && u.FailureDomain == v.FailureDomain &&
+		u.Kind == v.Kind && u.Service == v.Service && u.Version == v.Version && u.Role == v.Role && u.Slots == v.Slots &&
+		u.Fencing == v.Fencing && u.Incarnation == v.Incarnation && u.Leaving == v.Leaving &&
+		slices.Equal(u.Models, v.Models)
+}
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -191,15 +190,6 @@
 	return ok
 }
 
-// Upstreams returns the known upstreams, including leaving ones; the slice must not be changed.
-func (r *Service) Upstreams() []upstream.Upstream {
-	v := r.current.Load()
-	if v == nil {
-		return nil
-	}
-	return *v
-}
-
 // Alive reports whether a host is known and neither suspected here nor declared dead.
 func (r *Service) Alive(host string) bool {
 	r.once.Do(r.init)
@@ -216,13 +206,6 @@
 	return r.membership.Hosts()
 }
 
-// Subscribe calls f with the upstreams whenever they change; f must not call methods that change the view.
-func (r *Service) Subscribe(f func([]upstream.Upstream)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.subscribers = append(r.subscribers, f)
-}
-
 func (r *Service) init() {
 	if r.Boot == 0 {
 		r.Boot = uint64(r.Timer.Now().UnixNano())
@@ -238,38 +221,6 @@
 	r.membership.Expiry = r.Expiry
 }
 
-// publishUpstreams publishes the upstreams and calls the subscribers if they changed. Without a new version it returns
-// early, unless expired asks it to look for expired upstreams.
-func (r *Service) publishUpstreams(expired bool) {
-	r.publishMu.Lock()
-	defer r.publishMu.Unlock()
-	r.mu.Lock()
-	v := r.membership.Version()
-	if v == r.version && !expired {
-		r.mu.Unlock()
-		return
-	}
-	r.version = v
-	u := r.membership.Upstreams(r.Timer.Now())
-	l := slices.Clone(r.subscribers)
-	r.mu.Unlock()
-	old := r.current.Swap(&u)
-	if old != nil && slices.EqualFunc(*old, u, sameUpstream) || old == nil && len(u) == 0 {
-		return
-	}
-	for _, f := range l {
-		f(u)
-	}
-}
-
-// sameUpstream reports whether two upstreams agree in everything but Age and Beat.
-func sameUpstream(a, b upstream.Upstream) bool {
-	return a.Name == b.Name && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.Kind == b.Kind && a.Service == b.Service && a.Version == b.Version && a.Role == b.Role && a.Slots == b.Slots &&
-		a.Fencing == b.Fencing && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving &&
-		slices.Equal(a.Models, b.Models)
-}
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -117,9 +117,9 @@
 		return false
 	}
 	if !supersedes(a, old) {
-		return old != nil && sameContent(u, old.upstream)
+		return old != nil && u.SameContent(old.upstream)
 	}
-	if old != nil && sameContent(u, old.upstream) && createdAt.Sub(old.createdAt) < RenewalAge {
+	if old != nil && u.SameContent(old.upstream) && createdAt.Sub(old.createdAt) < RenewalAge {
 		return true
 	}
 	a.origin = m.nextOrigin()
@@ -251,7 +251,7 @@
 	a.fillFrom(old)
 	a.settleVersion(old)
 	m.announcements[a.upstream.Name] = a
-	if old == nil || !sameContent(a.upstream, old.upstream) {
+	if old == nil || !a.upstream.SameContent(old.upstream) {
 		m.version++
 	}
 	if !a.upstream.Leaving || old != nil && old.upstream.Leaving && old.upstream.Incarnation == a.upstream.Incarnation {
--- a/internal/fleet/membership/precedence.go
+++ b/internal/fleet/membership/precedence.go
@@ -10,7 +10,7 @@
 )
 
 // supersedes reports whether announcement a replaces b for the same upstream name. The newer incarnation wins; within
-// one, a leave, then the higher Beat if both have one, then the lower address that is not empty, then the one with a
+// one, a leave, then the higher Sequence if both have one, then the lower address that is not empty, then the one with a
 // version, then the later one.
 func supersedes(a, b *announcement) bool {
 	if b == nil {
@@ -56,13 +56,6 @@
 	return a.measuredAt.Sub(b.measuredAt) > ageTolerance/10
 }
 
-// sameContent reports whether two announcements agree in everything but Age and Beat.
-func sameContent(a, b upstream.Upstream) bool {
-	return a.Address == b.Address && a.FailureDomain == b.FailureDomain && a.Kind == b.Kind &&
-		a.Service == b.Service && a.Version == b.Version && a.Role == b.Role && a.Slots == b.Slots && a.Fencing == b.Fencing &&
-		a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && slices.Equal(a.Models, b.Models)
-}
-
 // sortedUpstreams returns the upstreams ordered by name with their ages.
 func sortedUpstreams(now time.Time, l map[string]*announcement) []upstream.Upstream {
 	var out []upstream.Upstream
