--- a/internal/measure/costprobe/costprobe.go
+++ b/internal/measure/costprobe/costprobe.go
@@ -50,7 +50,10 @@
 	if err := errors.CombineErrors(warmup.measureRoutes(), warmup.measureJobs()); err != nil {
 		return nil, err
 	}
-	for _, f := range []func() error{p.measurePicker, p.measureAdmission, p.measureFairQueue, p.measureMembership, p.measureBurnRate, p.measureDecisionLog, p.measureTeams, p.measureKeys, p.measureRoutes, p.measureItems, p.measureJobs} {
+	for _, f := range []func() error{
+		p.measurePicker, p.measureAdmission, p.measureFairQueue, p.measureMembership, p.measureBurnRate, p.measureDecisionLog,
+		p.measureTeams, p.measureKeys, p.measureRoutes, p.measureItems, p.measureJobs,
+	} {
 		if err := f(); err != nil {
 			return nil, err
 		}
--- a/internal/measure/costprobe/online.go
+++ b/internal/measure/costprobe/online.go
@@ -159,39 +159,33 @@
 }
 
 func (p *Probe) measureBurnRate() error {
-	recordTime := p.newCurve("burn", "ns a record", "series", TargetSeries)
-	stateBytes := p.newCurve("burn", "state bytes", "series", TargetSeries)
-	for _, n := range []int{500, 2000, 4000, 8000} {
-		names := teamNames(n)
-		before := heapBytes()
+	return p.measureAdding("burn", "series", TargetSeries, []int{500, 2000, 4000, 8000}, func(names []string) func(i int) {
 		b := burnrate.NewTracker("h")
-		add := func(i int) {
-			b.Add(callrecord.Record{Team: names[i%n], Status: 200, Upstream: names[i%slots], EndedAt: p.now}, route.Route{})
-		}
-		for i := range n {
-			add(i)
-		}
-		stateBytes.Add(float64(n), heapBytes()-before)
-		v, err := cpuTimePerRun(add)
-		if err != nil {
-			return err
+		return func(i int) {
+			b.Add(callrecord.Record{Team: names[i%len(names)], Status: 200, Upstream: names[i%slots], EndedAt: p.now}, route.Route{})
 		}
-		recordTime.Add(float64(n), v)
-		runtime.KeepAlive(b)
-	}
-	return nil
+	})
 }
 
 func (p *Probe) measureDecisionLog() error {
-	recordTime := p.newCurve("decisions", "ns a record", "decisions", decisionlog.DefaultSize)
-	stateBytes := p.newCurve("decisions", "state bytes", "decisions", decisionlog.DefaultSize)
-	for _, n := range []int{1024, 2048, 4096, 8192} {
-		names := teamNames(slots)
-		before := heapBytes()
-		t := decisionlog.NewLog("h", n)
-		add := func(i int) {
+	sizes := []int{1024, 2048, 4096, 8192}
+	return p.measureAdding("decisions", "decisions", decisionlog.DefaultSize, sizes, func(names []string) func(i int) {
+		t := decisionlog.NewLog("h", len(names))
+		return func(i int) {
 			t.Add(callrecord.Record{ID: fmt.Sprint("req-", i), Team: names[i%slots], Upstream: names[i%slots], EndedAt: p.now})
 		}
+	})
+}
+
+// measureAdding measures a component to which calls are added, filled with as many as its size; create returns the function
+// that adds call i to a new one.
+func (p *Probe) measureAdding(area, dimension string, target float64, sizes []int, create func(names []string) func(i int)) error {
+	recordTime := p.newCurve(area, "ns a record", dimension, target)
+	stateBytes := p.newCurve(area, "state bytes", dimension, target)
+	for _, n := range sizes {
+		names := teamNames(n)
+		before := heapBytes()
+		add := create(names)
 		for i := range n {
 			add(i)
 		}
@@ -201,7 +195,6 @@
 			return err
 		}
 		recordTime.Add(float64(n), v)
-		runtime.KeepAlive(t)
 	}
 	return nil
 }
