--- a/internal/wire/listener/listener_test.go
+++ b/internal/wire/listener/listener_test.go
@@ -13,29 +13,44 @@
 	"siskinrun/internal/wire/listener"
 )
 
-// TestRequestArrivingDuringIdleCloseIsNotRead guards against a request that arrives on a connection already chosen for
-// closing: the server must not read it, since the close would cut off its answer.
-func TestRequestArrivingDuringIdleCloseIsNotRead(t *testing.T) {
+// openConnection returns a listener with one connection, the caller's end of it and the accepted one.
+func openConnection(t *testing.T, m *timer.Service) (l *listener.Listener, caller, accepted net.Conn) {
+	t.Helper()
 	is := is.New(t)
-	m := timer.NewManual(time.Unix(1000, 0))
 	in, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := &listener.Listener{Listener: in, Timer: m}
-	c, err := net.Dial("tcp", in.Addr().String())
+	l = &listener.Listener{Listener: in, Timer: m}
+	caller, err = net.Dial("tcp", in.Addr().String())
 	is.NoErr(err)
-	s, err := l.Accept()
+	accepted, err = l.Accept()
 	is.NoErr(err)
-	_, err = c.Write([]byte("a"))
+	return l, caller, accepted
+}
+
+// begunRequest returns an open connection on which the first byte of a request has been read.
+func begunRequest(t *testing.T, m *timer.Service) (l *listener.Listener, caller, accepted net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	l, caller, accepted = openConnection(t, m)
+	_, err := caller.Write([]byte("a"))
 	is.NoErr(err)
-	b := make([]byte, 1)
-	n, err := s.Read(b)
+	n, err := accepted.Read(make([]byte, 1))
 	is.NoErr(err)
 	is.Equal(n, 1)
-	_, err = c.Write([]byte("b"))
+	return l, caller, accepted
+}
+
+// TestRequestArrivingDuringIdleCloseIsNotRead guards against a request that arrives on a connection already chosen for
+// closing: the server must not read it, since the close would cut off its answer.
+func TestRequestArrivingDuringIdleCloseIsNotRead(t *testing.T) {
+	is := is.New(t)
+	m := timer.NewManual(time.Unix(1000, 0))
+	l, c, s := begunRequest(t, m)
+	_, err := c.Write([]byte("b"))
 	is.NoErr(err)
 	m.Advance(3 * time.Second)
 	l.CloseIdle(2*time.Second, 2*time.Second)
-	n, err = s.Read(b)
+	n, err := s.Read(make([]byte, 1))
 	is.True(n == 0 && err != nil)
 	is.Equal(l.OpenConns(), 0)
 }
@@ -44,13 +59,7 @@
 func TestBusyConnectionsStayOpen(t *testing.T) {
 	is := is.New(t)
 	m := timer.NewManual(time.Unix(1000, 0))
-	in, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	l := &listener.Listener{Listener: in, Timer: m}
-	_, err = net.Dial("tcp", in.Addr().String())
-	is.NoErr(err)
-	s, err := l.Accept()
-	is.NoErr(err)
+	l, _, s := openConnection(t, m)
 	done := l.MarkBusy(s)
 	m.Advance(time.Minute)
 	l.CloseIdle(2*time.Second, 2*time.Second)
@@ -83,29 +92,11 @@
 	is.NoErr(g.Wait())
 }
 
-// begunRequest returns a listener with a connection on which the first byte of a request has been read.
-func begunRequest(t *testing.T, m *timer.Service) (*listener.Listener, net.Conn) {
-	t.Helper()
-	is := is.New(t)
-	in, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	l := &listener.Listener{Listener: in, Timer: m}
-	c, err := net.Dial("tcp", in.Addr().String())
-	is.NoErr(err)
-	s, err := l.Accept()
-	is.NoErr(err)
-	_, err = c.Write([]byte("a"))
-	is.NoErr(err)
-	_, err = s.Read(make([]byte, 1))
-	is.NoErr(err)
-	return l, s
-}
-
 // TestRequestUnderWayIsNotIdle guards against a close inside a request that comes slowly.
 func TestRequestUnderWayIsNotIdle(t *testing.T) {
 	is := is.New(t)
 	m := timer.NewManual(time.Unix(1000, 0))
-	l, s := begunRequest(t, m)
+	l, _, s := begunRequest(t, m)
 	m.Advance(2 * time.Second)
 	l.CloseIdle(time.Second, 3*time.Second)
 	is.Equal(l.OpenConns(), 1)
@@ -119,7 +110,7 @@
 func TestStalledRequestIsClosed(t *testing.T) {
 	is := is.New(t)
 	m := timer.NewManual(time.Unix(1000, 0))
-	l, _ := begunRequest(t, m)
+	l, _, _ := begunRequest(t, m)
 	m.Advance(3 * time.Second)
 	l.CloseIdle(time.Second, 3*time.Second)
 	is.Equal(l.OpenConns(), 0)
