--- a/internal/state/storage/storage_test.go
+++ b/internal/state/storage/storage_test.go
@@ -41,15 +41,23 @@
 	return err
 }
 
-func TestLogFollowsTheSnapshot(t *testing.T) {
+// filledStorage returns an open storage of 20 entries, each written alone.
+func filledStorage(t *testing.T, folder string) *storage.Storage {
+	t.Helper()
 	is := is.New(t)
-	f := t.TempDir()
-	s := newStorage(t, f)
+	s := newStorage(t, folder)
 	_, err := s.Open()
 	is.NoErr(err)
 	for _, e := range newEffects(1, 20, 3) {
 		is.NoErr(s.Write([]effect.Effect{e}))
 	}
+	return s
+}
+
+func TestLogFollowsTheSnapshot(t *testing.T) {
+	is := is.New(t)
+	f := t.TempDir()
+	s := filledStorage(t, f)
 	is.NoErr(s.Write([]effect.Effect{{Ballot: &ballot.Ballot{Term: 4}}}))
 	is.NoErr(s.Snapshot(12, 3, members, writeState))
 	is.NoErr(s.Compact(12))
@@ -90,14 +98,9 @@
 func TestLogWithoutItsSnapshotIsRefused(t *testing.T) {
 	is := is.New(t)
 	f := t.TempDir()
-	s := newStorage(t, f)
-	_, err := s.Open()
-	is.NoErr(err)
-	for _, e := range newEffects(1, 20, 3) {
-		is.NoErr(s.Write([]effect.Effect{e}))
-	}
+	s := filledStorage(t, f)
 	is.NoErr(s.Compact(12))
-	_, err = newStorage(t, f).Open()
+	_, err := newStorage(t, f).Open()
 	is.True(err != nil)
 }
 
