--- a/internal/product/simulation/rules_test.go
+++ b/internal/product/simulation/rules_test.go
@@ -64,7 +64,7 @@
 			t.Parallel()
 			s := timer.NewService()
 			began := s.Now()
-			tally := map[string]int{}
+			totals := map[string]int{}
 			runs, steps := uint64(0), 0
 			for seed := *firstSeed + p; ; seed += shards {
 				if *duration > 0 && s.Now().Sub(began) >= *duration || *duration == 0 && seed >= *firstSeed+*seeds {
@@ -80,12 +80,15 @@
 				runs++
 				steps += w.steps
 				for k, n := range w.counts {
-					tally[k] += n
+					totals[k] += n
 				}
 			}
-			t.Logf("%d seeds, %d steps: %v", runs, steps, tally)
-			for _, k := range []string{"admitted", "received", "not-run", "may-have-run", "ran", "left", "leaving-answers", "changes", "items-completed", "items-yielded", "orders"} {
-				if runs > 0 && tally[k] == 0 {
+			t.Logf("%d seeds, %d steps: %v", runs, steps, totals)
+			for _, k := range []string{
+				"admitted", "received", "not-run", "may-have-run", "ran", "left", "leaving-answers", "changes", "items-completed",
+				"items-yielded", "orders",
+			} {
+				if runs > 0 && totals[k] == 0 {
 					t.Errorf("no run had any %s", k)
 				}
 			}
