--- a/internal/wire/ingress/close_test.go
+++ b/internal/wire/ingress/close_test.go
@@ -5,18 +5,15 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/base/group"
-	"siskinrun/internal/base/timer"
 	"siskinrun/internal/wire/ingress"
 )
 
@@ -76,27 +73,16 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			ctx, stop := context.WithCancel(t.Context())
-			defer stop()
-			g := group.NewGroup(t.Context())
-			m := timer.NewService()
-			g.Go("timer", m.Run)
-			s := &ingress.Server{Listener: l, Timer: m, Log: zerolog.Nop(), Dialect: readingDialect{}, StopTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second}
-			g.Go("server", func(context.Context) error { return s.Run(ctx) })
-			k, err := net.Dial("tcp", l.Addr().String())
-			is.NoErr(err)
-			defer func() { _ = k.Close() }()
+			k, stop := serve(t, &ingress.Server{Dialect: readingDialect{}, StopTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second})
 			_ = k.SetReadDeadline(time.Now().Add(10 * time.Second))
 			in := bufio.NewReader(k)
 			_, _ = io.WriteString(k, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
-			_, err = http.ReadResponse(in, nil)
+			_, err := http.ReadResponse(in, nil)
 			is.NoErr(err)
 			if c.stop == beforeRequest {
 				stop()
 			}
-			g.Go("caller", func(context.Context) error {
+			group.NewGroup(t.Context()).Go("caller", func(context.Context) error {
 				head, rest, _ := strings.Cut(c.request, "\r\n\r\n")
 				_, _ = io.WriteString(k, head+"\r\n\r\n")
 				time.Sleep(50 * time.Millisecond) // the answer has begun
--- a/internal/wire/ingress/endless_test.go
+++ b/internal/wire/ingress/endless_test.go
@@ -4,18 +4,14 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
-	"siskinrun/internal/base/group"
-	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/wire/ingress"
 	"siskinrun/pkg/refusal"
@@ -71,21 +67,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			ctx, stop := context.WithCancel(context.Background())
-			g := group.NewGroup(context.Background())
-			m := timer.NewService()
-			clock, end := context.WithCancel(context.Background())
-			defer end()
-			g.Go("timer", func(context.Context) error { return m.Run(clock) })
-			s := &ingress.Server{Listener: l, Timer: m, Log: zerolog.Nop(), StopTimeout: time.Second}
+			s := &ingress.Server{StopTimeout: time.Second}
 			s.Dialect = &scriptedExchange{server: s, text: c.text, err: c.err}
-			g.Go("server", func(context.Context) error { return s.Run(ctx) })
-			defer stop()
-			k, err := net.Dial("tcp", l.Addr().String())
-			is.NoErr(err)
-			defer func() { _ = k.Close() }()
+			k, _ := serve(t, s)
 			_, _ = io.WriteString(k, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 			r, err := http.ReadResponse(bufio.NewReader(k), nil)
 			is.NoErr(err) // a status line came
