--- a/cmd/siskinrun/crashing_prompt_test.go
+++ b/cmd/siskinrun/crashing_prompt_test.go
@@ -70,24 +70,29 @@
 
 func (f *crashFleet) startWorkers(ctx context.Context) {
 	for i := range crashWorkers {
-		w := f.startWorker(ctx, fmt.Sprint("i-", i), "v1")
-		w.mu.Lock()
-		w.deadly = deadlyPart
-		w.received = func(prompt string) {
-			if isDeadly(prompt) {
-				f.crashes.add(&f.crashes.sends, f.timer.Now())
-			}
-		}
-		w.ended = func(w *platformWorker) {
-			f.crashes.add(&f.crashes.ended, f.timer.Now())
-			f.group.Go("return", func(context.Context) error {
-				if f.timer.Sleep(ctx, workerReturn) == nil {
-					w.restart(ctx, w.currentVersion())
-				}
-				return nil
-			})
+		f.arm(ctx, f.startWorker(ctx, fmt.Sprint("i-", i), "v1"), nil)
+	}
+}
+
+// arm lets a worker crash on the deadly part, and on requests for which begins returns true, and come back.
+func (f *crashFleet) arm(ctx context.Context, w *platformWorker, begins func(q *http.Request) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deadly = deadlyPart
+	w.begins = begins
+	w.received = func(prompt string) {
+		if isDeadly(prompt) {
+			f.crashes.add(&f.crashes.sends, f.timer.Now())
 		}
-		w.mu.Unlock()
+	}
+	w.ended = func(w *platformWorker) {
+		f.crashes.add(&f.crashes.ended, f.timer.Now())
+		f.group.Go("return", func(context.Context) error {
+			if f.timer.Sleep(ctx, workerReturn) == nil {
+				w.restart(ctx, w.currentVersion())
+			}
+			return nil
+		})
 	}
 }
 
--- a/cmd/siskinrun/limit_soak_test.go
+++ b/cmd/siskinrun/limit_soak_test.go
@@ -69,10 +69,7 @@
 		limits: map[string][]limitSpell{}, restarts: map[string][]time.Time{},
 	}
 	for i := range limitSoakWorkers {
-		w := &platformWorker{
-			fleet: p, id: fmt.Sprint("i-", i), service: "lm", version: "v1", born: 1, alive: true,
-			zone: string(rune('a' + i%len(platformEntries))),
-		}
+		w := newLimitedWorker(p, i)
 		s.schedule(w)
 		p.run(ctx, w)
 		s.workers = append(s.workers, w)
@@ -250,7 +247,7 @@
 		}
 		highest = max(highest, k.limit)
 	}
-	return limitFactor*highest*limitSpan.Seconds() + limitSlack, true
+	return mostInSpan(highest), true
 }
 
 // disturbed reports whether the entry host that a request's ID names was disturbed within two times.
--- a/cmd/siskinrun/platform_soak_test.go
+++ b/cmd/siskinrun/platform_soak_test.go
@@ -70,7 +70,7 @@
 	}
 	for i := range soakWorkers {
 		w := s.startWorker(ctx, fmt.Sprint("i-", i), fmt.Sprint("v", i%2))
-		s.arm(ctx, w)
+		s.arm(ctx, w, s.beginsWhole)
 		s.workers = append(s.workers, w)
 	}
 	s.await(ctx, "readiness", func() error { return s.ready(ctx) })
@@ -106,28 +106,6 @@
 	is.True(s.takenUp < minTakeUps || 2*s.wentOn*s.opened >= s.begun*s.takenUp)
 }
 
-// arm lets a worker crash on the deadly part, and come back.
-func (s *versionSoak) arm(ctx context.Context, w *platformWorker) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.deadly = deadlyPart
-	w.begins = s.beginsWhole
-	w.received = func(prompt string) {
-		if isDeadly(prompt) {
-			s.crashes.add(&s.crashes.sends, s.timer.Now())
-		}
-	}
-	w.ended = func(w *platformWorker) {
-		s.crashes.add(&s.crashes.ended, s.timer.Now())
-		s.group.Go("return", func(context.Context) error {
-			if s.timer.Sleep(ctx, workerReturn) == nil {
-				w.restart(ctx, w.currentVersion())
-			}
-			return nil
-		})
-	}
-}
-
 // beginsWhole counts requests that are deadly as a whole, and reports whether a request is one.
 func (s *versionSoak) beginsWhole(q *http.Request) bool {
 	if q.URL.Path != deadlyPath {
--- a/cmd/siskinrun/upstream_limit_test.go
+++ b/cmd/siskinrun/upstream_limit_test.go
@@ -43,6 +43,19 @@
 	refused map[string]bool
 }
 
+// newLimitedWorker returns a worker that is still to name its limit.
+func newLimitedWorker(f *platformFleet, i int) *platformWorker {
+	return &platformWorker{
+		fleet: f, id: fmt.Sprint("i-", i), service: "lm", version: "v1", born: 1, alive: true,
+		zone: string(rune('a' + i%len(platformEntries))),
+	}
+}
+
+// mostInSpan returns how many requests a worker may get in a limitSpan.
+func mostInSpan(limit float64) float64 {
+	return limitFactor*limit*limitSpan.Seconds() + limitSlack
+}
+
 // refuse records that a request was answered 503.
 func (l *limitedWorkers) refuse(id string) {
 	l.mu.Lock()
@@ -84,10 +97,7 @@
 	p, ctx := newPlatformFleetOf(t, platformHosts(limitHosts))
 	f := &limitFleet{platformFleet: p}
 	for i := range limitWorkers {
-		w := &platformWorker{
-			fleet: p, id: fmt.Sprint("i-", i), service: "lm", version: "v1", born: 1, alive: true,
-			zone: string(rune('a' + i%len(platformEntries))),
-		}
+		w := newLimitedWorker(p, i)
 		if i < limited {
 			w.limit = f.limit
 		}
@@ -249,7 +259,7 @@
 		m, n := most(runs, known, end), between(runs, known, end)
 		later += between(runs, end.Add(limitLearning), end.Add(limitLearning+limitSpan))
 		t.Logf("worker %d: %d at the most in a span, %d in all while the limit was known", i, m, n)
-		is.True(float64(m) <= limitFactor*namedLimit*limitSpan.Seconds()+limitSlack)
+		is.True(float64(m) <= mostInSpan(namedLimit))
 		is.True(float64(n) >= limitUse*namedLimit*end.Sub(known).Seconds())
 	}
 	t.Logf("%d requests, statuses %v; %d at the limited workers in a span after their limits had ended", r.sent, r.statuses, later)
@@ -269,7 +279,7 @@
 		runs := w.ran()
 		m, n := most(runs, known, end), between(runs, known, end)
 		t.Logf("worker %d: %d at the most in a span, %d in all while the limit was known", i, m, n)
-		is.True(float64(m) <= limitFactor*namedLimit*limitSpan.Seconds()+limitSlack)
+		is.True(float64(m) <= mostInSpan(namedLimit))
 		is.True(float64(n) >= limitUse*namedLimit*end.Sub(known).Seconds())
 	}
 	slices.Sort(r.refusedAfter)
