--- a/internal/base/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -21,21 +21,21 @@
 }
 
 // Run serves until ctx ends and then shuts the server down.
-func (w *Server) Run(ctx context.Context) error {
+func (s *Server) Run(ctx context.Context) error {
 	g := group.NewGroup(ctx)
-	g.Go("serve", func(context.Context) error { return w.Server.Serve(w.Listener) })
+	g.Go("serve", func(context.Context) error { return s.Server.Serve(s.Listener) })
 	g.Go("stop", func(ctx context.Context) error {
 		<-ctx.Done()
-		w.stop(context.WithoutCancel(ctx))
+		s.stop(context.WithoutCancel(ctx))
 		return ctx.Err()
 	})
 	return g.Wait()
 }
 
 // stop shuts the server down. It also closes the listener, which a server that has not begun to serve does not know.
-func (w *Server) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, w.StopTimeout)
+func (s *Server) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.StopTimeout)
 	defer cancel()
-	_ = w.Server.ShutdownWithContext(ctx)
-	_ = w.Listener.Close()
+	_ = s.Server.ShutdownWithContext(ctx)
+	_ = s.Listener.Close()
 }
--- a/internal/config/configstore/check.go
+++ b/internal/config/configstore/check.go
@@ -39,12 +39,12 @@
 }
 
 // check makes sure that no two changes made the same version and that no change made a version later than now.
-func (m *dedupTable) check(now uint64) error {
-	if len(m.order) != len(m.outcomes) || len(m.hashOrder) != len(m.idHashes) {
+func (t *dedupTable) check(now uint64) error {
+	if len(t.order) != len(t.outcomes) || len(t.hashOrder) != len(t.idHashes) {
 		return errors.New("a change ID is recorded twice")
 	}
 	madeBy := map[uint64]string{}
-	for id, p := range m.outcomes {
+	for id, p := range t.outcomes {
 		o, err := changeoutcome.Decode(p.Outcome)
 		if err != nil {
 			return err
--- a/internal/config/configstore/dedup.go
+++ b/internal/config/configstore/dedup.go
@@ -41,37 +41,37 @@
 	return dedupTable{outcomes: map[string]decision{}, idHashes: map[idHash]uint64{}}
 }
 
-func (m *dedupTable) find(id string) (decision, bool) {
-	p, ok := m.outcomes[id]
+func (t *dedupTable) find(id string) (decision, bool) {
+	p, ok := t.outcomes[id]
 	return p, ok
 }
 
 // mayHaveApplied reports whether a change without a recorded outcome may have been applied long ago.
-func (m *dedupTable) mayHaveApplied(c *change.Change) bool {
-	_, ok := m.idHashes[hashID(c.ID)]
-	return ok || c.Base < m.droppedVersion
+func (t *dedupTable) mayHaveApplied(c *change.Change) bool {
+	_, ok := t.idHashes[hashID(c.ID)]
+	return ok || c.Base < t.droppedVersion
 }
 
-func (m *dedupTable) add(p decision, version uint64) {
+func (t *dedupTable) add(p decision, version uint64) {
 	p.Version = version
-	m.outcomes[p.ID] = p
-	m.order = append(m.order, p.ID)
-	for len(m.order) > maxOutcomes {
-		o := m.outcomes[m.order[0]]
-		delete(m.outcomes, o.ID)
-		m.order[0] = ""
-		m.order = m.order[1:]
-		m.addHash(hashID(o.ID), o.Version)
+	t.outcomes[p.ID] = p
+	t.order = append(t.order, p.ID)
+	for len(t.order) > maxOutcomes {
+		o := t.outcomes[t.order[0]]
+		delete(t.outcomes, o.ID)
+		t.order[0] = ""
+		t.order = t.order[1:]
+		t.addHash(hashID(o.ID), o.Version)
 	}
 }
 
-func (m *dedupTable) addHash(k idHash, version uint64) {
-	m.idHashes[k] = version
-	m.hashOrder = append(m.hashOrder, k)
-	for len(m.hashOrder) > maxIDHashes {
-		m.droppedVersion = max(m.droppedVersion, m.idHashes[m.hashOrder[0]])
-		delete(m.idHashes, m.hashOrder[0])
-		m.hashOrder = m.hashOrder[1:]
+func (t *dedupTable) addHash(k idHash, version uint64) {
+	t.idHashes[k] = version
+	t.hashOrder = append(t.hashOrder, k)
+	for len(t.hashOrder) > maxIDHashes {
+		t.droppedVersion = max(t.droppedVersion, t.idHashes[t.hashOrder[0]])
+		delete(t.idHashes, t.hashOrder[0])
+		t.hashOrder = t.hashOrder[1:]
 	}
 }
 
--- a/internal/measure/burnrate/burnrate.go
+++ b/internal/measure/burnrate/burnrate.go
@@ -52,19 +52,19 @@
 }
 
 // Add counts a finished call against the latency contract of its route.
-func (b *Tracker) Add(r callrecord.Record, contract route.Route) {
+func (t *Tracker) Add(r callrecord.Record, contract route.Route) {
 	if r.Batch {
-		b.markBatch(r)
+		t.markBatch(r)
 		return
 	}
 	c := classify(r, contract)
-	if m := b.minuteOf(r.Upstream, r.EndedAt.Unix()/secondsPerMinute); m != nil {
+	if m := t.minuteOf(r.Upstream, r.EndedAt.Unix()/secondsPerMinute); m != nil {
 		m.answered += c.answered
 		m.late += c.late
 	}
-	s := b.seriesOf(seriesKey{r.Team, r.Route}, r.EndedAt)
+	s := t.seriesOf(seriesKey{r.Team, r.Route}, r.EndedAt)
 	if s == nil {
-		b.dropped++
+		t.dropped++
 		return
 	}
 	for i, w := range windows {
@@ -100,18 +100,18 @@
 }
 
 // Report returns the counts of all windows as of now.
-func (b *Tracker) Report(now time.Time) *burnreport.Report {
+func (t *Tracker) Report(now time.Time) *burnreport.Report {
 	r := &burnreport.Report{
-		Hosts:     []string{b.Host},
+		Hosts:     []string{t.Host},
 		At:        now,
-		Objective: b.Objective,
-		Series:    make([]burnreport.Series, 0, len(b.series)),
-		Dropped:   b.dropped,
+		Objective: t.Objective,
+		Series:    make([]burnreport.Series, 0, len(t.series)),
+		Dropped:   t.dropped,
 	}
 	for _, w := range windows {
 		r.Windows = append(r.Windows, duration.Duration(w))
 	}
-	for k, s := range b.series {
+	for k, s := range t.series {
 		l := make([]burnreport.Counts, len(windows))
 		for i, w := range windows {
 			l[i] = s.sum(i, bucketNumber(now, w))
@@ -121,6 +121,6 @@
 		}
 	}
 	r.SortWorstFirst(r.Series)
-	r.Minutes = b.reportMinutes(now.Unix() / secondsPerMinute)
+	r.Minutes = t.reportMinutes(now.Unix() / secondsPerMinute)
 	return r
 }
--- a/internal/measure/burnrate/minutes.go
+++ b/internal/measure/burnrate/minutes.go
@@ -13,31 +13,31 @@
 }
 
 // markBatch marks the minutes in which a batch call ran.
-func (b *Tracker) markBatch(r callrecord.Record) {
+func (t *Tracker) markBatch(r callrecord.Record) {
 	end := r.EndedAt.Unix() / secondsPerMinute
 	start := r.EndedAt.Add(-r.Total+r.Waited).Unix() / secondsPerMinute
 	for n := max(start, end-minutesKept+1); n <= end; n++ {
-		if m := b.minuteOf(r.Upstream, n); m != nil {
+		if m := t.minuteOf(r.Upstream, n); m != nil {
 			m.batch = true
 		}
 	}
 }
 
 // minuteOf returns minute n of an upstream, or nil if it has been overwritten or the limit of upstreams is reached.
-func (b *Tracker) minuteOf(upstream string, n int64) *minute {
+func (t *Tracker) minuteOf(upstream string, n int64) *minute {
 	if upstream == "" {
 		return nil
 	}
-	u := b.upstreams[upstream]
+	u := t.upstreams[upstream]
 	if u == nil {
-		if len(b.upstreams) >= maxUpstreams {
-			b.evictIdleUpstreams(n)
+		if len(t.upstreams) >= maxUpstreams {
+			t.evictIdleUpstreams(n)
 		}
-		if len(b.upstreams) >= maxUpstreams {
+		if len(t.upstreams) >= maxUpstreams {
 			return nil
 		}
 		u = &[minutesKept]minute{}
-		b.upstreams[upstream] = u
+		t.upstreams[upstream] = u
 	}
 	m := &u[n%minutesKept]
 	if m.number > n {
@@ -50,21 +50,21 @@
 }
 
 // evictIdleUpstreams removes upstreams without a call in the minutes kept.
-func (b *Tracker) evictIdleUpstreams(now int64) {
-	for name, u := range b.upstreams {
+func (t *Tracker) evictIdleUpstreams(now int64) {
+	for name, u := range t.upstreams {
 		idle := true
 		for _, m := range u {
 			idle = idle && m.number <= now-minutesKept
 		}
 		if idle {
-			delete(b.upstreams, name)
+			delete(t.upstreams, name)
 		}
 	}
 }
 
-func (b *Tracker) reportMinutes(now int64) []burnreport.Minute {
+func (t *Tracker) reportMinutes(now int64) []burnreport.Minute {
 	var l []burnreport.Minute
-	for name, u := range b.upstreams {
+	for name, u := range t.upstreams {
 		for _, m := range u {
 			if m.number <= now-minutesKept || m.answered == 0 && !m.batch {
 				continue
--- a/internal/measure/burnrate/series.go
+++ b/internal/measure/burnrate/series.go
@@ -25,28 +25,28 @@
 type series [len(windows)][bucketsPerWindow]bucket
 
 // seriesOf returns the series of a team and route, or nil if the limit of series is reached.
-func (b *Tracker) seriesOf(k seriesKey, now time.Time) *series {
-	s := b.series[k]
+func (t *Tracker) seriesOf(k seriesKey, now time.Time) *series {
+	s := t.series[k]
 	if s != nil {
 		return s
 	}
-	if len(b.series) >= maxSeries {
-		b.evictIdleSeries(now)
+	if len(t.series) >= maxSeries {
+		t.evictIdleSeries(now)
 	}
-	if len(b.series) >= maxSeries {
+	if len(t.series) >= maxSeries {
 		return nil
 	}
 	s = &series{}
-	b.series[k] = s
+	t.series[k] = s
 	return s
 }
 
 // evictIdleSeries removes series without a call in the longest window.
-func (b *Tracker) evictIdleSeries(now time.Time) {
+func (t *Tracker) evictIdleSeries(now time.Time) {
 	n := bucketNumber(now, windows[longestWindow])
-	for k, s := range b.series {
+	for k, s := range t.series {
 		if s.sum(longestWindow, n) == (burnreport.Counts{}) {
-			delete(b.series, k)
+			delete(t.series, k)
 		}
 	}
 }
--- a/internal/measure/costcurve/costcurve.go
+++ b/internal/measure/costcurve/costcurve.go
@@ -19,12 +19,12 @@
 }
 
 // Fit returns the line that best fits the values.
-func (s *Curve) Fit() regression.Line {
-	return regression.Fit(s.Sizes, s.Values)
+func (c *Curve) Fit() regression.Line {
+	return regression.Fit(c.Sizes, c.Values)
 }
 
 // Add appends the value measured at a size.
-func (s *Curve) Add(size, value float64) {
-	s.Sizes = append(s.Sizes, size)
-	s.Values = append(s.Values, value)
+func (c *Curve) Add(size, value float64) {
+	c.Sizes = append(c.Sizes, size)
+	c.Values = append(c.Values, value)
 }
--- a/internal/measure/latency/latency.go
+++ b/internal/measure/latency/latency.go
@@ -25,34 +25,34 @@
 }
 
 // Add records one latency; a value outside the range counts as the nearest limit.
-func (l *Histogram) Add(d time.Duration) {
+func (h *Histogram) Add(d time.Duration) {
 	n := min(max(d.Microseconds(), minMicroseconds), maxMicroseconds)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_ = l.h.RecordValue(n)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.h.RecordValue(n)
 }
 
 // Merge adds all latencies of another histogram.
-func (l *Histogram) Merge(o *Histogram) {
+func (h *Histogram) Merge(o *Histogram) {
 	o.mu.Lock()
 	s := o.h.Export()
 	o.mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.h.Merge(hdrhistogram.Import(s))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.h.Merge(hdrhistogram.Import(s))
 }
 
 // Count returns the number of recorded latencies.
-func (l *Histogram) Count() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.h.TotalCount()
+func (h *Histogram) Count() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.h.TotalCount()
 }
 
 // Quantile returns the latency that the given share of all latencies does not exceed.
-func (l *Histogram) Quantile(share float64) time.Duration {
+func (h *Histogram) Quantile(share float64) time.Duration {
 	const percent = 100
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Duration(l.h.ValueAtQuantile(share*percent)) * time.Microsecond
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Duration(h.h.ValueAtQuantile(share*percent)) * time.Microsecond
 }
--- a/internal/measure/loadgen/batch.go
+++ b/internal/measure/loadgen/batch.go
@@ -163,11 +163,11 @@
 	}
 }
 
-func (v *resultLine) completionText() string {
+func (l *resultLine) completionText() string {
 	var b struct {
 		Choices []struct{ Text string }
 	}
-	if json.Unmarshal(v.Response.Body, &b) != nil || len(b.Choices) != 1 {
+	if json.Unmarshal(l.Response.Body, &b) != nil || len(b.Choices) != 1 {
 		return ""
 	}
 	return b.Choices[0].Text
--- a/internal/measure/loadgen/stats.go
+++ b/internal/measure/loadgen/stats.go
@@ -181,7 +181,7 @@
 	return w
 }
 
-func (w *teamPicker) pick(r *rand.Rand) string {
-	x := r.Float64() * w.cumulative[len(w.cumulative)-1]
-	return w.teams[sort.SearchFloat64s(w.cumulative, x)]
+func (t *teamPicker) pick(r *rand.Rand) string {
+	x := r.Float64() * t.cumulative[len(t.cumulative)-1]
+	return t.teams[sort.SearchFloat64s(t.cumulative, x)]
 }
--- a/internal/measure/regression/regression.go
+++ b/internal/measure/regression/regression.go
@@ -40,8 +40,8 @@
 }
 
 // At returns the value of the line at a size.
-func (f Line) At(x float64) float64 {
-	return f.Intercept + f.Slope*x
+func (l Line) At(x float64) float64 {
+	return l.Intercept + l.Slope*x
 }
 
 func mean(l []float64) float64 {
--- a/internal/product/command/configuration_test.go
+++ b/internal/product/command/configuration_test.go
@@ -30,22 +30,22 @@
 	*configstore.Store
 }
 
-func (r fakeFleet) Propose(_ context.Context, _ uint32, command []byte) ([]byte, error) {
-	return r.Apply(0, command), nil
+func (f fakeFleet) Propose(_ context.Context, _ uint32, command []byte) ([]byte, error) {
+	return f.Apply(0, command), nil
 }
 
-func (r fakeFleet) Fresh() bool                         { return true }
-func (r fakeFleet) Await(context.Context, uint64) error { return nil }
-func (r fakeFleet) Hosts(context.Context) []hoststatus.Status {
+func (f fakeFleet) Fresh() bool                         { return true }
+func (f fakeFleet) Await(context.Context, uint64) error { return nil }
+func (f fakeFleet) Hosts(context.Context) []hoststatus.Status {
 	return []hoststatus.Status{{Host: "nz-a-1"}}
 }
 
-func (r fakeFleet) Versions(_ context.Context, limit int) ([]revision.Revision, error) {
-	return r.Store.Versions(limit), nil
+func (f fakeFleet) Versions(_ context.Context, limit int) ([]revision.Revision, error) {
+	return f.Store.Versions(limit), nil
 }
 
-func (r fakeFleet) Diff(_ context.Context, from, to uint64) ([]difference.Difference, error) {
-	return r.Store.Diff(from, to)
+func (f fakeFleet) Diff(_ context.Context, from, to uint64) ([]difference.Difference, error) {
+	return f.Store.Diff(from, to)
 }
 
 // startStore serves a configuration store and returns it, with a function that runs a command against it and returns the
--- a/internal/standin/faultinjection/faultinjection.go
+++ b/internal/standin/faultinjection/faultinjection.go
@@ -35,23 +35,23 @@
 }
 
 // Set injects the fault into the next count requests.
-func (f *Injector) Set(kind string, count int) error {
+func (i *Injector) Set(kind string, count int) error {
 	if !kinds[kind] {
 		return errors.Newf("unknown fault %q", kind)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.remaining[kind] = count
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.remaining[kind] = count
 	return nil
 }
 
 // Take reports whether to inject the fault into this request, and consumes one if so.
-func (f *Injector) Take(kind string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.remaining[kind] <= 0 {
+func (i *Injector) Take(kind string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.remaining[kind] <= 0 {
 		return false
 	}
-	f.remaining[kind]--
+	i.remaining[kind]--
 	return true
 }
--- a/internal/standin/requestlog/requestlog.go
+++ b/internal/standin/requestlog/requestlog.go
@@ -27,31 +27,31 @@
 }
 
 // Record stores the header values of a request and, if run is set, counts a run of it.
-func (v *Log) Record(c *fasthttp.RequestCtx, run bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+func (l *Log) Record(c *fasthttp.RequestCtx, run bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if run {
-		v.runs[string(c.Request.Header.Peek(requestIDHeader))]++
+		l.runs[string(c.Request.Header.Peek(requestIDHeader))]++
 	}
 	for n, h := range c.Request.Header.All() {
 		if string(n) != requestIDHeader {
-			v.headers[string(h)] = true
+			l.headers[string(h)] = true
 		}
 	}
 }
 
 // Runs returns how often each request ran, by its ID.
-func (v *Log) Runs() map[string]int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return maps.Clone(v.runs)
+func (l *Log) Runs() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.runs)
 }
 
 // SawInHeader reports whether any received header value contained the text.
-func (v *Log) SawInHeader(text string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for h := range v.headers {
+func (l *Log) SawInHeader(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for h := range l.headers {
 		if strings.Contains(h, text) {
 			return true
 		}
@@ -60,7 +60,7 @@
 }
 
 // HandleFault handles a request to inject faults, with the kind and count in the query.
-func (v *Log) HandleFault(c *fasthttp.RequestCtx, f *faultinjection.Injector) {
+func (l *Log) HandleFault(c *fasthttp.RequestCtx, f *faultinjection.Injector) {
 	n, err := strconv.Atoi(string(c.QueryArgs().Peek("count")))
 	if err == nil {
 		err = f.Set(string(c.QueryArgs().Peek("kind")), n)
--- a/internal/state/formation/random_test.go
+++ b/internal/state/formation/random_test.go
@@ -34,64 +34,64 @@
 	clusters   int
 }
 
-func (w *simulation) wipe(i int) {
-	w.disks++
-	w.self[i] = identity.Identity{Host: string(rune('a' + i)), Disk: fmt.Sprint(w.disks)}
-	w.held[i] = formation.Formation{}
+func (s *simulation) wipe(i int) {
+	s.disks++
+	s.self[i] = identity.Identity{Host: string(rune('a' + i)), Disk: fmt.Sprint(s.disks)}
+	s.held[i] = formation.Formation{}
 }
 
 // greet lets a host learn of a complete formation from the hosts that it reaches, or propose one. Any host may propose,
 // as happens when settings differ between hosts.
-func (w *simulation) greet(i int) {
-	if w.held[i].Formed {
+func (s *simulation) greet(i int) {
+	if s.held[i].Formed {
 		return
 	}
 	reached := 0
 	for j := range hosts {
-		if j != i && w.random.IntN(4) == 0 {
+		if j != i && s.random.IntN(4) == 0 {
 			continue
 		}
 		reached++
-		if w.held[j].Formed {
-			w.held[i] = w.held[j]
+		if s.held[j].Formed {
+			s.held[i] = s.held[j]
 			return
 		}
 	}
 	if reached < hosts {
 		return
 	}
-	w.clusters++
-	f := w.held[i].NextProposal(fmt.Sprint(w.clusters), w.self[i], slices.Clone(w.self[:]))
-	if !w.mayPromise(w.held[i], f, w.self[i]) {
+	s.clusters++
+	f := s.held[i].NextProposal(fmt.Sprint(s.clusters), s.self[i], slices.Clone(s.self[:]))
+	if !s.mayPromise(s.held[i], f, s.self[i]) {
 		return
 	}
-	w.held[i] = f
-	w.attempts = append(w.attempts, &attempt{i, f, []int{(i + 1) % hosts, (i + 2) % hosts}})
+	s.held[i] = f
+	s.attempts = append(s.attempts, &attempt{i, f, []int{(i + 1) % hosts, (i + 2) % hosts}})
 }
 
 // promise delivers a request for a promise, sometimes twice, and completes the formation once all have promised.
-func (w *simulation) promise(a *attempt) {
+func (s *simulation) promise(a *attempt) {
 	if len(a.pending) == 0 {
 		return
 	}
 	i := a.pending[0]
-	if !w.mayPromise(w.held[i], a.proposal, w.self[i]) {
+	if !s.mayPromise(s.held[i], a.proposal, s.self[i]) {
 		return
 	}
-	w.held[i] = a.proposal
-	if w.random.IntN(5) > 0 {
+	s.held[i] = a.proposal
+	if s.random.IntN(5) > 0 {
 		a.pending = a.pending[1:]
 	}
-	c := w.held[a.coordinator]
+	c := s.held[a.coordinator]
 	if len(a.pending) == 0 && c.Cluster == a.proposal.Cluster && c.Round == a.proposal.Round {
-		w.held[a.coordinator].Formed = true
+		s.held[a.coordinator].Formed = true
 	}
 }
 
 // check returns an error if disks belong to different complete formations.
-func (w *simulation) check() error {
+func (s *simulation) check() error {
 	cluster := ""
-	for _, f := range w.held {
+	for _, f := range s.held {
 		if !f.Formed {
 			continue
 		}
@@ -103,20 +103,20 @@
 	return nil
 }
 
-func (w *simulation) run() error {
+func (s *simulation) run() error {
 	for i := range hosts {
-		w.wipe(i)
+		s.wipe(i)
 	}
 	for range steps {
-		switch n := w.random.IntN(10); {
+		switch n := s.random.IntN(10); {
 		case n == 0:
-			w.wipe(w.random.IntN(hosts))
-		case n < 5 || len(w.attempts) == 0:
-			w.greet(w.random.IntN(hosts))
+			s.wipe(s.random.IntN(hosts))
+		case n < 5 || len(s.attempts) == 0:
+			s.greet(s.random.IntN(hosts))
 		default:
-			w.promise(w.attempts[w.random.IntN(len(w.attempts))])
+			s.promise(s.attempts[s.random.IntN(len(s.attempts))])
 		}
-		if err := w.check(); err != nil {
+		if err := s.check(); err != nil {
 			return err
 		}
 	}
--- a/internal/wire/callerapi/files.go
+++ b/internal/wire/callerapi/files.go
@@ -163,11 +163,11 @@
 }
 
 // Read implements io.Reader.Read.
-func (b *limitedReader) Read(p []byte) (int, error) {
-	n, err := b.reader.Read(p)
-	b.remaining -= int64(n)
-	if b.remaining < 0 {
-		return 0, ingress.TooLarge(b.limit)
+func (r *limitedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.remaining -= int64(n)
+	if r.remaining < 0 {
+		return 0, ingress.TooLarge(r.limit)
 	}
 	return n, err
 }
--- a/internal/wire/callerapi/server.go
+++ b/internal/wire/callerapi/server.go
@@ -68,25 +68,25 @@
 }
 
 // Run serves until ctx ends, and then drains: calls in flight finish unless StopTimeout ends first.
-func (c *Server) Run(ctx context.Context) error {
-	c.ingress = &ingress.Server{
-		Listener:       c.Listener,
-		TLS:            c.TLS,
-		Dialect:        c,
-		Timer:          c.Timer,
-		Log:            c.Log,
-		MaxHeaderBytes: c.MaxHeaderBytes,
-		ReadTimeout:    c.ReadTimeout,
-		Concurrency:    c.Concurrency,
-		Drain:          c.Drain,
-		StopTimeout:    c.StopTimeout,
+func (s *Server) Run(ctx context.Context) error {
+	s.ingress = &ingress.Server{
+		Listener:       s.Listener,
+		TLS:            s.TLS,
+		Dialect:        s,
+		Timer:          s.Timer,
+		Log:            s.Log,
+		MaxHeaderBytes: s.MaxHeaderBytes,
+		ReadTimeout:    s.ReadTimeout,
+		Concurrency:    s.Concurrency,
+		Drain:          s.Drain,
+		StopTimeout:    s.StopTimeout,
 	}
-	return c.ingress.Run(ctx)
+	return s.ingress.Run(ctx)
 }
 
 // Handle routes a request to its handler.
-func (c *Server) Handle(x *fasthttp.RequestCtx) {
-	q := &request{server: c, http: x, id: newID()}
+func (s *Server) Handle(x *fasthttp.RequestCtx) {
+	q := &request{server: s, http: x, id: newID()}
 	p := string(x.Path())
 	switch {
 	case p == pathReady:
@@ -107,8 +107,8 @@
 }
 
 // HandleReadError answers a request that could not be read.
-func (c *Server) HandleReadError(x *fasthttp.RequestCtx, err error) {
-	q := &request{server: c, http: x, id: newID()}
+func (s *Server) HandleReadError(x *fasthttp.RequestCtx, err error) {
+	q := &request{server: s, http: x, id: newID()}
 	x.SetConnectionClose()
 	q.Refuse(ingress.ReadError(err))
 }
--- a/internal/wire/certificate/certificate.go
+++ b/internal/wire/certificate/certificate.go
@@ -36,48 +36,48 @@
 }
 
 // ServerConfig returns the TLS configuration of a server, or nil without a certificate.
-func (c *Reloader) ServerConfig() (*tls.Config, error) {
-	if c.CertificateFile == "" {
+func (r *Reloader) ServerConfig() (*tls.Config, error) {
+	if r.CertificateFile == "" {
 		return nil, nil
 	}
-	if err := c.reload(); err != nil {
+	if err := r.reload(); err != nil {
 		return nil, err
 	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS12,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			return c.serverConfig()
+			return r.serverConfig()
 		},
 	}, nil
 }
 
 // ClientConfig returns the TLS configuration of a client, or nil without a CA file.
-func (c *Reloader) ClientConfig() (*tls.Config, error) {
-	if c.CAFile == "" {
+func (r *Reloader) ClientConfig() (*tls.Config, error) {
+	if r.CAFile == "" {
 		return nil, nil
 	}
-	if err := c.reload(); err != nil {
+	if err := r.reload(); err != nil {
 		return nil, err
 	}
 	// VerifyConnection verifies the chain instead of the standard check, which cannot reload its authorities.
-	t := &tls.Config{MinVersion: tls.VersionTLS12, InsecureSkipVerify: true, VerifyConnection: c.verify}
-	if c.CertificateFile != "" {
+	t := &tls.Config{MinVersion: tls.VersionTLS12, InsecureSkipVerify: true, VerifyConnection: r.verify}
+	if r.CertificateFile != "" {
 		t.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			return c.keyPair()
+			return r.keyPair()
 		}
 	}
 	return t, nil
 }
 
 // verify verifies the certificate chain of the peer against the current authorities.
-func (c *Reloader) verify(s tls.ConnectionState) error {
-	if err := c.reload(); err != nil {
+func (r *Reloader) verify(s tls.ConnectionState) error {
+	if err := r.reload(); err != nil {
 		return err
 	}
 	if len(s.PeerCertificates) == 0 {
 		return errors.New("certificate: the peer presented no certificate")
 	}
-	o := x509.VerifyOptions{Roots: c.authorities(), Intermediates: x509.NewCertPool(), DNSName: s.ServerName}
+	o := x509.VerifyOptions{Roots: r.authorities(), Intermediates: x509.NewCertPool(), DNSName: s.ServerName}
 	for _, i := range s.PeerCertificates[1:] {
 		o.Intermediates.AddCert(i)
 	}
@@ -85,64 +85,64 @@
 	return err
 }
 
-func (c *Reloader) serverConfig() (*tls.Config, error) {
-	if err := c.reload(); err != nil {
+func (r *Reloader) serverConfig() (*tls.Config, error) {
+	if err := r.reload(); err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*c.pair}}
-	if c.RequireClientCertificate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*r.pair}}
+	if r.RequireClientCertificate {
 		t.ClientAuth = tls.RequireAndVerifyClientCert
-		t.ClientCAs = c.pool
+		t.ClientCAs = r.pool
 	}
 	return t, nil
 }
 
-func (c *Reloader) keyPair() (*tls.Certificate, error) {
-	if err := c.reload(); err != nil {
+func (r *Reloader) keyPair() (*tls.Certificate, error) {
+	if err := r.reload(); err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pair, nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pair, nil
 }
 
-func (c *Reloader) authorities() *x509.CertPool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pool
+func (r *Reloader) authorities() *x509.CertPool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pool
 }
 
 // reload reads the files again if one has changed. If that fails, for example on a half-written file, the former
 // contents stay in use.
-func (c *Reloader) reload() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := c.Timer.Now()
-	if !c.checkedAt.IsZero() && n.Sub(c.checkedAt) < checkInterval {
+func (r *Reloader) reload() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.Timer.Now()
+	if !r.checkedAt.IsZero() && n.Sub(r.checkedAt) < checkInterval {
 		return nil
 	}
-	c.checkedAt = n
-	m := c.lastModified()
-	if m.Equal(c.modifiedAt) && !m.IsZero() {
+	r.checkedAt = n
+	m := r.lastModified()
+	if m.Equal(r.modifiedAt) && !m.IsZero() {
 		return nil
 	}
-	err := c.readFiles()
+	err := r.readFiles()
 	if err == nil {
-		c.modifiedAt = m
+		r.modifiedAt = m
 		return nil
 	}
-	if c.pair != nil || c.pool != nil {
+	if r.pair != nil || r.pool != nil {
 		return nil
 	}
-	c.checkedAt = time.Time{}
+	r.checkedAt = time.Time{}
 	return err
 }
 
-func (c *Reloader) lastModified() time.Time {
+func (r *Reloader) lastModified() time.Time {
 	var l time.Time
-	for _, f := range []string{c.CertificateFile, c.KeyFile, c.CAFile} {
+	for _, f := range []string{r.CertificateFile, r.KeyFile, r.CAFile} {
 		if i, err := os.Stat(f); err == nil && i.ModTime().After(l) {
 			l = i.ModTime()
 		}
@@ -150,27 +150,27 @@
 	return l
 }
 
-func (c *Reloader) readFiles() error {
+func (r *Reloader) readFiles() error {
 	var p *tls.Certificate
-	if c.CertificateFile != "" {
-		k, err := tls.LoadX509KeyPair(c.CertificateFile, c.KeyFile)
+	if r.CertificateFile != "" {
+		k, err := tls.LoadX509KeyPair(r.CertificateFile, r.KeyFile)
 		if err != nil {
 			return errors.Wrap(err, "certificate")
 		}
 		p = &k
 	}
 	var a *x509.CertPool
-	if c.CAFile != "" {
-		b, err := os.ReadFile(c.CAFile)
+	if r.CAFile != "" {
+		b, err := os.ReadFile(r.CAFile)
 		if err != nil {
 			return errors.Wrap(err, "certificate")
 		}
 		a = x509.NewCertPool()
 		if !a.AppendCertsFromPEM(b) {
-			return errors.Newf("certificate: %s holds no certificate", c.CAFile)
+			return errors.Newf("certificate: %s holds no certificate", r.CAFile)
 		}
 	}
-	c.pair = p
-	c.pool = a
+	r.pair = p
+	r.pool = a
 	return nil
 }
--- a/internal/wire/ingress/ingress.go
+++ b/internal/wire/ingress/ingress.go
@@ -61,25 +61,25 @@
 }
 
 // Run serves until ctx ends, and then drains: calls in flight finish unless StopTimeout ends first.
-func (i *Server) Run(ctx context.Context) error {
+func (s *Server) Run(ctx context.Context) error {
 	w, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	i.base = w
+	s.base = w
 	g := group.NewGroup(w)
-	l := i.Listener
-	if i.TLS != nil {
-		l = tls.NewListener(l, i.TLS)
+	l := s.Listener
+	if s.TLS != nil {
+		l = tls.NewListener(l, s.TLS)
 	}
-	i.tracked = &listener.Listener{Listener: l, Timer: i.Timer, Group: g}
-	v := i.server()
-	g.Go("serve", func(context.Context) error { return v.Serve(i.tracked) })
+	s.tracked = &listener.Listener{Listener: l, Timer: s.Timer, Group: g}
+	v := s.server()
+	g.Go("serve", func(context.Context) error { return v.Serve(s.tracked) })
 	g.Go("drain", func(w context.Context) error {
 		select {
 		case <-ctx.Done():
 		case <-w.Done():
 			return w.Err()
 		}
-		i.drain(w)
+		s.drain(w)
 		err := v.Shutdown()
 		_ = l.Close()
 		return err
@@ -88,60 +88,60 @@
 }
 
 // Draining reports whether the host is stopping.
-func (i *Server) Draining() bool {
-	return i.draining.Load()
+func (s *Server) Draining() bool {
+	return s.draining.Load()
 }
 
 // Context returns the base context of all requests, which ends when the server has stopped.
-func (i *Server) Context() context.Context {
-	return i.base
+func (s *Server) Context() context.Context {
+	return s.base
 }
 
-func (i *Server) server() *fasthttp.Server {
+func (s *Server) server() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                       i.handle,
-		ErrorHandler:                  i.Dialect.HandleReadError,
-		ReadBufferSize:                i.MaxHeaderBytes,
-		ReadTimeout:                   i.ReadTimeout,
+		Handler:                       s.handle,
+		ErrorHandler:                  s.Dialect.HandleReadError,
+		ReadBufferSize:                s.MaxHeaderBytes,
+		ReadTimeout:                   s.ReadTimeout,
 		IdleTimeout:                   idleTimeout,
-		Concurrency:                   i.Concurrency,
+		Concurrency:                   s.Concurrency,
 		StreamRequestBody:             true,
 		DisablePreParseMultipartForm:  true,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
 		SecureErrorLogMessage:         true,
-		Logger:                        debugLogger{i.Log},
+		Logger:                        debugLogger{s.Log},
 		DisableHeaderNamesNormalizing: false,
 	}
 }
 
 // drain serves on for a while, closing each connection after its answer. It then refuses new connections and waits
 // until all calls have ended.
-func (i *Server) drain(ctx context.Context) {
-	i.draining.Store(true)
-	if i.StopTimeout > 0 {
+func (s *Server) drain(ctx context.Context) {
+	s.draining.Store(true)
+	if s.StopTimeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, i.StopTimeout)
+		ctx, cancel = context.WithTimeout(ctx, s.StopTimeout)
 		defer cancel()
 	}
-	_ = i.Timer.Sleep(ctx, i.Drain)
-	if err := i.tracked.StopAccepting(); err != nil {
-		i.Log.Warn().Err(err).Msg("closing the listener failed")
+	_ = s.Timer.Sleep(ctx, s.Drain)
+	if err := s.tracked.StopAccepting(); err != nil {
+		s.Log.Warn().Err(err).Msg("closing the listener failed")
 	}
-	_ = i.Timer.Sleep(ctx, drainPollInterval)
-	for i.tracked.OpenConns() > 0 && ctx.Err() == nil {
-		i.tracked.CloseIdle(idleGrace, requestGrace)
-		_ = i.Timer.Sleep(ctx, drainPollInterval)
+	_ = s.Timer.Sleep(ctx, drainPollInterval)
+	for s.tracked.OpenConns() > 0 && ctx.Err() == nil {
+		s.tracked.CloseIdle(idleGrace, requestGrace)
+		_ = s.Timer.Sleep(ctx, drainPollInterval)
 	}
 }
 
-func (i *Server) handle(x *fasthttp.RequestCtx) {
-	done := i.tracked.MarkBusy(x.Conn())
-	if i.draining.Load() {
+func (s *Server) handle(x *fasthttp.RequestCtx) {
+	done := s.tracked.MarkBusy(x.Conn())
+	if s.draining.Load() {
 		x.SetConnectionClose()
 	}
 	x.SetUserValue(markIdleKey, done)
-	i.Dialect.Handle(x)
+	s.Dialect.Handle(x)
 	if !x.Response.IsBodyStream() {
 		done()
 	}
@@ -156,6 +156,6 @@
 }
 
 // Printf implements fasthttp.Logger.Printf.
-func (q debugLogger) Printf(format string, args ...any) {
-	q.log.Debug().Msgf(format, args...)
+func (l debugLogger) Printf(format string, args ...any) {
+	l.log.Debug().Msgf(format, args...)
 }
--- a/internal/wire/ingress/pass.go
+++ b/internal/wire/ingress/pass.go
@@ -29,9 +29,9 @@
 }
 
 // ServeCall runs a call and forwards its answer as it arrives.
-func (i *Server) ServeCall(x *fasthttp.RequestCtx, e exchange) {
-	ctx, cancel := context.WithCancelCause(i.base)
-	stop := i.tracked.Watch(x.Conn(), func() { cancel(errCallerGone) })
+func (s *Server) ServeCall(x *fasthttp.RequestCtx, e exchange) {
+	ctx, cancel := context.WithCancelCause(s.base)
+	stop := s.tracked.Watch(x.Conn(), func() { cancel(errCallerGone) })
 	end := func() {
 		stop()
 		cancel(nil)
@@ -57,7 +57,7 @@
 		h.Add(v[0], v[1])
 	}
 	e.SetHeaders(a)
-	i.send(x, &responseBody{body: a.Body, events: a.Length < 0, exchange: e, end: end}, a.Length)
+	s.send(x, &responseBody{body: a.Body, events: a.Length < 0, exchange: e, end: end}, a.Length)
 }
 
 // firstBytes is the length of the buffer for the first bytes of an answer without a length.
@@ -102,10 +102,10 @@
 
 // Stream sends the output of write. If write fails, the connection closes without the end of the body and
 // onError is called.
-func (i *Server) Stream(x *fasthttp.RequestCtx, write func(ctx context.Context, w io.Writer) error, onError func(err error)) {
-	ctx, cancel := context.WithCancel(i.base)
+func (s *Server) Stream(x *fasthttp.RequestCtx, write func(ctx context.Context, w io.Writer) error, onError func(err error)) {
+	ctx, cancel := context.WithCancel(s.base)
 	r, w := io.Pipe()
-	i.tracked.Group.Go("stream", func(context.Context) error {
+	s.tracked.Group.Go("stream", func(context.Context) error {
 		err := write(ctx, w)
 		if err != nil && !errors.Is(err, io.ErrClosedPipe) {
 			onError(err)
@@ -113,11 +113,11 @@
 		_ = w.CloseWithError(err)
 		return nil
 	})
-	i.send(x, &responseBody{body: r, end: cancel}, -1)
+	s.send(x, &responseBody{body: r, end: cancel}, -1)
 }
 
 // send makes o the response body; closing it marks the connection as idle.
-func (i *Server) send(x *fasthttp.RequestCtx, o *responseBody, length int) {
+func (s *Server) send(x *fasthttp.RequestCtx, o *responseBody, length int) {
 	o.markIdle, _ = x.UserValue(markIdleKey).(func())
 	x.SetBodyStream(o, length)
 }
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -32,120 +32,120 @@
 }
 
 // Read implements io.Reader.Read.
-func (k *conn) Read(p []byte) (int, error) {
-	k.mu.Lock()
-	if len(k.ahead) > 0 && len(p) > 0 {
-		n := copy(p, k.ahead)
-		k.ahead = k.ahead[n:]
-		k.lastUsed = k.listener.Timer.Now()
-		k.mu.Unlock()
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.ahead) > 0 && len(p) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		c.lastUsed = c.listener.Timer.Now()
+		c.mu.Unlock()
 		return n, nil
 	}
-	err := k.err
-	k.mu.Unlock()
+	err := c.err
+	c.mu.Unlock()
 	if err != nil {
 		return 0, err
 	}
-	n, err := k.Conn.Read(p)
-	if n > 0 && !k.touch() {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.touch() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
 // Write implements io.Writer.Write.
-func (k *conn) Write(p []byte) (int, error) {
-	k.addBusy(1)
-	defer k.addBusy(-1)
-	return k.Conn.Write(p)
+func (c *conn) Write(p []byte) (int, error) {
+	c.addBusy(1)
+	defer c.addBusy(-1)
+	return c.Conn.Write(p)
 }
 
 // Close implements io.Closer.Close. A connection on which bytes came, and that is not closed as idle, waits a little for the
 // caller to end it too.
-func (k *conn) Close() error {
-	if k.lingers() {
-		k.linger()
+func (c *conn) Close() error {
+	if c.lingers() {
+		c.linger()
 	}
-	k.listener.remove(k)
-	return k.Conn.Close()
+	c.listener.remove(c)
+	return c.Conn.Close()
 }
 
-func (k *conn) lingers() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.used && !k.closing
+func (c *conn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used && !c.closing
 }
 
 // touch records that bytes arrived and reports whether they may be read.
-func (k *conn) touch() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.used = true
-	k.begun = true
-	k.lastUsed = k.listener.Timer.Now()
-	return !k.closing
+func (c *conn) touch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = true
+	c.begun = true
+	c.lastUsed = c.listener.Timer.Now()
+	return !c.closing
 }
 
 // markClosingIfIdle marks the connection as closing if it has had no call and no bytes either way for the time idle, or for the
 // time stalled inside a request.
-func (k *conn) markClosingIfIdle(now time.Time, idle, stalled time.Duration) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.begun {
+func (c *conn) markClosingIfIdle(now time.Time, idle, stalled time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun {
 		idle = stalled
 	}
-	if k.busy > 0 || len(k.ahead) > 0 || now.Sub(k.lastUsed) < idle {
+	if c.busy > 0 || len(c.ahead) > 0 || now.Sub(c.lastUsed) < idle {
 		return false
 	}
-	k.closing = true
+	c.closing = true
 	return true
 }
 
-func (k *conn) markBusy() func() {
-	k.addBusy(1)
+func (c *conn) markBusy() func() {
+	c.addBusy(1)
 	return sync.OnceFunc(func() {
-		k.addBusy(-1)
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.begun = false
+		c.addBusy(-1)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.begun = false
 	})
 }
 
-func (k *conn) addBusy(n int) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.busy += n
-	k.lastUsed = k.listener.Timer.Now()
+func (c *conn) addBusy(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy += n
+	c.lastUsed = c.listener.Timer.Now()
 }
 
 // watch reads one byte ahead to detect the end of the connection.
-func (k *conn) watch(onClose func()) func() {
+func (c *conn) watch(onClose func()) func() {
 	done := make(chan struct{})
-	k.listener.Group.Go("watch", func(context.Context) error {
+	c.listener.Group.Go("watch", func(context.Context) error {
 		defer close(done)
-		if k.readAhead() {
+		if c.readAhead() {
 			onClose()
 		}
 		return nil
 	})
 	return sync.OnceFunc(func() {
-		_ = k.SetReadDeadline(expired)
+		_ = c.SetReadDeadline(expired)
 		<-done
-		_ = k.SetReadDeadline(time.Time{})
+		_ = c.SetReadDeadline(time.Time{})
 	})
 }
 
 // readAhead reads one byte and reports whether the connection ended.
-func (k *conn) readAhead() bool {
+func (c *conn) readAhead() bool {
 	var b [1]byte
-	n, err := k.Conn.Read(b[:])
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.ahead = append(k.ahead, b[:n]...)
+	n, err := c.Conn.Read(b[:])
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead = append(c.ahead, b[:n]...)
 	var t net.Error
 	if err == nil || errors.As(err, &t) && t.Timeout() {
 		return false
 	}
-	k.err = err
+	c.err = err
 	return true
 }
--- a/internal/wire/listener/linger.go
+++ b/internal/wire/listener/linger.go
@@ -10,11 +10,11 @@
 
 // linger ends the sending side and discards what the caller still sends. A close with unread bytes would reset the connection,
 // and the answer on its way would be lost.
-func (k *conn) linger() {
-	w, ok := k.Conn.(interface{ CloseWrite() error })
+func (c *conn) linger() {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || w.CloseWrite() != nil {
 		return
 	}
-	_ = k.SetReadDeadline(k.listener.Timer.DeadlineIn(lingerTime))
-	_, _ = io.Copy(io.Discard, k.Conn)
+	_ = c.SetReadDeadline(c.listener.Timer.DeadlineIn(lingerTime))
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
--- a/internal/wire/upstreamapi/server.go
+++ b/internal/wire/upstreamapi/server.go
@@ -49,13 +49,13 @@
 }
 
 // Run serves until ctx ends.
-func (a *Server) Run(ctx context.Context) error {
-	l := a.Listener
-	if a.TLS != nil {
-		l = tls.NewListener(l, a.TLS)
+func (s *Server) Run(ctx context.Context) error {
+	l := s.Listener
+	if s.TLS != nil {
+		l = tls.NewListener(l, s.TLS)
 	}
 	v := &fasthttp.Server{
-		Handler:               a.handle,
+		Handler:               s.handle,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadTimeout:           readTimeout,
 		NoDefaultServerHeader: true,
@@ -65,8 +65,8 @@
 	return w.Run(ctx)
 }
 
-func (a *Server) handle(x *fasthttp.RequestCtx) {
-	if !a.authorized(x) {
+func (s *Server) handle(x *fasthttp.RequestCtx) {
+	if !s.authorized(x) {
 		writeError(x, fasthttp.StatusUnauthorized, "unknown-secret", errors.New("the secret is missing or wrong"))
 		return
 	}
@@ -74,13 +74,13 @@
 		writeError(x, fasthttp.StatusMethodNotAllowed, "method-not-allowed", errors.New("the method must be POST"))
 		return
 	}
-	f := a.handler(string(x.Path()))
+	f := s.handler(string(x.Path()))
 	if f == nil {
 		writeError(x, fasthttp.StatusNotFound, "unknown-path", errors.New("no endpoint exists at this path"))
 		return
 	}
 	if err := f(x.PostBody()); err != nil {
-		a.Log.Warn().Err(err).Str("path", string(x.Path())).Msg("upstream message refused")
+		s.Log.Warn().Err(err).Str("path", string(x.Path())).Msg("upstream message refused")
 		writeError(x, fasthttp.StatusBadRequest, "bad-message", err)
 		return
 	}
@@ -88,31 +88,31 @@
 }
 
 // handler returns the handler of a path, or nil.
-func (a *Server) handler(path string) func([]byte) error {
+func (s *Server) handler(path string) func([]byte) error {
 	switch path {
 	case "/v1/upstreams/announce":
-		return a.announce
+		return s.announce
 	case "/v1/upstreams/leave":
-		return a.leave
+		return s.leave
 	case "/v1/upstreams/load":
-		return a.load
+		return s.load
 	case "/v1/upstreams/cache-events":
-		return a.events
+		return s.events
 	}
 	return nil
 }
 
-func (a *Server) authorized(x *fasthttp.RequestCtx) bool {
-	if len(a.Secret) == 0 {
+func (s *Server) authorized(x *fasthttp.RequestCtx) bool {
+	if len(s.Secret) == 0 {
 		return true // the settings trust every host on the network
 	}
 	h, ok := strings.CutPrefix(string(x.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
-	want := sha256.Sum256(a.Secret)
+	want := sha256.Sum256(s.Secret)
 	got := sha256.Sum256([]byte(h))
 	return subtle.ConstantTimeCompare(want[:], got[:]) == 1 && ok
 }
 
-func (a *Server) announce(b []byte) error {
+func (s *Server) announce(b []byte) error {
 	u, err := decode[upstream.Upstream](b)
 	if err != nil {
 		return err
@@ -123,10 +123,10 @@
 	if u.Version == "" {
 		u.Version = upstream.Unversioned
 	}
-	return a.Registry.Announce(u)
+	return s.Registry.Announce(u)
 }
 
-func (a *Server) leave(b []byte) error {
+func (s *Server) leave(b []byte) error {
 	u, err := decode[upstream.Upstream](b)
 	if err != nil {
 		return err
@@ -134,10 +134,10 @@
 	if u.Name == "" {
 		return errors.New("the field name is missing")
 	}
-	return a.Registry.Leave(u.Name, u.Incarnation)
+	return s.Registry.Leave(u.Name, u.Incarnation)
 }
 
-func (a *Server) load(b []byte) error {
+func (s *Server) load(b []byte) error {
 	r, err := decode[loadreport.Report](b)
 	if err != nil {
 		return err
@@ -145,10 +145,10 @@
 	if r.Upstream == "" || r.Running < 0 || r.Waiting < 0 || r.Age < 0 {
 		return errors.New("the report names no upstream or has a negative value")
 	}
-	return a.Registry.Report(r)
+	return s.Registry.Report(r)
 }
 
-func (a *Server) events(b []byte) error {
+func (s *Server) events(b []byte) error {
 	e, err := decode[cache.Event](b)
 	if err != nil {
 		return err
@@ -156,6 +156,6 @@
 	if e.Upstream == "" {
 		return errors.New("the field upstream is missing")
 	}
-	a.Cache(e)
+	s.Cache(e)
 	return nil
 }
