--- a/internal/config/configcache/configcache.go
+++ b/internal/config/configcache/configcache.go
@@ -54,57 +54,57 @@
 }
 
 // Published returns the version in force, under which requests are served.
-func (v *Cache) Published() *configuration.Configuration {
-	return v.published
+func (c *Cache) Published() *configuration.Configuration {
+	return c.published
 }
 
 // HeldVersion returns the number of the newest version that the host holds.
-func (v *Cache) HeldVersion() uint64 {
-	return v.held.Version
+func (c *Cache) HeldVersion() uint64 {
+	return c.held.Version
 }
 
 // LeaseEnd returns when the host's lease on the configuration ends.
-func (v *Cache) LeaseEnd() time.Time {
-	return v.lease.Until()
+func (c *Cache) LeaseEnd() time.Time {
+	return c.lease.Until()
 }
 
 // Age returns the time since the newest confirmation and whether there is one.
-func (v *Cache) Age(now time.Time) (time.Duration, bool) {
-	return v.lease.Age(now)
+func (c *Cache) Age(now time.Time) (time.Duration, bool) {
+	return c.lease.Age(now)
 }
 
 // ApplyLocal adds a version from the host's own replica.
-func (v *Cache) ApplyLocal(now time.Time, c *configuration.Configuration) error {
-	if c.Version > v.held.Version {
-		b, err := delta.Between(v.held, c).Encode()
+func (c *Cache) ApplyLocal(now time.Time, n *configuration.Configuration) error {
+	if n.Version > c.held.Version {
+		b, err := delta.Between(c.held, n).Encode()
 		if err != nil {
 			return errors.Wrap(err, "encode delta")
 		}
-		if err := v.hold(c, encodedDelta{v.held.Version, c.Version, b}); err != nil {
+		if err := c.hold(n, encodedDelta{c.held.Version, n.Version, b}); err != nil {
 			return err
 		}
 	}
-	return v.publish(now)
+	return c.publish(now)
 }
 
 // Confirm adds a version that the host's own replica held after a quorum answered a confirmation request sent at sent.
-func (v *Cache) Confirm(now, sent time.Time, c *configuration.Configuration) error {
-	if err := v.ApplyLocal(now, c); err != nil {
+func (c *Cache) Confirm(now, sent time.Time, n *configuration.Configuration) error {
+	if err := c.ApplyLocal(now, n); err != nil {
 		return err
 	}
-	v.lease.Confirm(sent)
-	v.serving = true
-	return v.publish(now)
+	c.lease.Confirm(sent)
+	c.serving = true
+	return c.publish(now)
 }
 
 // Answer returns the update for a peer that holds the given version and whose request was held for waited.
-func (v *Cache) Answer(now time.Time, version uint64, waited time.Duration) (*update.Update, error) {
-	a := &update.Update{Version: v.held.Version, Waited: waited}
-	a.Age, a.Confirmed = v.lease.Age(now)
-	if version >= v.held.Version {
+func (c *Cache) Answer(now time.Time, version uint64, waited time.Duration) (*update.Update, error) {
+	a := &update.Update{Version: c.held.Version, Waited: waited}
+	a.Age, a.Confirmed = c.lease.Age(now)
+	if version >= c.held.Version {
 		return a, nil
 	}
-	for _, s := range v.deltas {
+	for _, s := range c.deltas {
 		if s.from == version || len(a.Deltas) > 0 {
 			a.Deltas = append(a.Deltas, s.body)
 		}
@@ -112,42 +112,42 @@
 	if len(a.Deltas) > 0 {
 		return a, nil
 	}
-	b, err := v.fullDelta()
+	b, err := c.fullDelta()
 	a.Deltas = [][]byte{b}
 	return a, err
 }
 
 // ApplyUpdate applies the answer to a request sent at sent.
-func (v *Cache) ApplyUpdate(now, sent time.Time, a *update.Update) error {
-	if err := v.applyDeltas(a.Deltas); err != nil {
+func (c *Cache) ApplyUpdate(now, sent time.Time, a *update.Update) error {
+	if err := c.applyDeltas(a.Deltas); err != nil {
 		return err
 	}
-	if a.Confirmed && v.held.Version >= a.Version {
-		v.lease.ConfirmRelayed(sent, a.Waited, a.Age)
-		v.serving = v.serving || v.lease.Fresh(now)
+	if a.Confirmed && c.held.Version >= a.Version {
+		c.lease.ConfirmRelayed(sent, a.Waited, a.Age)
+		c.serving = c.serving || c.lease.Fresh(now)
 	}
-	return v.publish(now)
+	return c.publish(now)
 }
 
 // applyDeltas applies deltas in order and skips those that lead to a version no newer than the held one.
-func (v *Cache) applyDeltas(deltas [][]byte) error {
+func (c *Cache) applyDeltas(deltas [][]byte) error {
 	for _, b := range deltas {
 		d, err := delta.Decode(b)
 		if err != nil {
 			return err
 		}
-		if d.To <= v.held.Version {
+		if d.To <= c.held.Version {
 			continue
 		}
-		base := v.held
+		base := c.held
 		if d.From == 0 {
 			base = &configuration.Configuration{}
 		}
-		c, err := delta.Apply(base, d)
+		n, err := delta.Apply(base, d)
 		if err != nil {
 			return err
 		}
-		if err := v.hold(c, encodedDelta{d.From, d.To, b}); err != nil {
+		if err := c.hold(n, encodedDelta{d.From, d.To, b}); err != nil {
 			return err
 		}
 	}
@@ -155,44 +155,44 @@
 }
 
 // hold replaces the held version by a newer one and keeps the delta that led to it for peers.
-func (v *Cache) hold(c *configuration.Configuration, s encodedDelta) error {
-	if c.Version <= v.held.Version {
-		return errors.AssertionFailedf("version %d after version %d", c.Version, v.held.Version)
+func (c *Cache) hold(n *configuration.Configuration, s encodedDelta) error {
+	if n.Version <= c.held.Version {
+		return errors.AssertionFailedf("version %d after version %d", n.Version, c.held.Version)
 	}
-	if s.from != v.held.Version {
-		v.deltas, v.deltaBytes = nil, 0
+	if s.from != c.held.Version {
+		c.deltas, c.deltaBytes = nil, 0
 	}
-	v.held = c
-	v.deltas = append(v.deltas, s)
-	v.deltaBytes += len(s.body)
-	for len(v.deltas) > maxDeltas || v.deltaBytes > maxDeltaBytes && len(v.deltas) > 0 {
-		v.deltaBytes -= len(v.deltas[0].body)
-		v.deltas = v.deltas[1:]
+	c.held = n
+	c.deltas = append(c.deltas, s)
+	c.deltaBytes += len(s.body)
+	for len(c.deltas) > maxDeltas || c.deltaBytes > maxDeltaBytes && len(c.deltas) > 0 {
+		c.deltaBytes -= len(c.deltas[0].body)
+		c.deltas = c.deltas[1:]
 	}
 	return nil
 }
 
 // publish puts the held version in force once a version was confirmed or StartupDelay has passed.
-func (v *Cache) publish(now time.Time) error {
-	if v.held.Version < v.published.Version {
-		return errors.AssertionFailedf("version %d in force after %d", v.held.Version, v.published.Version)
+func (c *Cache) publish(now time.Time) error {
+	if c.held.Version < c.published.Version {
+		return errors.AssertionFailedf("version %d in force after %d", c.held.Version, c.published.Version)
 	}
-	if v.serving || now.Sub(v.start) >= StartupDelay {
-		v.serving = true
-		v.published = v.held
+	if c.serving || now.Sub(c.start) >= StartupDelay {
+		c.serving = true
+		c.published = c.held
 	}
 	return nil
 }
 
 // fullDelta returns the held version as a delta from the empty configuration.
-func (v *Cache) fullDelta() ([]byte, error) {
-	if v.full.to == v.held.Version {
-		return v.full.body, nil
+func (c *Cache) fullDelta() ([]byte, error) {
+	if c.full.to == c.held.Version {
+		return c.full.body, nil
 	}
-	b, err := delta.Between(&configuration.Configuration{}, v.held).Encode()
+	b, err := delta.Between(&configuration.Configuration{}, c.held).Encode()
 	if err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
 	}
-	v.full = encodedDelta{0, v.held.Version, b}
+	c.full = encodedDelta{0, c.held.Version, b}
 	return b, nil
 }
--- a/internal/config/operatorapi/endpoints.go
+++ b/internal/config/operatorapi/endpoints.go
@@ -45,50 +45,50 @@
 	Secret string `json:"secret"`
 }
 
-func (o *Server) addEndpoints() {
-	o.Handle("GET", "/v1/configuration", o.getConfiguration)
-	o.Handle("GET", "/v1/versions", o.getVersions)
-	o.Handle("GET", "/v1/diff", o.getDiff)
-	o.Handle("GET", "/v1/teams", o.getTeams)
-	o.Handle("GET", "/v1/keys", o.getKeys)
-	o.Handle("GET", "/v1/hosts", o.getHosts)
-	o.Handle("POST", "/v1/changes", o.postChange)
-	o.Handle("POST", "/v1/keys", o.postKey)
+func (s *Server) addEndpoints() {
+	s.Handle("GET", "/v1/configuration", s.getConfiguration)
+	s.Handle("GET", "/v1/versions", s.getVersions)
+	s.Handle("GET", "/v1/diff", s.getDiff)
+	s.Handle("GET", "/v1/teams", s.getTeams)
+	s.Handle("GET", "/v1/keys", s.getKeys)
+	s.Handle("GET", "/v1/hosts", s.getHosts)
+	s.Handle("POST", "/v1/changes", s.postChange)
+	s.Handle("POST", "/v1/keys", s.postKey)
 }
 
-func (o *Server) getConfiguration(context.Context, *Request) ([]byte, error) {
-	return json.Marshal(listing.All(o.Configuration.View()))
+func (s *Server) getConfiguration(context.Context, *Request) ([]byte, error) {
+	return json.Marshal(listing.All(s.Configuration.View()))
 }
 
-func (o *Server) getTeams(context.Context, *Request) ([]byte, error) {
-	return json.Marshal(listing.Teams(o.Configuration.View()))
+func (s *Server) getTeams(context.Context, *Request) ([]byte, error) {
+	return json.Marshal(listing.Teams(s.Configuration.View()))
 }
 
-func (o *Server) getKeys(_ context.Context, r *Request) ([]byte, error) {
-	return json.Marshal(listing.Keys(o.Configuration.View(), r.Query("team")))
+func (s *Server) getKeys(_ context.Context, r *Request) ([]byte, error) {
+	return json.Marshal(listing.Keys(s.Configuration.View(), r.Query("team")))
 }
 
-func (o *Server) getHosts(ctx context.Context, _ *Request) ([]byte, error) {
+func (s *Server) getHosts(ctx context.Context, _ *Request) ([]byte, error) {
 	return json.Marshal(&listing.Listing{
-		Version: o.Configuration.View().Version,
-		Hosts:   o.Configuration.Hosts(ctx),
+		Version: s.Configuration.View().Version,
+		Hosts:   s.Configuration.Hosts(ctx),
 	})
 }
 
-func (o *Server) getVersions(ctx context.Context, r *Request) ([]byte, error) {
+func (s *Server) getVersions(ctx context.Context, r *Request) ([]byte, error) {
 	n, err := uintParameter(r, "most", defaultVersions)
 	if err != nil {
 		return nil, err
 	}
-	l, err := o.Configuration.Versions(ctx, int(min(n, 1<<20)))
+	l, err := s.Configuration.Versions(ctx, int(min(n, 1<<20)))
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(&listing.Listing{Version: o.Configuration.View().Version, Revisions: l})
+	return json.Marshal(&listing.Listing{Version: s.Configuration.View().Version, Revisions: l})
 }
 
-func (o *Server) getDiff(ctx context.Context, r *Request) ([]byte, error) {
-	v := o.Configuration.View().Version
+func (s *Server) getDiff(ctx context.Context, r *Request) ([]byte, error) {
+	v := s.Configuration.View().Version
 	to, err := uintParameter(r, "to", v)
 	if err != nil {
 		return nil, err
@@ -97,19 +97,19 @@
 	if err != nil {
 		return nil, err
 	}
-	d, err := o.Configuration.Diff(ctx, from, to)
+	d, err := s.Configuration.Diff(ctx, from, to)
 	if err != nil {
 		return nil, err
 	}
 	return json.Marshal(&listing.Listing{Version: v, Differences: d})
 }
 
-func (o *Server) postChange(ctx context.Context, r *Request) ([]byte, error) {
+func (s *Server) postChange(ctx context.Context, r *Request) ([]byte, error) {
 	c, err := change.Decode(r.Body)
 	if err != nil {
 		return nil, refusal.NewNotRun(400, "bad-change", err.Error())
 	}
-	p, err := o.propose(ctx, c)
+	p, err := s.propose(ctx, c)
 	if err != nil {
 		return nil, err
 	}
@@ -117,37 +117,37 @@
 }
 
 // postKey grants a key with a secret generated here, of which only the hash is stored.
-func (o *Server) postKey(ctx context.Context, r *Request) ([]byte, error) {
+func (s *Server) postKey(ctx context.Context, r *Request) ([]byte, error) {
 	g := &grantRequest{}
 	d := json.NewDecoder(bytes.NewReader(r.Body))
 	d.DisallowUnknownFields()
 	if err := d.Decode(g); err != nil {
 		return nil, refusal.NewNotRun(400, "bad-grant", err.Error())
 	}
-	s := key.NewSecret()
+	n := key.NewSecret()
 	c := &change.Change{
 		ID:   g.ChangeID,
 		Base: g.Base,
 		By:   g.By,
 		Kind: change.GrantKey,
-		Key:  &key.Key{ID: g.ID, Team: g.Team, Hash: key.Hash(s)},
+		Key:  &key.Key{ID: g.ID, Team: g.Team, Hash: key.Hash(n)},
 	}
-	p, err := o.propose(ctx, c)
+	p, err := s.propose(ctx, c)
 	if err != nil {
 		return nil, err
 	}
 	if p.Status != changeoutcome.Applied {
-		if k, ok := o.Configuration.View().Keys[g.ID]; ok && p.Status == changeoutcome.Reused && k.Team == g.Team {
+		if k, ok := s.Configuration.View().Keys[g.ID]; ok && p.Status == changeoutcome.Reused && k.Team == g.Team {
 			p.Message += "; the secret of a granted key is returned only once and not stored: withdraw the key and grant another"
 		}
 		return encodeOutcome(p.Status, p)
 	}
-	return encodeOutcome(p.Status, &grantResponse{Outcome: p, Secret: s})
+	return encodeOutcome(p.Status, &grantResponse{Outcome: p, Secret: n})
 }
 
 // propose sends a change to the replica group and waits until an applied one is in force on this host.
-func (o *Server) propose(ctx context.Context, c *change.Change) (*changeoutcome.Outcome, error) {
-	c.At = o.Timer.Now().UTC().Round(0)
+func (s *Server) propose(ctx context.Context, c *change.Change) (*changeoutcome.Outcome, error) {
+	c.At = s.Timer.Now().UTC().Round(0)
 	b, err := c.Encode()
 	if err != nil {
 		return nil, err
@@ -155,29 +155,29 @@
 	if _, err := change.Decode(b); err != nil {
 		return nil, refusal.NewNotRun(400, "bad-change", err.Error())
 	}
-	a, err := o.Client.Propose(ctx, configurationGroup, b)
+	a, err := s.Client.Propose(ctx, configurationGroup, b)
 	if err != nil {
-		o.Log.Warn().Err(err).Str("change-id", c.ID).Msg("outcome of the change is unknown")
+		s.Log.Warn().Err(err).Str("change-id", c.ID).Msg("outcome of the change is unknown")
 		return nil, err
 	}
 	p, err := changeoutcome.Decode(a)
 	if err != nil {
 		return nil, err
 	}
-	o.Log.Info().Str("change-id", c.ID).Str("kind", c.Kind).Str("by", c.By).
+	s.Log.Info().Str("change-id", c.ID).Str("kind", c.Kind).Str("by", c.By).
 		Str("status", p.Status).Uint64("version", p.Version).Msg("change")
-	o.await(ctx, p)
+	s.await(ctx, p)
 	return p, nil
 }
 
-func (o *Server) await(ctx context.Context, p *changeoutcome.Outcome) {
+func (s *Server) await(ctx context.Context, p *changeoutcome.Outcome) {
 	if p.Status != changeoutcome.Applied {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
-	if err := o.Configuration.Await(ctx, p.Version); err != nil {
-		o.Log.Warn().Uint64("version", p.Version).Msg("accepted change is not yet in force on this host")
+	if err := s.Configuration.Await(ctx, p.Version); err != nil {
+		s.Log.Warn().Uint64("version", p.Version).Msg("accepted change is not yet in force on this host")
 	}
 }
 
--- a/internal/config/operatorapi/operatorapi.go
+++ b/internal/config/operatorapi/operatorapi.go
@@ -106,32 +106,32 @@
 }
 
 // Handle adds an endpoint and must be called before Run.
-func (o *Server) Handle(method, path string, h Handler) {
-	if o.handlers == nil {
-		o.handlers = map[string]Handler{}
+func (s *Server) Handle(method, path string, h Handler) {
+	if s.handlers == nil {
+		s.handlers = map[string]Handler{}
 	}
-	o.handlers[method+" "+path] = h
+	s.handlers[method+" "+path] = h
 }
 
 // Run serves until ctx ends.
-func (o *Server) Run(ctx context.Context) error {
-	o.addEndpoints()
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewRegistry()
+func (s *Server) Run(ctx context.Context) error {
+	s.addEndpoints()
+	if s.Metrics == nil {
+		s.Metrics = metrics.NewRegistry()
 	}
-	l := o.Listener
-	if o.TLS != nil {
-		l = tls.NewListener(l, o.TLS)
+	l := s.Listener
+	if s.TLS != nil {
+		l = tls.NewListener(l, s.TLS)
 	}
-	w := &httpserver.Server{Server: o.server(ctx), Listener: l, StopTimeout: stopTimeout}
+	w := &httpserver.Server{Server: s.server(ctx), Listener: l, StopTimeout: stopTimeout}
 	return w.Run(ctx)
 }
 
-func (o *Server) server(ctx context.Context) *fasthttp.Server {
+func (s *Server) server(ctx context.Context) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               func(c *fasthttp.RequestCtx) { o.serve(ctx, c) },
-		ErrorHandler:          o.handleReadError,
-		HeaderReceived:        o.requestConfig,
+		Handler:               func(c *fasthttp.RequestCtx) { s.serve(ctx, c) },
+		ErrorHandler:          s.handleReadError,
+		HeaderReceived:        s.requestConfig,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
 		Concurrency:           maxConnections,
@@ -144,33 +144,33 @@
 	}
 }
 
-func (o *Server) serve(ctx context.Context, c *fasthttp.RequestCtx) {
+func (s *Server) serve(ctx context.Context, c *fasthttp.RequestCtx) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	metrics.GetOrRegisterCounter("operator-requests", o.Metrics).Inc(1)
-	if o.MetricsText != nil && c.IsGet() && string(c.Path()) == metricsPath {
-		c.SetBody(o.MetricsText())
+	metrics.GetOrRegisterCounter("operator-requests", s.Metrics).Inc(1)
+	if s.MetricsText != nil && c.IsGet() && string(c.Path()) == metricsPath {
+		c.SetBody(s.MetricsText())
 		return
 	}
-	b, err := o.dispatch(ctx, c)
+	b, err := s.dispatch(ctx, c)
 	c.SetContentType("application/json")
-	var s *statusError
+	var e *statusError
 	switch {
 	case err == nil:
 		c.SetBody(b)
-	case errors.As(err, &s):
-		c.SetStatusCode(s.status)
-		c.SetBody(s.body)
+	case errors.As(err, &e):
+		c.SetStatusCode(e.status)
+		c.SetBody(e.body)
 	default:
 		writeRefusal(c, refusal.Of(err))
 	}
 }
 
-func (o *Server) dispatch(ctx context.Context, c *fasthttp.RequestCtx) ([]byte, error) {
-	if !o.authenticated(c.Request.Header.Peek(fasthttp.HeaderAuthorization)) {
+func (s *Server) dispatch(ctx context.Context, c *fasthttp.RequestCtx) ([]byte, error) {
+	if !s.authenticated(c.Request.Header.Peek(fasthttp.HeaderAuthorization)) {
 		return nil, unauthenticated
 	}
-	h := o.handlers[string(c.Method())+" "+string(c.Path())]
+	h := s.handlers[string(c.Method())+" "+string(c.Path())]
 	if h == nil {
 		return nil, refusal.NewNotRun(404, "unknown-path", "no endpoint has this method and path")
 	}
@@ -182,14 +182,14 @@
 	})
 }
 
-func (o *Server) authenticated(authorization []byte) bool {
-	if len(o.Secret) == 0 {
+func (s *Server) authenticated(authorization []byte) bool {
+	if len(s.Secret) == 0 {
 		return true // the settings configure no secret: the network is trusted
 	}
 	if len(authorization) < len(bearerPrefix) || string(authorization[:len(bearerPrefix)]) != bearerPrefix {
 		return false
 	}
-	return o.Secret.Equal(authorization[len(bearerPrefix):])
+	return s.Secret.Equal(authorization[len(bearerPrefix):])
 }
 
 // statusError is a response whose status is not 200 although it is not a refusal.
--- a/internal/config/operatorapi/unauthenticated.go
+++ b/internal/config/operatorapi/unauthenticated.go
@@ -13,20 +13,20 @@
 const maxUnauthenticatedBodyBytes = 1
 
 // requestConfig limits the body of a request without the secret to maxUnauthenticatedBodyBytes.
-func (o *Server) requestConfig(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if o.authenticated(h.Peek(fasthttp.HeaderAuthorization)) {
+func (s *Server) requestConfig(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if s.authenticated(h.Peek(fasthttp.HeaderAuthorization)) {
 		return fasthttp.RequestConfig{}
 	}
 	return fasthttp.RequestConfig{MaxRequestBodySize: maxUnauthenticatedBodyBytes}
 }
 
 // handleReadError writes the refusal of a request that could not be read.
-func (o *Server) handleReadError(c *fasthttp.RequestCtx, err error) {
+func (s *Server) handleReadError(c *fasthttp.RequestCtx, err error) {
 	c.SetContentType("application/json")
 	var small *fasthttp.ErrSmallBuffer
 	var network *net.OpError
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge) && !o.authenticated(c.Request.Header.Peek(fasthttp.HeaderAuthorization)):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) && !s.authenticated(c.Request.Header.Peek(fasthttp.HeaderAuthorization)):
 		writeRefusal(c, unauthenticated)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		writeRefusal(c, refusal.NewNotRun(413, "body-too-large", "the request body is too large"))
--- a/internal/measure/burnpage/burnpage.go
+++ b/internal/measure/burnpage/burnpage.go
@@ -35,9 +35,9 @@
 }
 
 // Print writes the report as text.
-func (b *View) Print(w io.Writer) error {
-	r := b.Report
-	for _, l := range b.summaryLines() {
+func (v *View) Print(w io.Writer) error {
+	r := v.Report
+	for _, l := range v.summaryLines() {
 		fmt.Fprintln(w, l)
 	}
 	teams := r.Teams()
@@ -47,12 +47,12 @@
 		title string
 		rows  [][]string
 	}{
-		{"teams, worst first", b.rows(teams, false)},
-		{"teams and routes, worst first", b.rows(series, true)},
+		{"teams, worst first", v.rows(teams, false)},
+		{"teams and routes, worst first", v.rows(series, true)},
 	} {
-		shown := t.rows[:min(len(t.rows), b.MaxRows)]
+		shown := t.rows[:min(len(t.rows), v.MaxRows)]
 		fmt.Fprintf(w, "\n%s (%d of %d)\n", t.title, len(shown), len(t.rows))
-		if err := writeTable(w, b.columns(), shown); err != nil {
+		if err := writeTable(w, v.columns(), shown); err != nil {
 			return err
 		}
 	}
@@ -69,17 +69,17 @@
 }
 
 // summaryLines returns the lines at the head of the report.
-func (b *View) summaryLines() []string {
-	r := b.Report
+func (v *View) summaryLines() []string {
+	r := v.Report
 	whole := r.Total()
 	l := []string{
 		fmt.Sprintf("burn rates at %s from %d hosts, objective: %.4g%% of calls within the rate answered in time",
 			r.At.UTC().Format(time.RFC3339), len(r.Hosts), percent*r.Objective),
-		fmt.Sprintf("whole fleet: burn rate %s, budget left %s", b.formatBurnRates(whole), formatPercent(r.BudgetLeft(whole))),
+		fmt.Sprintf("whole fleet: burn rate %s, budget left %s", v.formatBurnRates(whole), formatPercent(r.BudgetLeft(whole))),
 	}
 	if w, ok := r.WorstTeam(); ok {
 		l = append(l, fmt.Sprintf("worst-served team: %s, burn rate %s, budget left %s",
-			nameOr(w.Team, noTeam), b.formatBurnRates(w), formatPercent(r.BudgetLeft(w))))
+			nameOr(w.Team, noTeam), v.formatBurnRates(w), formatPercent(r.BudgetLeft(w))))
 	} else {
 		l = append(l, "worst-served team: no team had enough calls in the second window")
 	}
@@ -95,24 +95,24 @@
 	return l
 }
 
-func (b *View) formatBurnRates(s burnreport.Series) string {
+func (v *View) formatBurnRates(s burnreport.Series) string {
 	var l []string
 	for i, c := range s.Counts {
-		l = append(l, fmt.Sprintf("%.2f in %s", c.BurnRate(b.Report.Objective), formatWindow(b.Report.Windows[i].Duration())))
+		l = append(l, fmt.Sprintf("%.2f in %s", c.BurnRate(v.Report.Objective), formatWindow(v.Report.Windows[i].Duration())))
 	}
 	return strings.Join(l, ", ")
 }
 
-func (b *View) columns() []string {
+func (v *View) columns() []string {
 	l := []string{"team", "route", "alert"}
-	for _, w := range b.Report.Windows {
+	for _, w := range v.Report.Windows {
 		l = append(l, "burn "+formatWindow(w.Duration()))
 	}
 	return append(l, "budget left", "owed", "late", "refused", "over rate", "rejected")
 }
 
-func (b *View) rows(l []burnreport.Series, routes bool) [][]string {
-	r := b.Report
+func (v *View) rows(l []burnreport.Series, routes bool) [][]string {
+	r := v.Report
 	rows := make([][]string, 0, len(l))
 	for _, s := range l {
 		route := ""
@@ -131,21 +131,21 @@
 }
 
 // Page returns the report as an HTML page.
-func (b *View) Page() (*page.Page, error) {
-	r := b.Report
+func (v *View) Page() (*page.Page, error) {
+	r := v.Report
 	teams := r.Teams()
 	series := append([]burnreport.Series(nil), r.Series...)
 	r.SortWorstFirst(series)
-	worst, err := b.worstTeams(teams)
+	worst, err := v.worstTeams(teams)
 	if err != nil {
 		return nil, err
 	}
-	distribution, err := b.distribution(teams)
+	distribution, err := v.distribution(teams)
 	if err != nil {
 		return nil, err
 	}
 	p := &page.Page{Title: "Service-level burn"}
-	for i, f := range b.summaryLines() {
+	for i, f := range v.summaryLines() {
 		s := page.Section{Text: f}
 		if i == 0 {
 			s.Heading = "Summary"
@@ -153,17 +153,17 @@
 		p.Sections = append(p.Sections, s)
 	}
 	p.Sections = append(p.Sections,
-		page.Section{Heading: fmt.Sprintf("Worst %d of %d teams", min(b.MaxRows, len(teams)), len(teams)), Charts: worst},
+		page.Section{Heading: fmt.Sprintf("Worst %d of %d teams", min(v.MaxRows, len(teams)), len(teams)), Charts: worst},
 		page.Section{Heading: fmt.Sprintf("All %d teams", len(teams)), Charts: distribution},
-		page.Section{Heading: "Teams", Columns: b.columns(), Rows: b.rows(teams, false), Collapsed: len(teams) > b.MaxRows},
-		page.Section{Heading: "Teams and routes", Columns: b.columns(), Rows: b.rows(series, true), Collapsed: len(series) > b.MaxRows},
+		page.Section{Heading: "Teams", Columns: v.columns(), Rows: v.rows(teams, false), Collapsed: len(teams) > v.MaxRows},
+		page.Section{Heading: "Teams and routes", Columns: v.columns(), Rows: v.rows(series, true), Collapsed: len(series) > v.MaxRows},
 	)
 	return p, nil
 }
 
 // worstTeams charts the burn rates of the worst-served teams in every window.
-func (b *View) worstTeams(teams []burnreport.Series) ([]page.Chart, error) {
-	l := teams[:min(len(teams), b.MaxRows)]
+func (v *View) worstTeams(teams []burnreport.Series) ([]page.Chart, error) {
+	l := teams[:min(len(teams), v.MaxRows)]
 	if len(l) == 0 {
 		return nil, nil
 	}
@@ -173,10 +173,10 @@
 		names = append(names, nameOr(s.Team, noTeam))
 	}
 	var bars []chart.Series
-	for i, w := range b.Report.Windows {
+	for i, w := range v.Report.Windows {
 		s := chart.Series{Name: formatWindow(w.Duration())}
 		for _, t := range l {
-			s.Values = append(s.Values, t.Counts[i].BurnRate(b.Report.Objective))
+			s.Values = append(s.Values, t.Counts[i].BurnRate(v.Report.Objective))
 		}
 		bars = append(bars, s)
 	}
@@ -187,20 +187,20 @@
 }
 
 // distribution charts the distribution of burn rates among all teams, over the second and the longest window.
-func (b *View) distribution(teams []burnreport.Series) ([]page.Chart, error) {
+func (v *View) distribution(teams []burnreport.Series) ([]page.Chart, error) {
 	var l []page.Chart
-	for _, i := range []int{secondWindow, len(b.Report.Windows) - 1} {
-		var v []float64
+	for _, i := range []int{secondWindow, len(v.Report.Windows) - 1} {
+		var r []float64
 		for _, t := range teams {
 			if t.Counts[i].Eligible() > 0 {
-				v = append(v, t.Counts[i].BurnRate(b.Report.Objective))
+				r = append(r, t.Counts[i].BurnRate(v.Report.Objective))
 			}
 		}
-		if len(v) == 0 {
+		if len(r) == 0 {
 			continue
 		}
-		c := chart.NewChart("Burn rate over "+formatWindow(b.Report.Windows[i].Duration()), "burn rate", "teams")
-		if err := c.Histogram(v); err != nil {
+		c := chart.NewChart("Burn rate over "+formatWindow(v.Report.Windows[i].Duration()), "burn rate", "teams")
+		if err := c.Histogram(r); err != nil {
 			return nil, err
 		}
 		l = append(l, c)
--- a/internal/measure/decisionlog/decisionlog.go
+++ b/internal/measure/decisionlog/decisionlog.go
@@ -32,19 +32,19 @@
 }
 
 // Add stores the decision on a call in place of the oldest one.
-func (t *Log) Add(r callrecord.Record) {
-	t.ring[t.next] = t.newDecision(r)
-	t.next++
-	if t.next == len(t.ring) {
-		t.next = 0
-		t.full = true
+func (l *Log) Add(r callrecord.Record) {
+	l.ring[l.next] = l.newDecision(r)
+	l.next++
+	if l.next == len(l.ring) {
+		l.next = 0
+		l.full = true
 	}
 }
 
-func (t *Log) newDecision(r callrecord.Record) decision.Decision {
+func (l *Log) newDecision(r callrecord.Record) decision.Decision {
 	d := decision.Decision{
 		At:       r.EndedAt,
-		Host:     t.host,
+		Host:     l.host,
 		ID:       r.ID,
 		Team:     r.Team,
 		Route:    r.Route,
@@ -68,20 +68,20 @@
 }
 
 // Find returns up to limit decisions whose call ID, team, upstream or route equals name, newest first.
-func (t *Log) Find(name string, limit int) []decision.Decision {
-	n := t.next
-	if t.full {
-		n = len(t.ring)
+func (l *Log) Find(name string, limit int) []decision.Decision {
+	n := l.next
+	if l.full {
+		n = len(l.ring)
 	}
-	l := []decision.Decision{}
+	f := []decision.Decision{}
 	for i := range n {
-		d := &t.ring[(t.next-1-i+len(t.ring))%len(t.ring)]
-		if len(l) == limit {
+		d := &l.ring[(l.next-1-i+len(l.ring))%len(l.ring)]
+		if len(f) == limit {
 			break
 		}
 		if d.ID == name || d.Team == name || d.Upstream == name || d.Route == name {
-			l = append(l, *d)
+			f = append(f, *d)
 		}
 	}
-	return l
+	return f
 }
--- a/internal/measure/loadpage/loadpage.go
+++ b/internal/measure/loadpage/loadpage.go
@@ -37,41 +37,41 @@
 }
 
 // Print writes the runs side by side as text.
-func (l *View) Print(w io.Writer) error {
+func (v *View) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, strings.Join(l.columns(), "\t")+"\t")
-	for _, r := range l.rows(l.MaxTeams) {
+	fmt.Fprintln(t, strings.Join(v.columns(), "\t")+"\t")
+	for _, r := range v.rows(v.MaxTeams) {
 		fmt.Fprintln(t, strings.Join(r, "\t")+"\t")
 	}
 	return t.Flush()
 }
 
-func (l *View) columns() []string {
+func (v *View) columns() []string {
 	c := []string{"figure"}
-	for _, r := range l.Runs {
+	for _, r := range v.Runs {
 		c = append(c, r.Label)
 	}
-	if len(l.Runs) == 2 {
+	if len(v.Runs) == 2 {
 		c = append(c, "change")
 	}
 	return c
 }
 
 // rows returns the table rows of the classes and of up to n teams, one metric per row.
-func (l *View) rows(n int) [][]string {
+func (v *View) rows(n int) [][]string {
 	rows := [][]string{
-		l.row("seed", func(s *summary.Summary) float64 { return float64(s.Seed) }, formatCount)[:1+len(l.Runs)],
-		l.row("seconds", func(s *summary.Summary) float64 { return s.Duration.Duration().Seconds() }, formatFraction),
-		l.row("lost, mismatched, truncated or wrong", func(s *summary.Summary) float64 { return float64(s.FaultCount) }, formatCount),
-		l.row("batch items completed", func(s *summary.Summary) float64 { return float64(s.Batch.Completed) }, formatCount),
-		l.row("batch items failed", func(s *summary.Summary) float64 { return float64(s.Batch.Failed) }, formatCount),
-		l.row("batch items/s", func(s *summary.Summary) float64 { return s.Batch.ItemsPerSecond }, formatFraction),
+		v.row("seed", func(s *summary.Summary) float64 { return float64(s.Seed) }, formatCount)[:1+len(v.Runs)],
+		v.row("seconds", func(s *summary.Summary) float64 { return s.Duration.Duration().Seconds() }, formatFraction),
+		v.row("lost, mismatched, truncated or wrong", func(s *summary.Summary) float64 { return float64(s.FaultCount) }, formatCount),
+		v.row("batch items completed", func(s *summary.Summary) float64 { return float64(s.Batch.Completed) }, formatCount),
+		v.row("batch items failed", func(s *summary.Summary) float64 { return float64(s.Batch.Failed) }, formatCount),
+		v.row("batch items/s", func(s *summary.Summary) float64 { return s.Batch.ItemsPerSecond }, formatFraction),
 	}
-	for _, name := range l.classNames(func(s *summary.Summary) []summary.Class { return s.Classes }, maxShown) {
-		rows = append(rows, l.classRows(name, func(s *summary.Summary) []summary.Class { return s.Classes })...)
+	for _, name := range v.classNames(func(s *summary.Summary) []summary.Class { return s.Classes }, maxShown) {
+		rows = append(rows, v.classRows(name, func(s *summary.Summary) []summary.Class { return s.Classes })...)
 	}
-	for _, name := range l.classNames(teamsOf, n) {
-		rows = append(rows, l.classRows(name, teamsOf)...)
+	for _, name := range v.classNames(teamsOf, n) {
+		rows = append(rows, v.classRows(name, teamsOf)...)
 	}
 	return rows
 }
@@ -81,10 +81,10 @@
 }
 
 // classNames returns the distinct names of the first n classes of each run, in order of appearance.
-func (l *View) classNames(of func(*summary.Summary) []summary.Class, n int) []string {
+func (v *View) classNames(of func(*summary.Summary) []summary.Class, n int) []string {
 	var names []string
 	seen := map[string]bool{}
-	for _, r := range l.Runs {
+	for _, r := range v.Runs {
 		for i, c := range of(r) {
 			if i < n && !seen[c.Name] {
 				seen[c.Name] = true
@@ -95,22 +95,22 @@
 	return names
 }
 
-func (l *View) classRows(name string, of func(*summary.Summary) []summary.Class) [][]string {
+func (v *View) classRows(name string, of func(*summary.Summary) []summary.Class) [][]string {
 	pick := func(f func(c summary.Class) float64) func(*summary.Summary) float64 {
 		return func(s *summary.Summary) float64 { return f(findClass(of(s), name)) }
 	}
 	rows := [][]string{
-		l.row(name+" sent", pick(func(c summary.Class) float64 { return float64(c.Sent) }), formatCount),
-		l.row(name+" answered", pick(func(c summary.Class) float64 { return float64(c.Answered) }), formatCount),
-		l.row(name+" refused", pick(func(c summary.Class) float64 { return float64(c.RefusedCount()) }), formatCount),
+		v.row(name+" sent", pick(func(c summary.Class) float64 { return float64(c.Sent) }), formatCount),
+		v.row(name+" answered", pick(func(c summary.Class) float64 { return float64(c.Answered) }), formatCount),
+		v.row(name+" refused", pick(func(c summary.Class) float64 { return float64(c.RefusedCount()) }), formatCount),
 	}
 	for i, q := range quantileNames {
 		rows = append(rows,
-			l.row(name+" first "+q, pick(func(c summary.Class) float64 { return quantiles(c.First)[i] }), formatMilliseconds))
+			v.row(name+" first "+q, pick(func(c summary.Class) float64 { return quantiles(c.First)[i] }), formatMilliseconds))
 	}
 	return append(rows,
-		l.row(name+" between p95", pick(func(c summary.Class) float64 { return quantiles(c.Between)[1] }), formatMilliseconds),
-		l.row(name+" total p99", pick(func(c summary.Class) float64 { return quantiles(c.Total)[2] }), formatMilliseconds),
+		v.row(name+" between p95", pick(func(c summary.Class) float64 { return quantiles(c.Between)[1] }), formatMilliseconds),
+		v.row(name+" total p99", pick(func(c summary.Class) float64 { return quantiles(c.Total)[2] }), formatMilliseconds),
 	)
 }
 
@@ -124,15 +124,15 @@
 }
 
 // row returns one metric of every run and, if there are two runs, the change in percent.
-func (l *View) row(name string, f func(*summary.Summary) float64, show func(float64) string) []string {
+func (v *View) row(name string, f func(*summary.Summary) float64, show func(float64) string) []string {
 	r := []string{name}
-	for _, s := range l.Runs {
+	for _, s := range v.Runs {
 		r = append(r, show(f(s)))
 	}
-	if len(l.Runs) != 2 {
+	if len(v.Runs) != 2 {
 		return r
 	}
-	a, b := f(l.Runs[0]), f(l.Runs[1])
+	a, b := f(v.Runs[0]), f(v.Runs[1])
 	if a == 0 || a == b {
 		return append(r, "")
 	}
@@ -161,32 +161,32 @@
 }
 
 // Page returns the runs as an HTML page.
-func (l *View) Page() (*page.Page, error) {
-	p := &page.Page{Title: "Load: " + strings.Join(l.columns()[1:1+len(l.Runs)], " beside ")}
+func (v *View) Page() (*page.Page, error) {
+	p := &page.Page{Title: "Load: " + strings.Join(v.columns()[1:1+len(v.Runs)], " beside ")}
 	classes := page.Section{Heading: "Latency quantiles, measured from due arrival"}
-	for _, name := range l.classNames(func(s *summary.Summary) []summary.Class { return s.Classes }, maxShown) {
-		c, err := l.quantileChart(name)
+	for _, name := range v.classNames(func(s *summary.Summary) []summary.Class { return s.Classes }, maxShown) {
+		c, err := v.quantileChart(name)
 		if err != nil {
 			return nil, err
 		}
 		classes.Charts = append(classes.Charts, c)
 	}
-	worst, err := l.worstTeams()
+	worst, err := v.worstTeams()
 	if err != nil {
 		return nil, err
 	}
-	distribution, err := l.distribution()
+	distribution, err := v.distribution()
 	if err != nil {
 		return nil, err
 	}
-	all := l.rows(len(l.classNames(teamsOf, 1<<30)))
+	all := v.rows(len(v.classNames(teamsOf, 1<<30)))
 	p.Sections = append(p.Sections,
-		page.Section{Heading: "Figures", Columns: l.columns(), Rows: l.rows(0)},
+		page.Section{Heading: "Figures", Columns: v.columns(), Rows: v.rows(0)},
 		classes,
-		page.Section{Heading: fmt.Sprintf("Worst-served teams, at most %d", l.MaxTeams), Charts: worst},
-		page.Section{Heading: "All teams", Charts: distribution, Columns: l.columns(), Rows: all, Collapsed: true},
+		page.Section{Heading: fmt.Sprintf("Worst-served teams, at most %d", v.MaxTeams), Charts: worst},
+		page.Section{Heading: "All teams", Charts: distribution, Columns: v.columns(), Rows: all, Collapsed: true},
 	)
-	for _, r := range l.Runs {
+	for _, r := range v.Runs {
 		if len(r.Faults) == 0 {
 			continue
 		}
@@ -200,10 +200,10 @@
 }
 
 // quantileChart charts the quantiles of one class, one line for each run and kind of latency.
-func (l *View) quantileChart(name string) (*chart.Chart, error) {
+func (v *View) quantileChart(name string) (*chart.Chart, error) {
 	c := chart.NewChart(name, "quantile", "ms")
 	x := []float64{0, 1, 2, 3}
-	for _, r := range l.Runs {
+	for _, r := range v.Runs {
 		k := findClass(r.Classes, name)
 		for _, s := range []struct {
 			kind string
@@ -222,10 +222,10 @@
 }
 
 // worstTeams charts the 99th percentile of the first byte for the worst-served teams of the first run.
-func (l *View) worstTeams() ([]page.Chart, error) {
-	t := slices.Clone(l.Runs[0].Teams)
+func (v *View) worstTeams() ([]page.Chart, error) {
+	t := slices.Clone(v.Runs[0].Teams)
 	slices.SortStableFunc(t, func(a, b summary.Class) int { return cmp.Compare(b.First.P99, a.First.P99) })
-	t = t[:min(len(t), l.MaxTeams)]
+	t = t[:min(len(t), v.MaxTeams)]
 	if len(t) == 0 {
 		return nil, nil
 	}
@@ -234,30 +234,30 @@
 		names = append(names, k.Name)
 	}
 	var bars []chart.Series
-	for _, r := range l.Runs {
+	for _, r := range v.Runs {
 		s := chart.Series{Name: r.Label}
 		for _, n := range names {
 			s.Values = append(s.Values, inMilliseconds(findClass(r.Teams, n).First.P99))
 		}
 		bars = append(bars, s)
 	}
-	c := chart.NewChart("First byte, p99, worst teams of "+l.Runs[0].Label, "ms", "")
+	c := chart.NewChart("First byte, p99, worst teams of "+v.Runs[0].Label, "ms", "")
 	return []page.Chart{c}, c.HorizontalBars(names, bars)
 }
 
 // distribution charts the distribution of the 99th percentiles of all teams, one chart per run.
-func (l *View) distribution() ([]page.Chart, error) {
+func (v *View) distribution() ([]page.Chart, error) {
 	var d []page.Chart
-	for _, r := range l.Runs {
-		var v []float64
+	for _, r := range v.Runs {
+		var t []float64
 		for _, k := range r.Teams {
-			v = append(v, inMilliseconds(k.First.P99))
+			t = append(t, inMilliseconds(k.First.P99))
 		}
-		if len(v) == 0 {
+		if len(t) == 0 {
 			continue
 		}
 		c := chart.NewChart("First byte, p99, all teams of "+r.Label, "ms", "teams")
-		if err := c.Histogram(v); err != nil {
+		if err := c.Histogram(t); err != nil {
 			return nil, err
 		}
 		d = append(d, c)
