--- a/internal/config/configstore/configstore.go
+++ b/internal/config/configstore/configstore.go
@@ -12,6 +12,7 @@
 	"siskinrun/internal/config/delta"
 	"siskinrun/internal/config/difference"
 	"siskinrun/internal/config/revision"
+	"siskinrun/internal/config/validation"
 	"siskinrun/internal/data/configuration"
 	"siskinrun/internal/data/key"
 	"siskinrun/internal/data/model"
@@ -135,22 +136,14 @@
 	now := r.View()
 	n, d, p := c.Apply(now, r.version)
 	if len(p) > 0 {
-		o := r.refuse(c, changeoutcome.Invalid, p[0].Field+" "+p[0].Message)
-		o.Problems = p[:min(len(p), maxProblems)]
-		return o
+		return r.refuseInvalid(c, p)
 	}
 	if c.Edition <= now.Edition {
 		return r.refuse(c, changeoutcome.Superseded, fmt.Sprintf("edition %d is in force", now.Edition))
 	}
 	r.commit(c, now, n, d)
 	r.document = c.Document
-	return &changeoutcome.Outcome{
-		Status:   changeoutcome.Applied,
-		ChangeID: c.ID,
-		Version:  n.Version,
-		By:       c.By,
-		Message:  fmt.Sprintf("made version %d", n.Version),
-	}
+	return applied(c, n.Version)
 }
 
 // answerResend returns the recorded outcome of a resent change, or Reused if another change has taken its ID.
@@ -181,18 +174,22 @@
 	}
 	n, d, p := c.Apply(now, r.version)
 	if len(p) > 0 {
-		o := r.refuse(c, changeoutcome.Invalid, p[0].Field+" "+p[0].Message)
-		o.Problems = p[:min(len(p), maxProblems)]
-		return o
+		return r.refuseInvalid(c, p)
 	}
 	r.commit(c, now, n, d)
+	o := applied(c, n.Version)
+	o.Base = c.Base
+	return o
+}
+
+// applied returns the outcome, without a base, of a change that made a version.
+func applied(c *change.Change, version uint64) *changeoutcome.Outcome {
 	return &changeoutcome.Outcome{
 		Status:   changeoutcome.Applied,
 		ChangeID: c.ID,
-		Base:     c.Base,
-		Version:  n.Version,
+		Version:  version,
 		By:       c.By,
-		Message:  fmt.Sprintf("made version %d", n.Version),
+		Message:  fmt.Sprintf("made version %d", version),
 	}
 }
 
@@ -225,6 +222,13 @@
 	return o
 }
 
+// refuseInvalid refuses a change that has at least one problem.
+func (r *Store) refuseInvalid(c *change.Change, p []validation.Problem) *changeoutcome.Outcome {
+	o := r.refuse(c, changeoutcome.Invalid, p[0].Field+" "+p[0].Message)
+	o.Problems = p[:min(len(p), maxProblems)]
+	return o
+}
+
 func (r *Store) refuse(c *change.Change, status, message string) *changeoutcome.Outcome {
 	return &changeoutcome.Outcome{
 		Status:   status,
