--- a/internal/state/control/form.go
+++ b/internal/state/control/form.go
@@ -118,10 +118,14 @@
 	return c.saveFormation(f)
 }
 
-// saveFormation makes a formation durable before this host uses it.
 func (c *Service) saveFormation(f formation.Formation) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.save(f)
+}
+
+// save makes a formation durable before this host uses it; the caller holds the lock.
+func (c *Service) save(f formation.Formation) error {
 	if err := f.Save(c.disk); err != nil {
 		return err
 	}
@@ -181,11 +185,7 @@
 	if c.self.IsZero() || !c.formation.MayPromise(f, c.self) {
 		return refusal.NewNotRun(409, "promised", "this disk is promised to another formation")
 	}
-	if err := f.Save(c.disk); err != nil {
-		return err
-	}
-	c.formation = f
-	return nil
+	return c.save(f)
 }
 
 // complete marks the formation as formed, once every member has made its promise to this coordinator.
@@ -196,11 +196,7 @@
 		return nil
 	}
 	f.Formed = true
-	if err := f.Save(c.disk); err != nil {
-		return err
-	}
-	c.formation = f
-	return nil
+	return c.save(f)
 }
 
 // unlessRefusal returns err unless it is a refusal, after which the host retries.
