--- a/internal/config/distribution/distribution_test.go
+++ b/internal/config/distribution/distribution_test.go
@@ -51,17 +51,13 @@
 	f.run(t)
 	f.change(0)
 	f.await(t, 1, "")
-	f.network.mu.Lock()
-	f.network.isolated["a1"] = true
-	f.network.mu.Unlock()
+	f.network.isolate("a1", true)
 	f.change(1)
 	f.await(t, 2, "a1")
 	if f.hosts["a1"].View().Version != 1 {
 		t.Fatal("an isolated host received a new version")
 	}
-	f.network.mu.Lock()
-	f.network.isolated["a1"] = false
-	f.network.mu.Unlock()
+	f.network.isolate("a1", false)
 	f.await(t, 2, "")
 }
 
@@ -108,9 +104,7 @@
 	f.run(t)
 	f.change(0)
 	f.await(t, 1, "")
-	f.network.mu.Lock()
-	f.network.isolated["b1"] = true
-	f.network.mu.Unlock()
+	f.network.isolate("b1", true)
 	isolated, start := f.hosts["b1"], f.timer.Now()
 	is.True(isolated.Fresh())
 	ctx := context.Background()
@@ -120,9 +114,7 @@
 	is.True(f.timer.Now().Sub(start) <= isolated.Lease+isolated.Lease/20)
 	is.True(f.hosts["b2"].Fresh())
 	is.Equal(isolated.View().Version, uint64(1))
-	f.network.mu.Lock()
-	f.network.isolated["b1"] = false
-	f.network.mu.Unlock()
+	f.network.isolate("b1", false)
 	for !isolated.Fresh() && f.timer.Now().Sub(start) < testTimeout {
 		is.NoErr(f.timer.Sleep(ctx, 10*time.Millisecond))
 	}
--- a/internal/config/distribution/fleet_test.go
+++ b/internal/config/distribution/fleet_test.go
@@ -30,6 +30,13 @@
 	withoutReplica map[string]bool
 }
 
+// isolate cuts a host off from all others, or ends that.
+func (n *network) isolate(host string, isolated bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[host] = isolated
+}
+
 type endpoint struct {
 	name    string
 	network *network
