--- a/internal/wire/callerapi/batches.go
+++ b/internal/wire/callerapi/batches.go
@@ -184,21 +184,18 @@
 }
 
 func (q *request) results(team, id string) {
-	if _, err := q.server.Batch.GetJob(q.server.ingress.Context(), team, id); err != nil {
-		q.Refuse(err)
-		return
-	}
-	q.stream(func(ctx context.Context, w io.Writer) error {
-		return q.server.Batch.Results(ctx, team, id, w)
-	})
+	q.streamJob(team, id, q.server.Batch.Results)
 }
 
 func (q *request) errors(team, id string) {
+	q.streamJob(team, id, q.server.Batch.Errors)
+}
+
+// streamJob streams what write writes of a job of the team.
+func (q *request) streamJob(team, id string, write func(ctx context.Context, team, id string, w io.Writer) error) {
 	if _, err := q.server.Batch.GetJob(q.server.ingress.Context(), team, id); err != nil {
 		q.Refuse(err)
 		return
 	}
-	q.stream(func(ctx context.Context, w io.Writer) error {
-		return q.server.Batch.Errors(ctx, team, id, w)
-	})
+	q.stream(func(ctx context.Context, w io.Writer) error { return write(ctx, team, id, w) })
 }
