--- a/internal/product/command/diff.go
+++ b/internal/product/command/diff.go
@@ -48,23 +48,18 @@
 	t.add(n)
 	n.Flag("most", "Maximum number of versions.").Default(fmt.Sprint(defaultVersionLimit)).Uint64Var(&limit)
 	c.handle(n.FullCommand(), func(ctx context.Context) error {
-		return t.withClient(ctx, func(ctx context.Context, k *operatorclient.Client) error {
-			l, err := k.Get(ctx, fmt.Sprintf("/v1/versions?most=%d", limit))
-			if err != nil {
-				return err
-			}
-			if t.json {
-				return c.printJSON(l)
-			}
-			rows := [][]string{{"VERSION", "CHANGE", "BY", "KIND", "FIELDS"}}
-			for _, r := range l.Revisions {
-				rows = append(rows, []string{itoa(r.Version), r.ChangeID, r.By, r.Kind, fmt.Sprint(r.Changed)})
-			}
-			return c.printTable(rows)
-		})
+		return c.printListing(ctx, t, fmt.Sprintf("/v1/versions?most=%d", limit), versionRows)
 	})
 }
 
+func versionRows(l *listing.Listing) [][]string {
+	rows := [][]string{{"VERSION", "CHANGE", "BY", "KIND", "FIELDS"}}
+	for _, r := range l.Revisions {
+		rows = append(rows, []string{itoa(r.Version), r.ChangeID, r.By, r.Kind, fmt.Sprint(r.Changed)})
+	}
+	return rows
+}
+
 func listDifferences(ctx context.Context, t *fleetFlags, k *operatorclient.Client, from, to uint64) (*listing.Listing, error) {
 	if from != 0 || to != 0 {
 		q := "/v1/diff?"
--- a/internal/product/command/host.go
+++ b/internal/product/command/host.go
@@ -51,16 +51,13 @@
 		if err != nil {
 			return err
 		}
-		if t.json {
-			return c.printJSON(l)
-		}
 		rows := [][]string{{"GROUP", "LEADER", "MEMBER", "DISK", "VOTER", "LAG", "SILENCE", "REPAIRED"}}
 		for _, s := range l {
 			for _, m := range s.Members {
 				rows = append(rows, memberRow(s, m))
 			}
 		}
-		return c.printTable(rows)
+		return c.printRows(t, l, rows)
 	})
 }
 
--- a/internal/product/command/key.go
+++ b/internal/product/command/key.go
@@ -9,6 +9,7 @@
 
 	"siskinrun/internal/config/change"
 	"siskinrun/internal/config/changeoutcome"
+	"siskinrun/internal/config/listing"
 	"siskinrun/internal/config/operatorclient"
 	"siskinrun/internal/data/key"
 )
@@ -42,7 +43,9 @@
 	list := n.Command("list", "List the granted keys.")
 	l.add(list)
 	list.Flag("team", "Only keys of this team.").StringVar(&team)
-	c.handle(list.FullCommand(), func(ctx context.Context) error { return c.listKeys(ctx, l, team) })
+	c.handle(list.FullCommand(), func(ctx context.Context) error {
+		return c.printListing(ctx, l, "/v1/keys?team="+team, keyRows)
+	})
 
 	g := &grantFlags{}
 	grant := n.Command("grant", "Grant a key and print its secret, which the fleet does not store.")
@@ -62,21 +65,12 @@
 	})
 }
 
-func (c *Command) listKeys(ctx context.Context, t *fleetFlags, team string) error {
-	return t.withClient(ctx, func(ctx context.Context, k *operatorclient.Client) error {
-		l, err := k.Get(ctx, "/v1/keys?team="+team)
-		if err != nil {
-			return err
-		}
-		if t.json {
-			return c.printJSON(l)
-		}
-		rows := [][]string{{"KEY", "TEAM"}}
-		for _, e := range l.Keys {
-			rows = append(rows, []string{e.ID, e.Team})
-		}
-		return c.printTable(rows)
-	})
+func keyRows(l *listing.Listing) [][]string {
+	rows := [][]string{{"KEY", "TEAM"}}
+	for _, k := range l.Keys {
+		rows = append(rows, []string{k.ID, k.Team})
+	}
+	return rows
 }
 
 func (c *Command) grantKey(ctx context.Context, g *grantFlags) error {
--- a/internal/product/command/quarantine.go
+++ b/internal/product/command/quarantine.go
@@ -41,14 +41,11 @@
 		if err := json.Unmarshal(b, &l); err != nil {
 			return err
 		}
-		if t.json {
-			return c.printJSON(l)
-		}
 		rows := [][]string{{"KIND", "TRAIT", "ENDS", "ROUTE", "TEAM", "PATH"}}
 		for _, q := range l {
 			rows = append(rows, []string{q.Kind, q.Trait, strconv.Itoa(q.Ends), q.Route, q.Team, q.Path})
 		}
-		return c.printTable(rows)
+		return c.printRows(t, l, rows)
 	})
 }
 
--- a/internal/product/command/status.go
+++ b/internal/product/command/status.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"siskinrun/internal/config/listing"
 	"siskinrun/internal/config/operatorclient"
 )
 
@@ -21,30 +22,27 @@
 	t.add(n)
 	why := n.Flag("why", "Show the decisions on the call, team, upstream or route with this name instead.").String()
 	c.handle(n.FullCommand(), func(ctx context.Context) error {
+		if *why == "" {
+			return c.printListing(ctx, t, "/v1/hosts", hostRows)
+		}
 		return t.withClient(ctx, func(ctx context.Context, k *operatorclient.Client) error {
-			if *why != "" {
-				return c.printDecisions(ctx, k, *why, t.json)
-			}
-			l, err := k.Get(ctx, "/v1/hosts")
-			if err != nil {
-				return err
-			}
-			if t.json {
-				return c.printJSON(l)
-			}
-			rows := [][]string{{"HOST", "FAILURE-DOMAIN", "CONTROL", "REACHABLE", "VERSION", "FRESH", "AGE"}}
-			for _, h := range l.Hosts {
-				rows = append(rows, []string{
-					h.Host,
-					h.FailureDomain,
-					strconv.FormatBool(h.Control),
-					strconv.FormatBool(h.Reachable),
-					itoa(h.Version),
-					strconv.FormatBool(h.Fresh),
-					h.Age.Duration().Round(durationPrecision).String(),
-				})
-			}
-			return c.printTable(rows)
+			return c.printDecisions(ctx, k, *why, t.json)
 		})
 	})
 }
+
+func hostRows(l *listing.Listing) [][]string {
+	rows := [][]string{{"HOST", "FAILURE-DOMAIN", "CONTROL", "REACHABLE", "VERSION", "FRESH", "AGE"}}
+	for _, h := range l.Hosts {
+		rows = append(rows, []string{
+			h.Host,
+			h.FailureDomain,
+			strconv.FormatBool(h.Control),
+			strconv.FormatBool(h.Reachable),
+			itoa(h.Version),
+			strconv.FormatBool(h.Fresh),
+			h.Age.Duration().Round(durationPrecision).String(),
+		})
+	}
+	return rows
+}
--- a/internal/product/command/team.go
+++ b/internal/product/command/team.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"siskinrun/internal/config/change"
-	"siskinrun/internal/config/operatorclient"
+	"siskinrun/internal/config/listing"
 	"siskinrun/internal/data/team"
 )
 
@@ -20,7 +20,7 @@
 	l := &fleetFlags{}
 	list := n.Command("list", "List the teams.")
 	l.add(list)
-	c.handle(list.FullCommand(), func(ctx context.Context) error { return c.listTeams(ctx, l) })
+	c.handle(list.FullCommand(), func(ctx context.Context) error { return c.printListing(ctx, l, "/v1/teams", teamRows) })
 
 	s, name, t := &changeFlags{}, "", &team.Team{}
 	set := n.Command("set", "Create or change a team.")
@@ -43,20 +43,11 @@
 	})
 }
 
-func (c *Command) listTeams(ctx context.Context, t *fleetFlags) error {
-	return t.withClient(ctx, func(ctx context.Context, k *operatorclient.Client) error {
-		l, err := k.Get(ctx, "/v1/teams")
-		if err != nil {
-			return err
-		}
-		if t.json {
-			return c.printJSON(l)
-		}
-		rows := [][]string{{"TEAM", "RATE", "BURST", "WEIGHT", "STORED-BYTES"}}
-		for _, n := range slices.Sorted(maps.Keys(l.Teams)) {
-			v := l.Teams[n]
-			rows = append(rows, []string{n, itoa(v.Rate), itoa(v.Burst), itoa(v.Weight), itoa(v.MaxStoredBytes)})
-		}
-		return c.printTable(rows)
-	})
+func teamRows(l *listing.Listing) [][]string {
+	rows := [][]string{{"TEAM", "RATE", "BURST", "WEIGHT", "STORED-BYTES"}}
+	for _, n := range slices.Sorted(maps.Keys(l.Teams)) {
+		t := l.Teams[n]
+		rows = append(rows, []string{n, itoa(t.Rate), itoa(t.Burst), itoa(t.Weight), itoa(t.MaxStoredBytes)})
+	}
+	return rows
 }
