--- a/internal/base/ring/ring.go
+++ b/internal/base/ring/ring.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"siskinrun/internal/base/signal"
 )
 
 // ErrClosed is returned by writes to a closed ring, and by reads from one that is closed and empty.
@@ -17,16 +19,16 @@
 	head     int
 	count    int
 	closed   bool
-	notEmpty chan struct{}
-	notFull  chan struct{}
+	notEmpty signal.Signal
+	notFull  signal.Signal
 }
 
 // NewRing returns a ring that holds up to size items.
 func NewRing[T any](size int) *Ring[T] {
 	return &Ring[T]{
 		items:    make([]T, max(size, 1)),
-		notEmpty: make(chan struct{}, 1),
-		notFull:  make(chan struct{}, 1),
+		notEmpty: signal.NewSignal(),
+		notFull:  signal.NewSignal(),
 	}
 }
 
@@ -39,9 +41,9 @@
 	}
 	r.items[(r.head+r.count)%len(r.items)] = v
 	r.count++
-	notify(r.notEmpty)
+	r.notEmpty.Set()
 	if r.count < len(r.items) {
-		notify(r.notFull)
+		r.notFull.Set()
 	}
 	return true
 }
@@ -126,9 +128,9 @@
 	}
 	r.count -= n
 	if !r.closed {
-		notify(r.notFull)
+		r.notFull.Set()
 		if r.count > 0 {
-			notify(r.notEmpty)
+			r.notEmpty.Set()
 		}
 	}
 	return b
@@ -139,10 +141,3 @@
 	defer r.mu.Unlock()
 	return r.closed
 }
-
-func notify(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
--- /dev/null
+++ b/internal/base/signal/doc.go
@@ -0,0 +1,2 @@
+// Package signal wakes a goroutine that waits for something to do.
+package signal
--- a/internal/base/timer/service.go
+++ b/internal/base/timer/service.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"siskinrun/internal/base/signal"
 )
 
 // Service is a clock that runs timers. It follows the machine's clock or is advanced by hand.
@@ -15,18 +17,19 @@
 	now    time.Time
 	seq    uint64
 	due    queue
-	wake   chan struct{}
+	// wake makes Run look at the earliest entry again.
+	wake signal.Signal
 }
 
 // NewService returns a service on the machine's clock. Steps of the time of day do not move it, and it counts the time
 // in which the machine is suspended.
 func NewService() *Service {
-	return &Service{steady: newSteady(), wake: make(chan struct{}, 1)}
+	return &Service{steady: newSteady(), wake: signal.NewSignal()}
 }
 
 // NewManual returns a service whose time changes only through Advance.
 func NewManual(start time.Time) *Service {
-	return &Service{manual: true, now: start, wake: make(chan struct{}, 1)}
+	return &Service{manual: true, now: start, wake: signal.NewSignal()}
 }
 
 // Now returns the current time.
@@ -111,19 +114,11 @@
 	e := &entry{at: s.firstDue(n, d, every), seq: s.seq, interval: every, call: f}
 	heap.Push(&s.due, e)
 	if s.due[0] == e {
-		s.signal()
+		s.wake.Set()
 	}
 	return func() { s.remove(e) }
 }
 
-// signal makes Run look at the earliest entry again.
-func (s *Service) signal() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 // firstDue returns when an entry is due for the first time.
 //
 // On the machine's clock, repeating entries are aligned to multiples of their interval, so that they share wake-ups.
--- a/internal/config/distribution/distribution.go
+++ b/internal/config/distribution/distribution.go
@@ -11,6 +11,7 @@
 
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/base/signal"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/config/configcache"
 	"siskinrun/internal/config/configstore"
@@ -71,7 +72,7 @@
 	cache       *configcache.Cache
 	selector    *peerselection.Selector
 	changed     chan struct{} // closed and replaced when the cache has a newer version
-	wake        chan struct{} // ends the backoff before the next pull
+	wake        signal.Signal // ends the backoff before the next pull
 	publishMu   sync.Mutex    // held while subscribers are notified, so that they get versions in order
 	subscribers []func(*configuration.Configuration)
 }
@@ -160,7 +161,7 @@
 		if s.View().Version >= version {
 			return nil
 		}
-		s.wakePull()
+		s.wake.Set()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -175,7 +176,7 @@
 		s.cache = configcache.NewCache(s.start, s.Lease)
 		s.selector = peerselection.NewSelector(s.Name, s.Domains, s.Control)
 		s.changed = make(chan struct{})
-		s.wake = make(chan struct{}, 1)
+		s.wake = signal.NewSignal()
 		s.published.Store(s.cache.Published())
 		s.lapsed.Store(true)
 		if s.Metrics == nil {
@@ -245,11 +246,3 @@
 	s.Log.Warn().Msg("configuration not fresh, keyed requests are refused")
 	metrics.GetOrRegisterCounter("configuration-lapses", s.Metrics).Inc(1)
 }
-
-// wakePull ends the backoff before the next pull.
-func (s *Service) wakePull() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -11,6 +11,7 @@
 
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/base/signal"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/data/upstream"
@@ -83,7 +84,7 @@
 	current     atomic.Pointer[[]upstream.Upstream]
 	group       *group.Group
 	relays      relayQueue
-	flushes     chan struct{}
+	flushes     signal.Signal
 	// flushDue says that a push of urgent news is scheduled.
 	flushDue bool
 	// periodsPassed counts the periods since the last exchange.
@@ -113,14 +114,14 @@
 	r.mu.Lock()
 	r.group = g
 	r.mu.Unlock()
-	periods := make(chan struct{}, 1)
-	stopPeriods := r.Timer.Every(ExchangePeriod, func(time.Time) { signal(periods) })
+	periods := signal.NewSignal()
+	stopPeriods := r.Timer.Every(ExchangePeriod, func(time.Time) { periods.Set() })
 	defer stopPeriods()
-	due := make(chan struct{}, 1)
+	due := signal.NewSignal()
 	stopRelays := r.Timer.Every(RelayPeriod, func(time.Time) {
 		r.queueRenewals()
 		if r.relays.pending() {
-			signal(due)
+			due.Set()
 		}
 	})
 	defer stopRelays()
@@ -143,7 +144,7 @@
 		return
 	}
 	r.flushDue = true
-	r.Timer.After(FlushPeriod, func(time.Time) { signal(r.flushes) })
+	r.Timer.After(FlushPeriod, func(time.Time) { r.flushes.Set() })
 }
 
 // AnnounceStopping tells other hosts that this one accepts no more work.
@@ -214,21 +215,14 @@
 		r.Metrics = metrics.NewRegistry()
 	}
 	r.exchanging = map[string]bool{}
-	r.flushes = make(chan struct{}, 1)
+	r.flushes = signal.NewSignal()
 	r.membership = membership.NewMembership(r.Name, r.FailureDomain, r.Boot, r.Link.Names(), r.Seed)
 	r.membership.Open = r.Open
 	r.membership.SetSelf(r.Self)
 	r.membership.Expiry = r.Expiry
 }
 
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-func runOnSignal(ctx context.Context, due <-chan struct{}, f func(context.Context)) error {
+func runOnSignal(ctx context.Context, due signal.Signal, f func(context.Context)) error {
 	for {
 		select {
 		case <-ctx.Done():
