--- a/internal/fleet/gossip/leave.go
+++ b/internal/fleet/gossip/leave.go
@@ -20,34 +20,34 @@
 var errUnconfirmed = refusal.NewMayHaveRun(503, "leave-unconfirmed", "too few hosts have confirmed the leave").WithRetryAfter(leaveTimeout)
 
 // AnnounceLeave stores the announcement that an upstream leaves and returns once enough hosts have confirmed it.
-func (r *Service) AnnounceLeave(ctx context.Context, u upstream.Upstream) error {
+func (s *Service) AnnounceLeave(ctx context.Context, u upstream.Upstream) error {
 	u.Leaving = true
-	r.Announce(u)
-	return r.awaitConfirmations(ctx, u.Name)
+	s.Announce(u)
+	return s.awaitConfirmations(ctx, u.Name)
 }
 
 // EndIncarnation ends an incarnation of an upstream, the known one if it is zero, and returns once enough hosts have
 // confirmed it.
-func (r *Service) EndIncarnation(ctx context.Context, name string, incarnation uint64) error {
-	r.once.Do(r.init)
+func (s *Service) EndIncarnation(ctx context.Context, name string, incarnation uint64) error {
+	s.once.Do(s.init)
 	if incarnation == 0 {
-		r.mu.Lock()
-		incarnation = r.membership.Incarnation(name)
-		r.mu.Unlock()
+		s.mu.Lock()
+		incarnation = s.membership.Incarnation(name)
+		s.mu.Unlock()
 	}
-	r.Leave(name, incarnation)
-	return r.awaitConfirmations(ctx, name)
+	s.Leave(name, incarnation)
+	return s.awaitConfirmations(ctx, name)
 }
 
 // awaitConfirmations pushes the announcement of an upstream to peers and waits until enough of them have confirmed it.
-func (r *Service) awaitConfirmations(ctx context.Context, name string) error {
-	r.mu.Lock()
-	g := r.group
-	n, ok := r.membership.News(r.Timer.Now(), name)
-	l := r.membership.ConfirmationPeers()
-	alone := len(r.membership.Hosts()) == 1
-	isolated := r.membership.LikelyIsolated()
-	r.mu.Unlock()
+func (s *Service) awaitConfirmations(ctx context.Context, name string) error {
+	s.mu.Lock()
+	g := s.group
+	n, ok := s.membership.News(s.Timer.Now(), name)
+	l := s.membership.ConfirmationPeers()
+	alone := len(s.membership.Hosts()) == 1
+	isolated := s.membership.LikelyIsolated()
+	s.mu.Unlock()
 	if g == nil {
 		return refusal.NewNotRun(503, "starting", "this host is starting").WithRetryAfter(leaveTimeout)
 	}
@@ -67,7 +67,7 @@
 	confirmed := make(chan bool, len(l))
 	for _, p := range l {
 		g.Go("witness", func(context.Context) error {
-			_, err := r.call(ctx, p, methodPush, b)
+			_, err := s.call(ctx, p, methodPush, b)
 			confirmed <- err == nil
 			return nil
 		})
--- a/internal/fleet/gossip/loads.go
+++ b/internal/fleet/gossip/loads.go
@@ -16,78 +16,75 @@
 }
 
 // Report stores the load of an upstream.
-func (r *Service) Report(l loadreport.Report) {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.membership.Report(r.Timer.Now(), l)
-	r.publishLoads()
+func (s *Service) Report(l loadreport.Report) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membership.Report(s.Timer.Now(), l)
+	s.publishLoads()
 }
 
 // Load returns the newest known load of an upstream and when it was measured.
-func (r *Service) Load(name string) (loadreport.Report, time.Time, bool) {
-	v, ok := r.samples.Load(name)
-	if !ok {
-		return loadreport.Report{}, time.Time{}, false
-	}
-	s := v.(*sample)
-	return s.report, s.measured, s.reported
+func (s *Service) Load(name string) (loadreport.Report, time.Time, bool) {
+	v := s.sampleOf(name)
+	return v.report, v.measured, v.reported
 }
 
 // Busy sets the number of online requests that this host has in flight at an upstream, for peers to learn.
-func (r *Service) Busy(name string, n int) {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.unlock()
-	r.membership.SetInFlight(r.Timer.Now(), name, n)
-	r.publishLoads()
+func (s *Service) Busy(name string, n int) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.unlock()
+	s.membership.SetInFlight(s.Timer.Now(), name, n)
+	s.publishLoads()
 }
 
 // BusyBatch sets the number of batch requests that this host has in flight at an upstream, for peers to learn.
-func (r *Service) BusyBatch(name string, n int) {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.unlock()
-	r.membership.SetBatch(r.Timer.Now(), name, n)
-	r.publishLoads()
+func (s *Service) BusyBatch(name string, n int) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.unlock()
+	s.membership.SetBatch(s.Timer.Now(), name, n)
+	s.publishLoads()
 }
 
 // Peers returns how many online requests other hosts are known to have in flight at an upstream.
-func (r *Service) Peers(name string) int {
-	v, ok := r.samples.Load(name)
-	if !ok {
-		return 0
-	}
-	return v.(*sample).peers
+func (s *Service) Peers(name string) int {
+	return s.sampleOf(name).peers
 }
 
 // PeersBatch returns how many batch requests other hosts are known to have in flight at an upstream.
-func (r *Service) PeersBatch(name string) int {
-	v, ok := r.samples.Load(name)
+func (s *Service) PeersBatch(name string) int {
+	return s.sampleOf(name).peersBatch
+}
+
+// sampleOf returns the published load and counts of an upstream, all zero if there are none.
+func (s *Service) sampleOf(name string) sample {
+	v, ok := s.samples.Load(name)
 	if !ok {
-		return 0
+		return sample{}
 	}
-	return v.(*sample).peersBatch
+	return *v.(*sample)
 }
 
 // LoadChanges returns a number that grows whenever what Load, Peers or PeersBatch returns has changed.
-func (r *Service) LoadChanges() uint64 {
-	return r.loadChanges.Load()
+func (s *Service) LoadChanges() uint64 {
+	return s.loadChanges.Load()
 }
 
 // publishLoads publishes the changed loads and counts for lock-free readers.
-func (r *Service) publishLoads() {
-	l := r.membership.TakeChangedLoads()
+func (s *Service) publishLoads() {
+	l := s.membership.TakeChangedLoads()
 	if len(l) > 0 {
-		defer r.loadChanges.Add(1)
+		defer s.loadChanges.Add(1)
 	}
 	for _, n := range l {
-		s := &sample{peers: r.membership.PeersInFlight(n), peersBatch: r.membership.PeersBatch(n)}
-		s.report, s.measured, s.reported = r.membership.Load(n)
-		if !s.reported && s.peers+s.peersBatch == 0 {
-			r.samples.Delete(n)
+		v := &sample{peers: s.membership.PeersInFlight(n), peersBatch: s.membership.PeersBatch(n)}
+		v.report, v.measured, v.reported = s.membership.Load(n)
+		if !v.reported && v.peers+v.peersBatch == 0 {
+			s.samples.Delete(n)
 			continue
 		}
-		r.samples.Store(n, s)
+		s.samples.Store(n, v)
 	}
 }
--- a/internal/fleet/gossip/publish.go
+++ b/internal/fleet/gossip/publish.go
@@ -7,8 +7,8 @@
 )
 
 // Upstreams returns the known upstreams, including leaving ones; the slice must not be changed.
-func (r *Service) Upstreams() []upstream.Upstream {
-	v := r.current.Load()
+func (s *Service) Upstreams() []upstream.Upstream {
+	v := s.current.Load()
 	if v == nil {
 		return nil
 	}
@@ -16,28 +16,28 @@
 }
 
 // Subscribe calls f with the upstreams whenever they change; f must not call methods that change the view.
-func (r *Service) Subscribe(f func([]upstream.Upstream)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.subscribers = append(r.subscribers, f)
+func (s *Service) Subscribe(f func([]upstream.Upstream)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, f)
 }
 
 // publishUpstreams publishes the upstreams and calls the subscribers if they changed. Without a new version it returns
 // early, unless expired asks it to look for expired upstreams.
-func (r *Service) publishUpstreams(expired bool) {
-	r.publishMu.Lock()
-	defer r.publishMu.Unlock()
-	r.mu.Lock()
-	v := r.membership.Version()
-	if v == r.version && !expired {
-		r.mu.Unlock()
+func (s *Service) publishUpstreams(expired bool) {
+	s.publishMu.Lock()
+	defer s.publishMu.Unlock()
+	s.mu.Lock()
+	v := s.membership.Version()
+	if v == s.version && !expired {
+		s.mu.Unlock()
 		return
 	}
-	r.version = v
-	u := r.membership.Upstreams(r.Timer.Now())
-	l := slices.Clone(r.subscribers)
-	r.mu.Unlock()
-	old := r.current.Swap(&u)
+	s.version = v
+	u := s.membership.Upstreams(s.Timer.Now())
+	l := slices.Clone(s.subscribers)
+	s.mu.Unlock()
+	old := s.current.Swap(&u)
 	if old != nil && slices.EqualFunc(*old, u, upstream.Upstream.SameContent) || old == nil && len(u) == 0 {
 		return
 	}
--- a/internal/fleet/gossip/relay.go
+++ b/internal/fleet/gossip/relay.go
@@ -110,19 +110,19 @@
 }
 
 // queueRenewals queues the occupied upstreams that this host drives, if their renewal is due.
-func (r *Service) queueRenewals() {
-	if r.Driver == nil || !r.relays.renewalDue(r.Timer.Now()) {
+func (s *Service) queueRenewals() {
+	if s.Driver == nil || !s.relays.renewalDue(s.Timer.Now()) {
 		return
 	}
-	r.mu.Lock()
-	busy, small := r.membership.Busy(), r.membership.Small()
-	r.mu.Unlock()
+	s.mu.Lock()
+	busy, small := s.membership.Busy(), s.membership.Small()
+	s.mu.Unlock()
 	if small {
 		return
 	}
 	for _, n := range busy {
-		if r.Driver(n) == r.Name {
-			r.relays.add(n)
+		if s.Driver(n) == s.Name {
+			s.relays.add(n)
 		}
 	}
 }
@@ -130,50 +130,50 @@
 // sendRelays pushes the occupancies of the upstreams that this host drives to the relay host of its failure domain. The
 // relay host pushes those of all drivers there to the other hosts of the domain and to the relay hosts of the others, and
 // what it hears from these to its own domain.
-func (r *Service) sendRelays(context.Context) {
-	q := r.relays.drain(r.Timer.Now())
-	r.mu.Lock()
-	local := append(q.local, r.membership.Occupancies(q.changed)...)
-	domain := r.membership.DomainPeers()
-	r.mu.Unlock()
-	if h := r.relayHost(); h != r.Name {
+func (s *Service) sendRelays(context.Context) {
+	q := s.relays.drain(s.Timer.Now())
+	s.mu.Lock()
+	local := append(q.local, s.membership.Occupancies(q.changed)...)
+	domain := s.membership.DomainPeers()
+	s.mu.Unlock()
+	if h := s.relayHost(); h != s.Name {
 		if len(local) > 0 && h != "" {
-			r.push(gossipmessage.Message{From: r.Name, Occupancies: local}, h)
+			s.push(gossipmessage.Message{From: s.Name, Occupancies: local}, h)
 		}
 		return
 	}
 	if len(local)+len(q.remote) > 0 {
-		r.push(gossipmessage.Message{From: r.Name, Occupancies: append(q.remote, local...)}, domain...)
+		s.push(gossipmessage.Message{From: s.Name, Occupancies: append(q.remote, local...)}, domain...)
 	}
-	if len(local) > 0 && r.RemoteRelayHosts != nil {
-		r.push(gossipmessage.Message{From: r.Name, Occupancies: local}, r.RemoteRelayHosts()...)
+	if len(local) > 0 && s.RemoteRelayHosts != nil {
+		s.push(gossipmessage.Message{From: s.Name, Occupancies: local}, s.RemoteRelayHosts()...)
 	}
 }
 
 // relayHost returns the relay host of this failure domain, this host if none is set.
-func (r *Service) relayHost() string {
-	if r.RelayHost == nil {
-		return r.Name
+func (s *Service) relayHost() string {
+	if s.RelayHost == nil {
+		return s.Name
 	}
-	return r.RelayHost()
+	return s.RelayHost()
 }
 
 // queueReceived queues what this host passes on of a message: the upstreams that it drives with new counts and, on a relay
 // host, the occupancies of drivers and of other relay hosts.
-func (r *Service) queueReceived(from string, n gossipmessage.Message) {
-	if r.Driver == nil {
+func (s *Service) queueReceived(from string, n gossipmessage.Message) {
+	if s.Driver == nil {
 		return
 	}
 	if originatedBy(n, from) {
-		for _, c := range r.byDriver(n.Counts)[r.Name] {
-			r.relays.add(c.Upstream)
+		for _, c := range s.byDriver(n.Counts)[s.Name] {
+			s.relays.add(c.Upstream)
 		}
 	}
-	if len(n.Occupancies) == 0 || r.relayHost() != r.Name {
+	if len(n.Occupancies) == 0 || s.relayHost() != s.Name {
 		return
 	}
-	r.mu.Lock()
-	near := r.membership.SameDomain(from)
-	r.mu.Unlock()
-	r.relays.forward(r.Timer.Now(), n.Occupancies, !near)
+	s.mu.Lock()
+	near := s.membership.SameDomain(from)
+	s.mu.Unlock()
+	s.relays.forward(s.Timer.Now(), n.Occupancies, !near)
 }
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -100,126 +100,126 @@
 }
 
 // Register registers the handlers of peers' messages and must be called before the link runs.
-func (r *Service) Register() {
-	r.once.Do(r.init)
-	r.Link.Handle(methodExchange, r.handleExchange)
-	r.Link.Handle(methodPush, r.handlePush)
-	r.Link.Handle(methodProbe, r.handleProbe)
+func (s *Service) Register() {
+	s.once.Do(s.init)
+	s.Link.Handle(methodExchange, s.handleExchange)
+	s.Link.Handle(methodPush, s.handlePush)
+	s.Link.Handle(methodProbe, s.handleProbe)
 }
 
 // Run exchanges news with peers until ctx ends.
-func (r *Service) Run(ctx context.Context) error {
-	r.once.Do(r.init)
+func (s *Service) Run(ctx context.Context) error {
+	s.once.Do(s.init)
 	g := group.NewGroup(ctx)
-	r.mu.Lock()
-	r.group = g
-	r.mu.Unlock()
+	s.mu.Lock()
+	s.group = g
+	s.mu.Unlock()
 	periods := signal.NewSignal()
-	stopPeriods := r.Timer.Every(ExchangePeriod, func(time.Time) { periods.Set() })
+	stopPeriods := s.Timer.Every(ExchangePeriod, func(time.Time) { periods.Set() })
 	defer stopPeriods()
 	due := signal.NewSignal()
-	stopRelays := r.Timer.Every(RelayPeriod, func(time.Time) {
-		r.queueRenewals()
-		if r.relays.pending() {
+	stopRelays := s.Timer.Every(RelayPeriod, func(time.Time) {
+		s.queueRenewals()
+		if s.relays.pending() {
 			due.Set()
 		}
 	})
 	defer stopRelays()
-	r.group.Go("relay", func(ctx context.Context) error {
-		return runOnSignal(ctx, due, r.sendRelays)
+	s.group.Go("relay", func(ctx context.Context) error {
+		return runOnSignal(ctx, due, s.sendRelays)
 	})
-	r.group.Go("question", func(ctx context.Context) error {
-		return runOnSignal(ctx, periods, r.exchange)
+	s.group.Go("question", func(ctx context.Context) error {
+		return runOnSignal(ctx, periods, s.exchange)
 	})
-	r.group.Go("flush", func(ctx context.Context) error {
-		return runOnSignal(ctx, r.flushes, r.flush)
+	s.group.Go("flush", func(ctx context.Context) error {
+		return runOnSignal(ctx, s.flushes, s.flush)
 	})
-	return r.group.Wait()
+	return s.group.Wait()
 }
 
 // unlock unlocks the view and has urgent news pushed after FlushPeriod.
-func (r *Service) unlock() {
-	defer r.mu.Unlock()
-	if r.flushDue || !r.membership.HasUrgent() {
+func (s *Service) unlock() {
+	defer s.mu.Unlock()
+	if s.flushDue || !s.membership.HasUrgent() {
 		return
 	}
-	r.flushDue = true
-	r.Timer.After(FlushPeriod, func(time.Time) { r.flushes.Set() })
+	s.flushDue = true
+	s.Timer.After(FlushPeriod, func(time.Time) { s.flushes.Set() })
 }
 
 // AnnounceStopping tells other hosts that this one accepts no more work.
-func (r *Service) AnnounceStopping() {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.unlock()
-	r.membership.AnnounceStopping()
+func (s *Service) AnnounceStopping() {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.unlock()
+	s.membership.AnnounceStopping()
 }
 
 // AnnounceReplica tells other hosts that this one holds a replica of a batch ledger.
-func (r *Service) AnnounceReplica() {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.unlock()
-	r.membership.AnnounceReplica()
+func (s *Service) AnnounceReplica() {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.unlock()
+	s.membership.AnnounceReplica()
 }
 
 // AddHosts adds hosts that were not named at the start.
-func (r *Service) AddHosts(names []string) {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.membership.AddHosts(names)
+func (s *Service) AddHosts(names []string) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membership.AddHosts(names)
 }
 
 // Announce stores the announcement of an upstream and reports whether the upstream is accepted.
-func (r *Service) Announce(u upstream.Upstream) bool {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	ok := r.membership.Announce(r.Timer.Now(), u)
-	r.unlock()
-	r.publishUpstreams(false)
+func (s *Service) Announce(u upstream.Upstream) bool {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	ok := s.membership.Announce(s.Timer.Now(), u)
+	s.unlock()
+	s.publishUpstreams(false)
 	return ok
 }
 
 // Leave ends an incarnation of an upstream and reports whether this is new.
-func (r *Service) Leave(name string, incarnation uint64) bool {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	ok := r.membership.Leave(r.Timer.Now(), name, incarnation)
-	r.unlock()
-	r.publishUpstreams(false)
+func (s *Service) Leave(name string, incarnation uint64) bool {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	ok := s.membership.Leave(s.Timer.Now(), name, incarnation)
+	s.unlock()
+	s.publishUpstreams(false)
 	return ok
 }
 
 // Alive reports whether a host is known and neither suspected here nor declared dead.
-func (r *Service) Alive(host string) bool {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.membership.Alive(host)
+func (s *Service) Alive(host string) bool {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.membership.Alive(host)
 }
 
 // Hosts returns the known hosts of the fleet, ordered by name.
-func (r *Service) Hosts() []gossipmessage.Host {
-	r.once.Do(r.init)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.membership.Hosts()
+func (s *Service) Hosts() []gossipmessage.Host {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.membership.Hosts()
 }
 
-func (r *Service) init() {
-	if r.Boot == 0 {
-		r.Boot = uint64(r.Timer.Now().UnixNano())
+func (s *Service) init() {
+	if s.Boot == 0 {
+		s.Boot = uint64(s.Timer.Now().UnixNano())
 	}
-	if r.Metrics == nil {
-		r.Metrics = metrics.NewRegistry()
+	if s.Metrics == nil {
+		s.Metrics = metrics.NewRegistry()
 	}
-	r.exchanging = map[string]bool{}
-	r.flushes = signal.NewSignal()
-	r.membership = membership.NewMembership(r.Name, r.FailureDomain, r.Boot, r.Link.Names(), r.Seed)
-	r.membership.Open = r.Open
-	r.membership.SetSelf(r.Self)
-	r.membership.Expiry = r.Expiry
+	s.exchanging = map[string]bool{}
+	s.flushes = signal.NewSignal()
+	s.membership = membership.NewMembership(s.Name, s.FailureDomain, s.Boot, s.Link.Names(), s.Seed)
+	s.membership.Open = s.Open
+	s.membership.SetSelf(s.Self)
+	s.membership.Expiry = s.Expiry
 }
 
 func runOnSignal(ctx context.Context, due signal.Signal, f func(context.Context)) error {
