--- a/internal/base/compression/compressor.go
+++ b/internal/base/compression/compressor.go
@@ -27,18 +27,18 @@
 }
 
 // Compress returns the compressed message and true, or b and false if compression would save little.
-func (p *Compressor) Compress(b []byte) ([]byte, bool) {
+func (c *Compressor) Compress(b []byte) ([]byte, bool) {
 	if len(b) < minBytes {
 		return b, false
 	}
 	var out bytes.Buffer
-	w, ok := p.writers.Get().(*flate.Writer)
+	w, ok := c.writers.Get().(*flate.Writer)
 	if ok {
 		w.Reset(&out)
 	} else {
 		w, _ = flate.NewWriter(&out, flate.BestSpeed) // BestSpeed is a valid level
 	}
-	defer p.writers.Put(w)
+	defer c.writers.Put(w)
 	if _, err := w.Write(b); err != nil {
 		return b, false
 	}
@@ -52,12 +52,12 @@
 }
 
 // Decompress returns the decompressed message, or ErrTooLong if it has more than limit bytes.
-func (p *Compressor) Decompress(b []byte, limit int) ([]byte, error) {
-	r, ok := p.readers.Get().(io.ReadCloser)
+func (c *Compressor) Decompress(b []byte, limit int) ([]byte, error) {
+	r, ok := c.readers.Get().(io.ReadCloser)
 	if !ok {
 		r = flate.NewReader(nil)
 	}
-	defer p.readers.Put(r)
+	defer c.readers.Put(r)
 	if err := r.(flate.Resetter).Reset(bytes.NewReader(b), nil); err != nil {
 		return nil, errors.Wrap(err, "decompress message")
 	}
--- a/internal/config/configstore/check.go
+++ b/internal/config/configstore/check.go
@@ -9,10 +9,10 @@
 )
 
 // Check returns an error if the state violates an invariant.
-func (r *Store) Check() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return check(r.View(), &r.dedup, &r.history)
+func (s *Store) Check() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return check(s.View(), &s.dedup, &s.history)
 }
 
 func check(c *configuration.Configuration, m *dedupTable, h *history) error {
--- a/internal/config/configstore/configstore.go
+++ b/internal/config/configstore/configstore.go
@@ -48,37 +48,37 @@
 }
 
 // View returns the version in force, which is the last one applied.
-func (r *Store) View() *configuration.Configuration {
-	return r.current.Load()
+func (s *Store) View() *configuration.Configuration {
+	return s.current.Load()
 }
 
 // Document returns the number of the version in force and the text of the last installed configuration, if any.
-func (r *Store) Document() (version uint64, document []byte) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.View().Version, r.document
+func (s *Store) Document() (version uint64, document []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.View().Version, s.document
 }
 
 // Subscribe calls f after each new version; it must be called before the first command.
-func (r *Store) Subscribe(f func(*configuration.Configuration)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.subscribers = append(r.subscribers, f)
+func (s *Store) Subscribe(f func(*configuration.Configuration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, f)
 }
 
 // Versions returns the kept revisions, newest first, at most limit of them.
-func (r *Store) Versions(limit int) []revision.Revision {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.history.newest(limit)
+func (s *Store) Versions(limit int) []revision.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.newest(limit)
 }
 
 // Diff returns the fields in which version to differs from version from.
-func (r *Store) Diff(from, to uint64) ([]difference.Difference, error) {
-	r.mu.Lock()
-	a, ok := r.version(from)
-	b, found := r.version(to)
-	r.mu.Unlock()
+func (s *Store) Diff(from, to uint64) ([]difference.Difference, error) {
+	s.mu.Lock()
+	a, ok := s.version(from)
+	b, found := s.version(to)
+	s.mu.Unlock()
 	if !ok {
 		return nil, errors.Newf("version %d is not kept", from)
 	}
@@ -89,15 +89,15 @@
 }
 
 // Apply implements machine.Machine.Apply.
-func (r *Store) Apply(_ uint64, command []byte) []byte {
-	r.mu.Lock()
-	old := r.View()
-	o := r.applyOnce(command)
-	now := r.View()
-	s := r.subscribers
-	r.mu.Unlock()
+func (s *Store) Apply(_ uint64, command []byte) []byte {
+	s.mu.Lock()
+	old := s.View()
+	o := s.applyOnce(command)
+	now := s.View()
+	l := s.subscribers
+	s.mu.Unlock()
 	if now != old {
-		for _, f := range s {
+		for _, f := range l {
 			f(now)
 		}
 	}
@@ -105,53 +105,53 @@
 }
 
 // applyOnce decides a change, or returns the recorded outcome of a resent one.
-func (r *Store) applyOnce(command []byte) []byte {
+func (s *Store) applyOnce(command []byte) []byte {
 	if len(command) > maxCommandBytes {
-		return encode(r.refuse(&change.Change{}, changeoutcome.Invalid, "the change is too large"))
+		return encode(s.refuse(&change.Change{}, changeoutcome.Invalid, "the change is too large"))
 	}
 	c, err := change.Decode(command)
 	if err != nil {
-		return encode(r.refuse(&change.Change{}, changeoutcome.Invalid, err.Error()))
+		return encode(s.refuse(&change.Change{}, changeoutcome.Invalid, err.Error()))
 	}
 	if c.Kind == change.Install {
-		return encode(r.install(c))
+		return encode(s.install(c))
 	}
 	d, err := c.Digest()
 	if err != nil {
-		return encode(r.refuse(c, changeoutcome.Invalid, err.Error()))
+		return encode(s.refuse(c, changeoutcome.Invalid, err.Error()))
 	}
-	if p, ok := r.dedup.find(c.ID); ok {
-		return r.answerResend(c, d, p)
+	if p, ok := s.dedup.find(c.ID); ok {
+		return s.answerResend(c, d, p)
 	}
-	if r.dedup.mayHaveApplied(c) {
-		return encode(r.refuse(c, changeoutcome.Forgotten, "this change may have been applied long ago; compare the versions and use a new ID"))
+	if s.dedup.mayHaveApplied(c) {
+		return encode(s.refuse(c, changeoutcome.Forgotten, "this change may have been applied long ago; compare the versions and use a new ID"))
 	}
-	b := encode(r.decide(c))
-	r.dedup.add(decision{ID: c.ID, Digest: d[:], Outcome: b}, r.View().Version)
+	b := encode(s.decide(c))
+	s.dedup.add(decision{ID: c.ID, Digest: d[:], Outcome: b}, s.View().Version)
 	return b
 }
 
 // install puts a whole configuration in force if its edition is higher than the current one; the first content of an edition wins.
-func (r *Store) install(c *change.Change) *changeoutcome.Outcome {
-	now := r.View()
-	n, d, p := c.Apply(now, r.version)
+func (s *Store) install(c *change.Change) *changeoutcome.Outcome {
+	now := s.View()
+	n, d, p := c.Apply(now, s.version)
 	if len(p) > 0 {
-		return r.refuseInvalid(c, p)
+		return s.refuseInvalid(c, p)
 	}
 	if c.Edition <= now.Edition {
-		return r.refuse(c, changeoutcome.Superseded, fmt.Sprintf("edition %d is in force", now.Edition))
+		return s.refuse(c, changeoutcome.Superseded, fmt.Sprintf("edition %d is in force", now.Edition))
 	}
-	r.commit(c, now, n, d)
-	r.document = c.Document
+	s.commit(c, now, n, d)
+	s.document = c.Document
 	return applied(c, n.Version)
 }
 
 // answerResend returns the recorded outcome of a resent change, or Reused if another change has taken its ID.
-func (r *Store) answerResend(c *change.Change, digest [32]byte, p decision) []byte {
+func (s *Store) answerResend(c *change.Change, digest [32]byte, p decision) []byte {
 	if string(p.Digest) == string(digest[:]) {
 		return p.Outcome
 	}
-	o := r.refuse(c, changeoutcome.Reused, "another change has used this ID")
+	o := s.refuse(c, changeoutcome.Reused, "another change has used this ID")
 	if f, err := changeoutcome.Decode(p.Outcome); err == nil {
 		o.By = f.By
 		o.Message = fmt.Sprintf("another change by %q has used this ID; it was %s at version %d", f.By, f.Status, f.Version)
@@ -160,23 +160,23 @@
 }
 
 // decide applies the change if its base is the version in force.
-func (r *Store) decide(c *change.Change) *changeoutcome.Outcome {
-	now := r.View()
+func (s *Store) decide(c *change.Change) *changeoutcome.Outcome {
+	now := s.View()
 	if c.Kind == change.Retire || c.Kind == change.Form {
 		// These do not depend on the rest of the configuration, so any base will do.
 		c.Base = now.Version
 	}
 	if c.Base > now.Version {
-		return r.refuse(c, changeoutcome.Invalid, fmt.Sprintf("the base is newer than version %d", now.Version))
+		return s.refuse(c, changeoutcome.Invalid, fmt.Sprintf("the base is newer than version %d", now.Version))
 	}
 	if c.Base < now.Version {
-		return r.conflict(c)
+		return s.conflict(c)
 	}
-	n, d, p := c.Apply(now, r.version)
+	n, d, p := c.Apply(now, s.version)
 	if len(p) > 0 {
-		return r.refuseInvalid(c, p)
+		return s.refuseInvalid(c, p)
 	}
-	r.commit(c, now, n, d)
+	s.commit(c, now, n, d)
 	o := applied(c, n.Version)
 	o.Base = c.Base
 	return o
@@ -194,9 +194,9 @@
 }
 
 // commit puts the next version in force and records the inverse delta.
-func (r *Store) commit(c *change.Change, now, n *configuration.Configuration, d *delta.Delta) {
+func (s *Store) commit(c *change.Change, now, n *configuration.Configuration, d *delta.Delta) {
 	l := difference.FromDelta(now, d)
-	r.history.add(event{
+	s.history.add(event{
 		Revision: revision.Revision{
 			Version:  n.Version,
 			ChangeID: c.ID,
@@ -208,13 +208,13 @@
 		},
 		Inverse: d.Inverse(now),
 	})
-	r.current.Store(n)
+	s.current.Store(n)
 }
 
-func (r *Store) conflict(c *change.Change) *changeoutcome.Outcome {
-	v := r.View().Version
-	o := r.refuse(c, changeoutcome.Conflict, fmt.Sprintf("version %d is in force, not %d", v, c.Base))
-	o.Conflicts = r.history.since(c.Base)
+func (s *Store) conflict(c *change.Change) *changeoutcome.Outcome {
+	v := s.View().Version
+	o := s.refuse(c, changeoutcome.Conflict, fmt.Sprintf("version %d is in force, not %d", v, c.Base))
+	o.Conflicts = s.history.since(c.Base)
 	if n := len(o.Conflicts); n > 0 {
 		l := o.Conflicts[0]
 		o.Message = fmt.Sprintf("%s; version %d was made by %q with change %s", o.Message, l.Version, l.By, l.ChangeID)
@@ -223,26 +223,26 @@
 }
 
 // refuseInvalid refuses a change that has at least one problem.
-func (r *Store) refuseInvalid(c *change.Change, p []validation.Problem) *changeoutcome.Outcome {
-	o := r.refuse(c, changeoutcome.Invalid, p[0].Field+" "+p[0].Message)
+func (s *Store) refuseInvalid(c *change.Change, p []validation.Problem) *changeoutcome.Outcome {
+	o := s.refuse(c, changeoutcome.Invalid, p[0].Field+" "+p[0].Message)
 	o.Problems = p[:min(len(p), maxProblems)]
 	return o
 }
 
-func (r *Store) refuse(c *change.Change, status, message string) *changeoutcome.Outcome {
+func (s *Store) refuse(c *change.Change, status, message string) *changeoutcome.Outcome {
 	return &changeoutcome.Outcome{
 		Status:   status,
 		ChangeID: c.ID,
 		Base:     c.Base,
-		Version:  r.View().Version,
+		Version:  s.View().Version,
 		By:       c.By,
 		Message:  message,
 	}
 }
 
 // version rebuilds a kept version by applying inverse deltas to the one in force.
-func (r *Store) version(v uint64) (*configuration.Configuration, bool) {
-	return r.history.version(r.View(), v)
+func (s *Store) version(v uint64) (*configuration.Configuration, bool) {
+	return s.history.version(s.View(), v)
 }
 
 func encode(o *changeoutcome.Outcome) []byte {
--- a/internal/config/configstore/snapshot.go
+++ b/internal/config/configstore/snapshot.go
@@ -31,12 +31,12 @@
 }
 
 // Snapshot implements machine.Machine.Snapshot.
-func (r *Store) Snapshot(w io.Writer) error {
-	return errors.Wrap(json.NewEncoder(w).Encode(r.snapshotState()), "write configuration snapshot")
+func (s *Store) Snapshot(w io.Writer) error {
+	return errors.Wrap(json.NewEncoder(w).Encode(s.snapshotState()), "write configuration snapshot")
 }
 
 // Restore implements machine.Machine.Restore.
-func (r *Store) Restore(from io.Reader) error {
+func (s *Store) Restore(from io.Reader) error {
 	i := &snapshotState{}
 	if err := json.NewDecoder(io.LimitReader(from, maxSnapshotBytes)).Decode(i); err != nil {
 		return errors.Wrap(err, "read configuration snapshot")
@@ -61,39 +61,39 @@
 	if err := check(i.Configuration, &m, &h); err != nil {
 		return err
 	}
-	r.replace(i, m, h)
+	s.replace(i, m, h)
 	return nil
 }
 
-func (r *Store) replace(i *snapshotState, m dedupTable, h history) {
+func (s *Store) replace(i *snapshotState, m dedupTable, h history) {
 	c := i.Configuration
-	r.mu.Lock()
-	r.dedup = m
-	r.history = h
-	r.document = i.Document
-	r.current.Store(c)
-	s := r.subscribers
-	r.mu.Unlock()
-	for _, f := range s {
+	s.mu.Lock()
+	s.dedup = m
+	s.history = h
+	s.document = i.Document
+	s.current.Store(c)
+	l := s.subscribers
+	s.mu.Unlock()
+	for _, f := range l {
 		f(c)
 	}
 }
 
-func (r *Store) snapshotState() *snapshotState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (s *Store) snapshotState() *snapshotState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	i := &snapshotState{
 		Format:        snapshotFormat,
-		Configuration: r.View(),
-		Events:        append([]event{}, r.history.events...),
-		Horizon:       r.dedup.droppedVersion,
-		Document:      r.document,
+		Configuration: s.View(),
+		Events:        append([]event{}, s.history.events...),
+		Horizon:       s.dedup.droppedVersion,
+		Document:      s.document,
 	}
-	for _, id := range r.dedup.order {
-		i.Outcomes = append(i.Outcomes, r.dedup.outcomes[id])
+	for _, id := range s.dedup.order {
+		i.Outcomes = append(i.Outcomes, s.dedup.outcomes[id])
 	}
-	for _, k := range r.dedup.hashOrder {
-		i.IDHashes = append(i.IDHashes, idHashEntry{Hash: k[:], Version: r.dedup.idHashes[k]})
+	for _, k := range s.dedup.hashOrder {
+		i.IDHashes = append(i.IDHashes, idHashEntry{Hash: k[:], Version: s.dedup.idHashes[k]})
 	}
 	return i
 }
--- a/internal/config/keyauth/keyauth.go
+++ b/internal/config/keyauth/keyauth.go
@@ -66,68 +66,68 @@
 }
 
 // Start subscribes to the configuration and must be called once, before the first request.
-func (i *Authenticator) Start() {
-	i.watches = map[key.Key]*watch{}
-	i.index.Store(&index{})
-	i.Source.Subscribe(i.update)
+func (a *Authenticator) Start() {
+	a.watches = map[key.Key]*watch{}
+	a.index.Store(&index{})
+	a.Source.Subscribe(a.update)
 }
 
 // Key returns the granted key that an Authorization header presents, or a refusal.
-func (i *Authenticator) Key(authorization []byte) (key.Key, error) {
-	s := parseSecret(i.scheme(), authorization)
+func (a *Authenticator) Key(authorization []byte) (key.Key, error) {
+	s := parseSecret(a.scheme(), authorization)
 	if len(s) == 0 {
 		return key.Key{}, missingKey
 	}
-	if !i.Source.Fresh() {
+	if !a.Source.Fresh() {
 		return key.Key{}, notFresh.WithJitter()
 	}
 	h := sha256.Sum256(s)
-	if e := i.index.Load().find(&h); e != nil {
+	if e := a.index.Load().find(&h); e != nil {
 		return e.key, nil
 	}
 	return key.Key{}, unknownKey
 }
 
 // Watch returns a channel that is closed once the key is withdrawn, and a function that ends the watch.
-func (i *Authenticator) Watch(k key.Key) (withdrawn <-chan struct{}, cancel func()) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	w := i.watches[k]
+func (a *Authenticator) Watch(k key.Key) (withdrawn <-chan struct{}, cancel func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := a.watches[k]
 	if w == nil {
 		w = &watch{withdrawn: make(chan struct{})}
-		if !i.index.Load().contains(k) {
+		if !a.index.Load().contains(k) {
 			close(w.withdrawn)
 			return w.withdrawn, func() {}
 		}
-		i.watches[k] = w
+		a.watches[k] = w
 	}
 	w.count++
-	return w.withdrawn, sync.OnceFunc(func() { i.endWatch(k, w) })
+	return w.withdrawn, sync.OnceFunc(func() { a.endWatch(k, w) })
 }
 
-func (i *Authenticator) endWatch(k key.Key, w *watch) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+func (a *Authenticator) endWatch(k key.Key, w *watch) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	w.count--
-	if w.count == 0 && i.watches[k] == w {
-		delete(i.watches, k)
+	if w.count == 0 && a.watches[k] == w {
+		delete(a.watches, k)
 	}
 }
 
 // update indexes the keys of a new version and closes the watches of keys that it no longer contains.
-func (i *Authenticator) update(c *configuration.Configuration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+func (a *Authenticator) update(c *configuration.Configuration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	mapPointer := reflect.ValueOf(c.Keys).Pointer()
-	if mapPointer != 0 && i.index.Load().mapPointer == mapPointer {
+	if mapPointer != 0 && a.index.Load().mapPointer == mapPointer {
 		return
 	}
 	x := newIndex(c.Keys)
-	i.index.Store(x)
-	for k, w := range i.watches {
+	a.index.Store(x)
+	for k, w := range a.watches {
 		if !x.contains(k) {
 			close(w.withdrawn)
-			delete(i.watches, k)
+			delete(a.watches, k)
 		}
 	}
 }
@@ -175,11 +175,11 @@
 	return h, err == nil
 }
 
-func (i *Authenticator) scheme() string {
-	if i.Scheme == "" {
+func (a *Authenticator) scheme() string {
+	if a.Scheme == "" {
 		return bearerPrefix
 	}
-	return i.Scheme + " "
+	return a.Scheme + " "
 }
 
 // parseSecret returns the secret in a header of the given scheme, or nil.
--- a/internal/fleet/streamindex/index.go
+++ b/internal/fleet/streamindex/index.go
@@ -27,23 +27,23 @@
 }
 
 // Add adds an entry.
-func (x *Index) Add(now time.Time, call string, s streamstart.Start) {
-	if len(x.young) >= maxEntries || now.Sub(x.rotated) >= Lifetime {
-		x.old, x.young, x.rotated = x.young, map[string]streamstart.Start{}, now
+func (i *Index) Add(now time.Time, call string, s streamstart.Start) {
+	if len(i.young) >= maxEntries || now.Sub(i.rotated) >= Lifetime {
+		i.old, i.young, i.rotated = i.young, map[string]streamstart.Start{}, now
 	}
-	x.young[call] = s
+	i.young[call] = s
 }
 
 // Find returns what began the stream of a call.
-func (x *Index) Find(call string) (streamstart.Start, bool) {
-	if s, ok := x.young[call]; ok {
+func (i *Index) Find(call string) (streamstart.Start, bool) {
+	if s, ok := i.young[call]; ok {
 		return s, true
 	}
-	s, ok := x.old[call]
+	s, ok := i.old[call]
 	return s, ok
 }
 
 // Len returns the number of entries.
-func (x *Index) Len() int {
-	return len(x.young) + len(x.old)
+func (i *Index) Len() int {
+	return len(i.young) + len(i.old)
 }
--- a/internal/measure/loadgen/request.go
+++ b/internal/measure/loadgen/request.go
@@ -136,14 +136,14 @@
 }
 
 // tick records the arrival of a token.
-func (m *tokenTimer) tick() {
-	n := m.generator.Timer.Now()
-	if m.first == 0 {
-		m.first = n.Sub(m.due)
+func (t *tokenTimer) tick() {
+	n := t.generator.Timer.Now()
+	if t.first == 0 {
+		t.first = n.Sub(t.due)
 	} else {
-		m.between = append(m.between, n.Sub(m.last))
+		t.between = append(t.between, n.Sub(t.last))
 	}
-	m.last = n
+	t.last = n
 }
 
 // readAnswer reads the answer and returns its text.
--- a/internal/measure/loadgen/stats.go
+++ b/internal/measure/loadgen/stats.go
@@ -34,53 +34,53 @@
 	}
 }
 
-func (t *classStats) addSent() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sentCount++
+func (s *classStats) addSent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sentCount++
 }
 
-func (t *classStats) addRefusal(code string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.refusals[code]++
+func (s *classStats) addRefusal(code string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusals[code]++
 }
 
-func (t *classStats) addAnswer(m *tokenTimer, total time.Duration) {
-	t.first.Add(m.first)
-	t.total.Add(total)
+func (s *classStats) addAnswer(m *tokenTimer, total time.Duration) {
+	s.first.Add(m.first)
+	s.total.Add(total)
 	for _, d := range m.between {
-		t.between.Add(d)
+		s.between.Add(d)
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.correct++
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.correct++
 }
 
-func (t *classStats) addFault(all *runStats, q *request, err error) {
+func (s *classStats) addFault(all *runStats, q *request, err error) {
 	all.addFault(fmt.Sprintf("%s of %s to %s: %v", q.class, q.team, q.host, err))
 }
 
-func (t *classStats) merge(o *classStats) {
-	t.sentCount += o.sentCount
-	t.correct += o.correct
+func (s *classStats) merge(o *classStats) {
+	s.sentCount += o.sentCount
+	s.correct += o.correct
 	for k, n := range o.refusals {
-		t.refusals[k] += n
+		s.refusals[k] += n
 	}
-	t.first.Merge(o.first)
-	t.total.Merge(o.total)
-	t.between.Merge(o.between)
+	s.first.Merge(o.first)
+	s.total.Merge(o.total)
+	s.between.Merge(o.between)
 }
 
-func (t *classStats) class(name string) summary.Class {
+func (s *classStats) class(name string) summary.Class {
 	return summary.Class{
 		Name:     name,
-		Sent:     t.sentCount,
-		Answered: t.correct,
-		Refused:  t.refusals,
-		First:    quantiles(t.first),
-		Total:    quantiles(t.total),
-		Between:  quantiles(t.between),
+		Sent:     s.sentCount,
+		Answered: s.correct,
+		Refused:  s.refusals,
+		First:    quantiles(s.first),
+		Total:    quantiles(s.total),
+		Between:  quantiles(s.between),
 	}
 }
 
--- a/internal/measure/rolecost/rolecost.go
+++ b/internal/measure/rolecost/rolecost.go
@@ -59,8 +59,8 @@
 }
 
 // atTarget returns a cost, extrapolated to its target size.
-func (b *costTable) atTarget(area, metric, dimension string) float64 {
-	s := b.curve(area, metric, dimension)
+func (t *costTable) atTarget(area, metric, dimension string) float64 {
+	s := t.curve(area, metric, dimension)
 	if s == nil {
 		return NotMeasured
 	}
@@ -68,21 +68,21 @@
 }
 
 // perUnit returns the cost of one more unit of a dimension.
-func (b *costTable) perUnit(area, metric, dimension string) float64 {
-	s := b.curve(area, metric, dimension)
+func (t *costTable) perUnit(area, metric, dimension string) float64 {
+	s := t.curve(area, metric, dimension)
 	if s == nil {
 		return NotMeasured
 	}
 	return s.Fit().Slope
 }
 
-func (b *costTable) curve(area, metric, dimension string) *costcurve.Curve {
-	for _, s := range b.curves {
+func (t *costTable) curve(area, metric, dimension string) *costcurve.Curve {
+	for _, s := range t.curves {
 		if s.Area == area && s.Metric == metric && s.Dimension == dimension {
 			return s
 		}
 	}
-	b.missing = append(b.missing, area+", "+metric+", "+dimension)
+	t.missing = append(t.missing, area+", "+metric+", "+dimension)
 	return nil
 }
 
@@ -97,94 +97,94 @@
 }
 
 // relayHost is an entry host that also relays deltas to the hosts of its failure domain.
-func (b *costTable) relayHost() Role {
-	r := b.entryHost()
+func (t *costTable) relayHost() Role {
+	r := t.entryHost()
 	r.Name = "relay host of a failure domain"
 	n := changesPerDay / secondsPerDay * hostsPerDomain
 	r.Costs = append(r.Costs, Cost{
 		Part:      "deltas to 22 hosts",
 		Mechanism: "each accepted change goes to each host; repeated asks of hosts not measured",
 		Messages:  n,
-		Network:   n * b.atTarget("configuration", "delta bytes a change", "teams"),
+		Network:   n * t.atTarget("configuration", "delta bytes a change", "teams"),
 		Cores:     NotMeasured,
 	})
 	return r
 }
 
 // entryHost is a host that accepts calls.
-func (b *costTable) entryHost() Role {
+func (t *costTable) entryHost() Role {
 	perHost := requestsPerSecond / hosts
 	return Role{"entry host", []Cost{
 		{
 			Part: "membership and load", Mechanism: "questions to random peers, five a second",
-			Memory: b.atTarget("membership", "state bytes a host", "upstreams"), Messages: b.atTarget("membership", "messages/s a host", "upstreams"),
-			Network: b.atTarget("membership", "bytes/s a host", "upstreams"),
-			Cores:   b.atTarget("membership", "processor ns/s a host", "upstreams") / nanosecondsPerSecond,
+			Memory: t.atTarget("membership", "state bytes a host", "upstreams"), Messages: t.atTarget("membership", "messages/s a host", "upstreams"),
+			Network: t.atTarget("membership", "bytes/s a host", "upstreams"),
+			Cores:   t.atTarget("membership", "processor ns/s a host", "upstreams") / nanosecondsPerSecond,
 		},
 		{
 			Part: "choice of upstream", Mechanism: "local state, one choice a call", Network: 0,
-			Memory: b.atTarget("choose-upstream", "state bytes", "upstreams"),
-			Cores:  perHost * b.atTarget("choose-upstream", "ns a choice", "upstreams") / nanosecondsPerSecond,
+			Memory: t.atTarget("choose-upstream", "state bytes", "upstreams"),
+			Cores:  perHost * t.atTarget("choose-upstream", "ns a choice", "upstreams") / nanosecondsPerSecond,
 		},
 		{
 			Part: "admission", Mechanism: "grants held here; asks to the owner not measured", Messages: NotMeasured, Network: NotMeasured,
-			Memory: b.atTarget("admission", "state bytes", "teams"),
-			Cores:  perHost * b.atTarget("admission", "ns an admission", "teams") / nanosecondsPerSecond,
+			Memory: t.atTarget("admission", "state bytes", "teams"),
+			Cores:  perHost * t.atTarget("admission", "ns an admission", "teams") / nanosecondsPerSecond,
 		},
 		{
 			Part: "fair queue, all teams waiting", Mechanism: "local state",
-			Memory: b.atTarget("fair queue", "state bytes", "waiting teams"),
-			Cores:  perHost * b.atTarget("fair queue", "ns a push and pop", "waiting teams") / nanosecondsPerSecond,
+			Memory: t.atTarget("fair queue", "state bytes", "waiting teams"),
+			Cores:  perHost * t.atTarget("fair queue", "ns a push and pop", "waiting teams") / nanosecondsPerSecond,
 		},
 		{
 			Part: "configuration", Mechanism: "deltas from the control hosts, down the failure domain",
-			Memory:   b.atTarget("configuration", "state bytes", "teams") + b.atTarget("configuration", "state bytes", "keys") + b.atTarget("configuration", "state bytes", "routes"),
+			Memory:   t.atTarget("configuration", "state bytes", "teams") + t.atTarget("configuration", "state bytes", "keys") + t.atTarget("configuration", "state bytes", "routes"),
 			Messages: changesPerDay / secondsPerDay,
-			Network:  changesPerDay / secondsPerDay * b.atTarget("configuration", "delta bytes a change", "teams"),
+			Network:  changesPerDay / secondsPerDay * t.atTarget("configuration", "delta bytes a change", "teams"),
 			Cores:    NotMeasured,
 		},
 		{
 			Part: "burn and decisions", Mechanism: "local state, read on request",
-			Memory: b.atTarget("burn", "state bytes", "series") + b.atTarget("decisions", "state bytes", "decisions"),
-			Cores:  perHost * (b.atTarget("burn", "ns a record", "series") + b.atTarget("decisions", "ns a record", "decisions")) / nanosecondsPerSecond,
+			Memory: t.atTarget("burn", "state bytes", "series") + t.atTarget("decisions", "state bytes", "decisions"),
+			Cores:  perHost * (t.atTarget("burn", "ns a record", "series") + t.atTarget("decisions", "ns a record", "decisions")) / nanosecondsPerSecond,
 		},
 	}}
 }
 
 // controlHost is a host that runs all replica groups.
-func (b *costTable) controlHost() Role {
+func (t *costTable) controlHost() Role {
 	items := itemsPerDay / secondsPerDay
 	return Role{"control host", []Cost{
 		{
 			Part: "idle replica groups", Mechanism: "heartbeats of 17 groups between 3 hosts, batched",
-			Memory: NotMeasured, Messages: b.atTarget("replica", "packets/s a host", "groups"),
-			Network: b.atTarget("replica", "bytes/s a host", "groups"),
-			Cores:   b.atTarget("replica", "processor ms/s a host", "groups") / millisecondsPerSecond,
+			Memory: NotMeasured, Messages: t.atTarget("replica", "packets/s a host", "groups"),
+			Network: t.atTarget("replica", "bytes/s a host", "groups"),
+			Cores:   t.atTarget("replica", "processor ms/s a host", "groups") / millisecondsPerSecond,
 		},
 		{
 			Part: "ledger, items of one day", Mechanism: "every control host applies the log of every group",
-			Memory: itemsPerDay * b.perUnit("ledger", "state bytes of open and done items", "items"), Messages: NotMeasured,
-			Network: items * b.perUnit("ledger", "log bytes", "items") * (controlHosts - 1) / controlHosts,
-			Cores:   items * b.perUnit("ledger", "ns to accept, lease and complete", "items") / nanosecondsPerSecond,
+			Memory: itemsPerDay * t.perUnit("ledger", "state bytes of open and done items", "items"), Messages: NotMeasured,
+			Network: items * t.perUnit("ledger", "log bytes", "items") * (controlHosts - 1) / controlHosts,
+			Cores:   items * t.perUnit("ledger", "ns to accept, lease and complete", "items") / nanosecondsPerSecond,
 		},
 		{
 			Part: "ledger, jobs of one day", Mechanism: "state of each job beside its items", Messages: NotMeasured, Network: NotMeasured, Cores: NotMeasured,
-			Memory: b.jobStateBytes(),
+			Memory: t.jobStateBytes(),
 		},
 		{
 			Part: "configuration", Mechanism: "replica group 0",
-			Memory:   b.atTarget("configuration", "state bytes", "teams") + b.atTarget("configuration", "state bytes", "keys") + b.atTarget("configuration", "state bytes", "routes"),
+			Memory:   t.atTarget("configuration", "state bytes", "teams") + t.atTarget("configuration", "state bytes", "keys") + t.atTarget("configuration", "state bytes", "routes"),
 			Messages: NotMeasured, Network: NotMeasured,
-			Cores: changesPerDay / secondsPerDay * b.atTarget("configuration", "ns to apply a change", "keys") / nanosecondsPerSecond,
+			Cores: changesPerDay / secondsPerDay * t.atTarget("configuration", "ns to apply a change", "keys") / nanosecondsPerSecond,
 		},
 	}}
 }
 
 // jobStateBytes returns the state of a day's jobs without that of their items.
-func (b *costTable) jobStateBytes() float64 {
+func (t *costTable) jobStateBytes() float64 {
 	const probeItems = 100
-	j := b.curve("ledger", "state bytes of jobs of 100 items", "jobs")
-	i := b.curve("ledger", "state bytes of open and done items", "items")
+	j := t.curve("ledger", "state bytes of jobs of 100 items", "jobs")
+	i := t.curve("ledger", "state bytes of open and done items", "items")
 	if j == nil || i == nil {
 		return NotMeasured
 	}
--- a/internal/product/command/target.go
+++ b/internal/product/command/target.go
@@ -162,17 +162,17 @@
 	by   string
 }
 
-func (s *changeFlags) add(c *kingpin.CmdClause) {
-	s.fleetFlags.add(c)
-	c.Flag("change-id", "ID of the change; repeat the command with it to learn the outcome.").StringVar(&s.id)
+func (f *changeFlags) add(c *kingpin.CmdClause) {
+	f.fleetFlags.add(c)
+	c.Flag("change-id", "ID of the change; repeat the command with it to learn the outcome.").StringVar(&f.id)
 	c.Flag("base-version", "Version that the change is based on; the default is the one in force.").
-		Uint64Var(&s.base)
-	c.Flag("by", "Name of the operator.").Default(os.Getenv("USER")).StringVar(&s.by)
+		Uint64Var(&f.base)
+	c.Flag("by", "Name of the operator.").Default(os.Getenv("USER")).StringVar(&f.by)
 }
 
 // send fills in the ID, base version and operator of a change, sends it and returns its outcome.
-func (s *changeFlags) send(ctx context.Context, c *operatorclient.Client, h *change.Change) (*changeoutcome.Outcome, error) {
-	h.ID, h.Base, h.By = s.id, s.base, s.by
+func (f *changeFlags) send(ctx context.Context, c *operatorclient.Client, h *change.Change) (*changeoutcome.Outcome, error) {
+	h.ID, h.Base, h.By = f.id, f.base, f.by
 	if h.ID == "" {
 		h.ID = newChangeID()
 	}
--- a/internal/state/repair/repair.go
+++ b/internal/state/repair/repair.go
@@ -30,28 +30,28 @@
 }
 
 // Next returns the next change for a group in the given status at its leader; present are the control hosts that answer.
-func (r *Planner) Next(s groupstatus.Status, present []identity.Identity) memberchange.Change {
-	lost := r.lostVoters(s, present)
+func (p *Planner) Next(s groupstatus.Status, present []identity.Identity) memberchange.Change {
+	lost := p.lostVoters(s, present)
 	for _, m := range s.Members {
 		if !m.Voter && diskReplaced(m.Identity, present) {
 			return memberchange.Change{Member: m.Identity, Remove: true}
 		}
 	}
-	if countVoters(s) > r.Voters && len(lost) > 0 {
+	if countVoters(s) > p.Voters && len(lost) > 0 {
 		return memberchange.Change{Member: lost[0], Remove: true}
 	}
-	if countVoters(s) < r.Voters {
-		return r.advanceSpare(s, present, identity.Identity{})
+	if countVoters(s) < p.Voters {
+		return p.advanceSpare(s, present, identity.Identity{})
 	}
-	if len(lost) == 0 || countVoters(s) > r.Voters {
+	if len(lost) == 0 || countVoters(s) > p.Voters {
 		return memberchange.Change{}
 	}
-	return r.advanceSpare(s, present, lost[0])
+	return p.advanceSpare(s, present, lost[0])
 }
 
 // advanceSpare adds the best spare as a learner, or promotes it once it has caught up.
-func (r *Planner) advanceSpare(s groupstatus.Status, present []identity.Identity, lost identity.Identity) memberchange.Change {
-	l := r.rankedSpares(s, present, lost)
+func (p *Planner) advanceSpare(s groupstatus.Status, present []identity.Identity, lost identity.Identity) memberchange.Change {
+	l := p.rankedSpares(s, present, lost)
 	if len(l) == 0 {
 		return memberchange.Change{}
 	}
@@ -60,7 +60,7 @@
 		if m.Identity != best {
 			continue
 		}
-		if m.Lag > r.MaxPromotionLag {
+		if m.Lag > p.MaxPromotionLag {
 			return memberchange.Change{}
 		}
 		return memberchange.Change{Member: best, Promote: true}
@@ -69,17 +69,17 @@
 }
 
 // lostVoters returns the voters to replace, retiring hosts and changed disks before silent hosts.
-func (r *Planner) lostVoters(s groupstatus.Status, present []identity.Identity) []identity.Identity {
+func (p *Planner) lostVoters(s groupstatus.Status, present []identity.Identity) []identity.Identity {
 	var changed, silent []identity.Identity
 	for _, m := range s.Members {
 		switch {
 		case !m.Voter:
-		case r.retiring(m.Identity.Host):
+		case p.retiring(m.Identity.Host):
 			changed = append(changed, m.Identity)
 		case m.Identity == s.Self:
 		case diskReplaced(m.Identity, present):
 			changed = append(changed, m.Identity)
-		case r.MaxSilence > 0 && m.Silence >= r.MaxSilence && !slices.Contains(present, m.Identity):
+		case p.MaxSilence > 0 && m.Silence >= p.MaxSilence && !slices.Contains(present, m.Identity):
 			silent = append(silent, m.Identity)
 		}
 	}
@@ -88,27 +88,27 @@
 
 // rankedSpares returns the present identities that are no voters and whose hosts are not retiring, best first: the host
 // of the lost voter, then failure domains with the fewest other voters.
-func (r *Planner) rankedSpares(s groupstatus.Status, present []identity.Identity, lost identity.Identity) []identity.Identity {
+func (p *Planner) rankedSpares(s groupstatus.Status, present []identity.Identity, lost identity.Identity) []identity.Identity {
 	votersPerDomain := map[string]int{}
 	for _, m := range s.Members {
 		if m.Voter && m.Identity != lost {
-			votersPerDomain[r.domain(m.Identity.Host)]++
+			votersPerDomain[p.domain(m.Identity.Host)]++
 		}
 	}
 	var l []identity.Identity
-	for _, p := range present {
-		if r.retiring(p.Host) {
+	for _, i := range present {
+		if p.retiring(i.Host) {
 			continue
 		}
-		if !slices.ContainsFunc(s.Members, func(m groupstatus.Member) bool { return m.Voter && m.Identity == p }) {
-			l = append(l, p)
+		if !slices.ContainsFunc(s.Members, func(m groupstatus.Member) bool { return m.Voter && m.Identity == i }) {
+			l = append(l, i)
 		}
 	}
 	slices.SortStableFunc(l, func(a, b identity.Identity) int {
 		if a.Host == lost.Host || b.Host == lost.Host {
 			return rank(a.Host == lost.Host) - rank(b.Host == lost.Host)
 		}
-		if d := votersPerDomain[r.domain(a.Host)] - votersPerDomain[r.domain(b.Host)]; d != 0 {
+		if d := votersPerDomain[p.domain(a.Host)] - votersPerDomain[p.domain(b.Host)]; d != 0 {
 			return d
 		}
 		return strings.Compare(a.String(), b.String())
@@ -116,15 +116,15 @@
 	return l
 }
 
-func (r *Planner) retiring(host string) bool {
-	return r.Retiring != nil && r.Retiring(host)
+func (p *Planner) retiring(host string) bool {
+	return p.Retiring != nil && p.Retiring(host)
 }
 
-func (r *Planner) domain(host string) string {
-	if r.Domain == nil {
+func (p *Planner) domain(host string) string {
+	if p.Domain == nil {
 		return ""
 	}
-	return r.Domain(host)
+	return p.Domain(host)
 }
 
 // rank returns the sort key that puts preferred values first.
--- a/internal/wire/cancelclient/client.go
+++ b/internal/wire/cancelclient/client.go
@@ -34,15 +34,15 @@
 }
 
 // Cancel tells an engine, in the background, to cancel a call. It does nothing for other upstreams.
-func (e *Client) Cancel(u upstream.Upstream, id string) {
+func (c *Client) Cancel(u upstream.Upstream, id string) {
 	if u.Kind != upstream.Engine {
 		return
 	}
-	e.Group.Go("cancel", func(ctx context.Context) error {
+	c.Group.Go("cancel", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 		defer cancel()
-		n := e.Timer.Now()
-		a, err := e.Transport.Do(ctx, u.Address, &call.Call{
+		n := c.Timer.Now()
+		a, err := c.Transport.Do(ctx, u.Address, &call.Call{
 			ID:          id,
 			Method:      "POST",
 			Path:        pathCancel,
