--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -1,77 +1,14 @@
 package quarantine_test
 
 import (
-	"cmp"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"siskinrun/internal/data/crashevidence"
 	"siskinrun/internal/routing/quarantine"
 )
 
-type trait = crashevidence.Trait
-
-// Parts of prompts and whole requests.
-var (
-	caller   = trait{Hash: 1}
-	topic    = trait{Hash: 2}
-	other    = trait{Hash: 3}
-	deadly   = trait{Hash: 4}
-	deadlier = trait{Hash: 5}
-	page     = trait{Hash: 6, Request: true}
-	request  = trait{Hash: 7, Request: true}
-)
-
-// session returns a part that few calls share.
-func session(n uint64) trait {
-	return trait{Hash: 1000 + n}
-}
-
-// event is one thing that a host sees, after a pause. A call that is lost was sent the given time before.
-type event struct {
-	pause     time.Duration
-	began     []trait
-	lost      []trait
-	upstream  uint64
-	answering bool
-	sent      time.Duration
-}
-
-// usualTime is the time after which a call is lost that had been sent before a group of upstreams was killed.
-const usualTime = 100 * time.Millisecond
-
-// lost is an upstream that ends after the headers of an answer, just after it got the call.
-func lost(pause time.Duration, upstream uint64, traits ...trait) event {
-	return event{pause: pause, lost: traits, upstream: upstream, answering: true, sent: soon / 2}
-}
-
-// cut is the same where the call had been sent long before.
-func cut(pause time.Duration, upstream uint64, traits ...trait) event {
-	return event{pause: pause, lost: traits, upstream: upstream, answering: true, sent: usualTime}
-}
-
-func killed(pause time.Duration, upstream uint64, traits ...trait) event {
-	return event{pause: pause, lost: traits, upstream: upstream, sent: usualTime}
-}
-
-// crashed is an upstream that ends before any header, a step after it got the call.
-func crashed(pause time.Duration, upstream uint64, traits ...trait) event {
-	return event{pause: pause, lost: traits, upstream: upstream, sent: step}
-}
-
-func began(pause time.Duration, traits ...trait) event {
-	return event{pause: pause, began: traits}
-}
-
-const (
-	soon  = 20 * time.Millisecond
-	step  = 60 * time.Millisecond
-	later = 3 * time.Second
-)
-
 func TestBlocks(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -277,102 +214,6 @@
 	}
 }
 
-// play lets a quarantine see events and returns it with the time of the last one.
-func play(events []event) (*quarantine.Quarantine, time.Time) {
-	q := quarantine.NewQuarantine()
-	now := time.Unix(1000, 0)
-	for _, e := range events {
-		now = now.Add(e.pause)
-		if e.lost != nil {
-			q.Lost(now, now.Add(-e.sent), e.upstream, e.lost, e.answering)
-			continue
-		}
-		q.Began(now, e.began)
-	}
-	return q, now
-}
-
-func TestEvidenceOfSeveralHostsCountsTogether(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	var e crashevidence.Evidence
-	for u := range uint64(3) {
-		h := quarantine.NewQuarantine()
-		l, ok := h.Lost(now, now.Add(-usualTime), u, []trait{caller, deadly}, true)
-		is.True(ok)
-		l.Age = time.Second
-		e.Losses = append(e.Losses, l, l)
-	}
-	q := quarantine.NewQuarantine()
-	q.Began(now.Add(-time.Minute), []trait{caller})
-	g, _ := q.Merge(now, e)
-	is.Equal(len(g), 1)
-	is.Equal(g[0].Trait, caller)
-	is.True(q.Blocks(now, []trait{deadly}))
-	is.True(!q.Blocks(now, []trait{caller}))
-
-	late := quarantine.NewQuarantine()
-	late.Merge(now, crashevidence.Evidence{Losses: q.Losses(now), Good: q.KnownGood(now, q.Losses(now))})
-	is.Equal(late.Fingerprint(), q.Fingerprint())
-	is.True(late.Blocks(now, []trait{deadly, other}))
-	is.True(!late.Blocks(now, []trait{caller, other}))
-}
-
-func TestMemoryIsBounded(t *testing.T) {
-	is := is.New(t)
-	q := quarantine.NewQuarantine()
-	now := time.Unix(1000, 0)
-	for u := range uint64(3) {
-		q.Lost(now, now, u, []trait{deadly}, true)
-	}
-	many := make([]trait, 1000)
-	for i := range many {
-		many[i] = trait{Hash: uint64(1_000_000 + i)}
-	}
-	for u := range uint64(2000) {
-		now = now.Add(time.Millisecond)
-		q.Lost(now, now, 10+u, []trait{{Hash: 10_000 + u}, {Hash: u, Request: true}}, true)
-		q.Began(now, []trait{{Hash: 100_000 + u}, {Hash: 200_000 + u}, {Hash: 300_000 + u}})
-	}
-	l, _ := q.Lost(now, now, 1, many, true)
-	is.Equal(len(l.Traits), 256)
-	is.Equal(len(q.Losses(now)), 1024)
-	is.True(q.Blocks(now, []trait{deadly}))
-	for u := range uint64(300) {
-		distinct := make([]trait, 256)
-		for i := range distinct {
-			distinct[i] = trait{Hash: 2_000_000 + 256*u + uint64(i)}
-		}
-		q.Lost(now, now, 10_000+u, distinct, true)
-	}
-	n := 0
-	for _, l := range q.Losses(now) {
-		n += len(l.Traits)
-	}
-	is.True(n <= 1<<16)
-	is.True(q.Blocks(now, []trait{deadly}))
-}
-
-// TestFloodOfRequestsPushesNothingOut guards against a team whose many distinct requests make the fleet forget what others did.
-func TestFloodOfRequestsPushesNothingOut(t *testing.T) {
-	is := is.New(t)
-	q := quarantine.NewQuarantine()
-	now := time.Unix(1000, 0)
-	q.Began(now, []trait{caller})
-	for u := range uint64(3) {
-		q.Lost(now, now, u, []trait{request}, true)
-	}
-	for u := range uint64(200_000) {
-		q.Began(now.Add(later), []trait{{Hash: 100 + u, Request: true}})
-	}
-	now = now.Add(2 * later)
-	for u := range uint64(3) {
-		q.Lost(now, now, u, []trait{caller}, true)
-	}
-	is.True(!q.Blocks(now, []trait{caller})) // the part is still known as good
-	is.True(q.Blocks(now, []trait{request}))
-}
-
 func TestQuarantinedTraitIsTriedAgainMoreAndMoreSeldom(t *testing.T) {
 	is := is.New(t)
 	q := quarantine.NewQuarantine()
@@ -433,78 +274,3 @@
 		})
 	}
 }
-
-// TestHostsThatLearnInAnyOrderAgree guards against hosts that count ends by when the news of them came.
-func TestHostsThatLearnInAnyOrderAgree(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	q, n := play([]event{crashed(0, 1, request), crashed(step+1, 2, request), crashed(step+1, 3, request)})
-	l := q.Losses(n)
-	for i := range l {
-		h := quarantine.NewQuarantine()
-		h.Merge(now, crashevidence.Evidence{Losses: append(append([]crashevidence.Loss{}, l[i:]...), l[:i]...)})
-		is.True(h.Blocks(now, []trait{request}))
-		is.Equal(h.Fingerprint(), q.Fingerprint())
-		for range 100 {
-			h.Merge(now, crashevidence.Evidence{Losses: h.Losses(now.Add(50 * time.Millisecond))})
-		}
-		is.True(h.Blocks(now, []trait{request}))
-	}
-}
-
-// TestDelayedNewsCountsAllTheSame guards against hosts that count fewer ends since the news of an end took longer than the next
-// attempt.
-func TestDelayedNewsCountsAllTheSame(t *testing.T) {
-	is := is.New(t)
-	q, n := play([]event{crashed(0, 1, request), crashed(step+1, 2, request), crashed(step+1, 3, request)})
-	l := q.Losses(n)
-	slices.SortFunc(l, func(a, b crashevidence.Loss) int { return cmp.Compare(b.Age, a.Age) })
-	delays := []time.Duration{0, time.Millisecond, 30 * time.Millisecond, time.Second, time.Minute}
-	for _, a := range delays {
-		for _, b := range delays {
-			for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 2, 0}, {2, 0, 1}} {
-				h := quarantine.NewQuarantine()
-				for _, i := range order {
-					x := l[i]
-					x.Age += time.Minute - []time.Duration{a, b, 0}[i]
-					h.Merge(n, crashevidence.Evidence{Losses: []crashevidence.Loss{x}})
-				}
-				is.True(h.Holds([]trait{request}))
-				is.Equal(h.Ends(request), 3)
-			}
-		}
-	}
-}
-
-// TestAnswerExplainsALossWhateverOthersTakeForItsTime guards against hosts that tell each other of an explained loss for good,
-// since the news of it took longer than that of the answer.
-func TestAnswerExplainsALossWhateverOthersTakeForItsTime(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	x, y := quarantine.NewQuarantine(), quarantine.NewQuarantine()
-	for u, traits := range [][]trait{{caller, request}, {caller, page}} {
-		l, _ := x.Lost(now, now.Add(-step), uint64(u), traits, false)
-		y.Merge(now.Add(soon), crashevidence.Evidence{Losses: []crashevidence.Loss{l}}) // late
-	}
-	now = now.Add(time.Millisecond)
-	is.Equal(len(x.Began(now, []trait{caller, request})), 2)
-	y.Learn(now, []crashevidence.Good{{Trait: caller}, {Trait: request}})
-	is.True(x.Fingerprint() != y.Fingerprint())
-	now = now.Add(time.Second)
-	told := y.Losses(now)
-	better, news := x.Merge(now, crashevidence.Evidence{Losses: told})
-	is.True(!news)
-	y.Learn(now, better)
-	is.Equal(x.Fingerprint(), y.Fingerprint())
-	is.Equal(y.Size(), 1)
-}
-
-func BenchmarkBegan(b *testing.B) {
-	q := quarantine.NewQuarantine()
-	now := time.Unix(1000, 0)
-	n := uint64(0)
-	for b.Loop() {
-		n++
-		q.Began(now, []trait{caller, topic, {Hash: n}, {Hash: n, Request: true}})
-	}
-}
