--- a/cmd/siskinrun/killed_hosts_test.go
+++ b/cmd/siskinrun/killed_hosts_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -17,9 +16,7 @@
 	is := is.New(t)
 	f, ctx := runFleet(t)
 	l := f.generator()
-	for l.CheckReady(ctx) != nil {
-		is.NoErr(f.timer.Sleep(ctx, 200*time.Millisecond))
-	}
+	f.waitUntil(ctx, "start", func() error { return l.CheckReady(ctx) })
 	k := group.NewGroup(ctx)
 	k.Go("kill", func(ctx context.Context) error {
 		for _, n := range []string{"entry-3", "control-0", "entry-5", "control-1", "control-2", "entry-4"} {
@@ -43,8 +40,6 @@
 		// An online call may be cut off when its host is killed, but no item may be lost, duplicated or wrong.
 		is.True(!strings.HasPrefix(v, "item"))
 	}
-	for l.CheckReady(ctx) != nil {
-		is.NoErr(f.timer.Sleep(ctx, 200*time.Millisecond))
-	}
+	f.waitUntil(ctx, "return of the hosts", func() error { return l.CheckReady(ctx) })
 	is.NoErr(l.CheckSameResults(ctx))
 }
