--- a/internal/wire/connector/ask.go
+++ b/internal/wire/connector/ask.go
@@ -37,7 +37,7 @@
 	c.mu.Lock()
 	c.waiting = append(c.waiting, q)
 	c.mu.Unlock()
-	c.check()
+	c.wake.Set()
 	select {
 	case <-q.answered:
 	case <-ctx.Done():
--- a/internal/wire/connector/check.go
+++ b/internal/wire/connector/check.go
@@ -20,7 +20,7 @@
 
 // Run tries lost paths and asks other hosts about them until ctx ends.
 func (c *Connector) Run(ctx context.Context) error {
-	cancel := c.Timer.Every(checkInterval, func(time.Time) { c.check() })
+	cancel := c.Timer.Every(checkInterval, func(time.Time) { c.wake.Set() })
 	defer cancel()
 	for {
 		select {
@@ -35,14 +35,6 @@
 	}
 }
 
-// check makes the next check begin at once.
-func (c *Connector) check() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 // runCheck asks other hosts about lost paths, tries these, and tells what has changed.
 func (c *Connector) runCheck(ctx context.Context) {
 	c.mu.Lock()
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -12,6 +12,7 @@
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/host"
 	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/base/signal"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/reachability"
@@ -86,7 +87,8 @@
 	// Metrics counts connections by their path.
 	Metrics metrics.Registry
 
-	wake chan struct{}
+	// wake makes the next check begin at once.
+	wake signal.Signal
 	mu   sync.Mutex
 	// waiting are the connections that wait for the next check.
 	waiting []question
@@ -100,7 +102,7 @@
 
 // Register registers the handler of peers' questions and must be called before the link runs.
 func (c *Connector) Register() {
-	c.wake = make(chan struct{}, 1)
+	c.wake = signal.NewSignal()
 	c.probing = map[string]bool{}
 	c.Link.Handle(methodAsk, c.handleAsk)
 }
@@ -164,7 +166,7 @@
 		c.worked(u.Name)
 	case ctx.Err() == nil && c.Table.Failed(u.Name, c.Timer.Now()):
 		c.Log.Warn().Str("upstream", u.Name).Str("service", u.Service).Msg("upstream out of reach")
-		c.check()
+		c.wake.Set()
 	}
 	return k, err
 }
--- a/internal/wire/tunnel/tunnel_test.go
+++ b/internal/wire/tunnel/tunnel_test.go
@@ -31,7 +31,7 @@
 	timer    *timer.Service
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	f := &fixture{accepted: make(chan net.Conn, 8), timer: timer.NewService()}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -60,7 +60,7 @@
 	return f
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
