Test that a call which a stalled link delivers late may have run

The session between hosts gives a write up after 600 ms and reports no byte as written, but leaves the bytes in its queue. The transport takes that for a call of which nothing was sent, refuses it as not run, and a call that may run once is sent again, though the gateway passes it on as soon as the link goes on.

--- /dev/null
+++ b/internal/wire/tunnel/verdict_test.go
@@ -0,0 +1,95 @@
+package tunnel_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/wire/transport"
+	"siskinrun/pkg/refusal"
+	"siskinrun/pkg/verdict"
+)
+
+// stallTime is longer than a write to a link may take, and shorter than a link that does not answer lasts.
+const stallTime = 700 * time.Millisecond
+
+// through connects a transport through the gateway of a fixture, and calls connected before a call is sent.
+type through struct {
+	*fixture
+	connected func()
+}
+
+func (h through) Sound(string) bool { return true }
+
+func (h through) Connect(ctx context.Context, u upstream.Upstream) (net.Conn, string, error) {
+	c, err := h.origin.Open(ctx, "b", u)
+	h.connected()
+	return c, "b", err
+}
+
+// gate is a connection whose writes wait while the gate is closed.
+type gate struct {
+	net.Conn
+	mu sync.Mutex
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Conn.Write(b)
+}
+
+// gatedLink makes the link from the origin to the gateway a gate.
+func (f *fixture) gatedLink() *gate {
+	g := &gate{}
+	f.origin.Link.(*rpc.Endpoint).Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		k, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		g.Conn = k
+		return g, err
+	}
+	return g
+}
+
+// do sends a call that may run once through the gateway, and returns its refusal.
+func (f *fixture) do(ctx context.Context, connected func()) *refusal.Refusal {
+	x := &transport.Transport{Timer: f.timer, Connector: through{f, connected}, BodyReadTimeout: time.Second}
+	q := &call.Call{ID: "i", Method: http.MethodPost, Path: "/", Deadline: f.timer.Now().Add(3 * time.Second)}
+	q.Upstream, q.Body = f.upstream, []byte("order")
+	_, err := x.Do(ctx, f.upstream.Address, q)
+	return refusal.Of(err)
+}
+
+// TestCallThatALinkDeliversLateMayHaveRun guards against a call that is refused as not run, or sent again, and still reaches an
+// upstream, since the link to the gateway stalled for less than it takes to give it up.
+func TestCallThatALinkDeliversLateMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	g := f.gatedLink()
+	arrived := make(chan bool, 1)
+	w := group.NewGroup(t.Context())
+	w.Go("upstream", func(context.Context) error {
+		up := <-f.accepted
+		_ = up.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err := http.ReadRequest(bufio.NewReader(up))
+		arrived <- err == nil
+		return nil
+	})
+	r := f.do(t.Context(), func() {
+		g.mu.Lock()
+		f.timer.After(stallTime, func(time.Time) { g.mu.Unlock() })
+	})
+	t.Logf("%v, %s", r.Verdict, r.Code)
+	is.True(<-arrived)
+	is.NoErr(w.Wait())
+	is.Equal(r.Verdict, verdict.MayHaveRun)
+}
