Test that a gateway lost before the answer says nothing of the upstream

The HTTP library turns any failure before the first byte of an answer into a plain end, so the lost path is read as a lost upstream: the call counts as one that may crash upstreams, and the upstream as failing. Fails: upstream-lost != path-lost.

--- a/internal/wire/tunnel/verdict_test.go
+++ b/internal/wire/tunnel/verdict_test.go
@@ -93,3 +93,21 @@
 	is.NoErr(w.Wait())
 	is.Equal(r.Verdict, verdict.MayHaveRun)
 }
+
+// TestLossOfTheGatewayBeforeTheAnswerIsNoLossOfTheUpstream guards against calls that are suspected of crashing upstreams, and
+// upstreams that are held for failing, since the host that carried the call was lost.
+func TestLossOfTheGatewayBeforeTheAnswerIsNoLossOfTheUpstream(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	g := f.gatedLink()
+	w := group.NewGroup(t.Context())
+	w.Go("upstream", func(context.Context) error {
+		_, err := http.ReadRequest(bufio.NewReader(<-f.accepted))
+		_ = g.Close()
+		return err
+	})
+	r := f.do(t.Context(), func() {})
+	is.NoErr(w.Wait())
+	is.Equal(r.Verdict, verdict.MayHaveRun)
+	is.Equal(r.Code, "path-lost")
+}
