--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -73,6 +73,9 @@
 func (k *conn) Write(b []byte) (int, error) {
 	n, err := k.Conn.Write(b)
 	k.sent.Add(int64(n))
+	if err != nil && k.gateway != "" {
+		k.sent.Add(1) // a session between hosts may still send what it gave up
+	}
 	return n, err
 }
 
