Note the loss of a path where the connection reports it

The HTTP library replaces the errors of a connection before the first byte of an answer and inside the line of a chunk's size. The test of gateways lost before the answer passes now.

--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -56,6 +56,9 @@
 	if n > 0 {
 		k.touch()
 	}
+	if k.pathLost(err) {
+		k.interrupted.Store(true) // the HTTP library does not pass each error on
+	}
 	return n, err
 }
 
