Test that an opening which is given up keeps its peer reachable

The first call that wants a session dials with its own context. A connection through a gateway is given up as soon as the direct one comes about; the dial ends with it, and for 200 ms all other calls are told that the host cannot be reached, upon which they avoid it as a gateway for a second. Fails: dialing peer b failed recently.

--- a/internal/base/rpc/frozen_peer_test.go
+++ b/internal/base/rpc/frozen_peer_test.go
@@ -74,3 +74,33 @@
 	is.NoErr(g.Wait())
 	is.True(took < 400*time.Millisecond)
 }
+
+// TestOpeningThatIsGivenUpKeepsThePeerReachable guards against a host that counts as unreachable because the first call that dialed
+// it was given up.
+func TestOpeningThatIsGivenUpKeepsThePeerReachable(t *testing.T) {
+	is := is.New(t)
+	a, b := newPair(t, "s", "s")
+	b.HandleStream("open", func(_ context.Context, _ string, _ []byte, open func() (net.Conn, error)) error {
+		_, err := open()
+		return err
+	})
+	a.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if err := a.Timer.Sleep(ctx, 20*time.Millisecond); err != nil {
+			return nil, err
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	run(t, a, b)
+	runTimer(t, a)
+	g := group.NewGroup(t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
+	g.Go("given up", func(context.Context) error {
+		_, _ = a.Open(ctx, "b", "open", nil)
+		return nil
+	})
+	is.NoErr(a.Timer.Sleep(t.Context(), 5*time.Millisecond))
+	cancel()
+	_, err := a.Open(t.Context(), "b", "open", nil)
+	is.NoErr(err)
+	is.NoErr(g.Wait())
+}
