Test that streams of an upstream that is silent for a moment go on

A host that reached the upstream up to two seconds ago, and any other upstream in the last 300 ms, says that it reaches it, without trying. So one connection to a silent upstream that takes too long makes the asking host believe that it alone lost the path, and it ends its own silent connections there.

--- a/internal/wire/connector/fleet_test.go
+++ b/internal/wire/connector/fleet_test.go
@@ -50,6 +50,10 @@
 	some map[string]bool
 	// dials counts connections by the host itself, and tunnels those that it carries.
 	dials, tunnels atomic.Int64
+	// interrupts counts the upstreams to which silent connections were ended.
+	interrupts atomic.Int64
+	// slow is how long connections take, in nanoseconds.
+	slow atomic.Int64
 }
 
 // newFleet starts n hosts in three failure domains and m upstreams.
@@ -137,6 +141,11 @@
 // dial is the dialer of the host.
 func (p *peer) dial(ctx context.Context, address string) (net.Conn, error) {
 	p.dials.Add(1)
+	if d := time.Duration(p.slow.Load()); d > 0 {
+		if err := p.fleet.timer.Sleep(ctx, d); err != nil {
+			return nil, err
+		}
+	}
 	switch p.cutOf(address) {
 	case "hang":
 		<-ctx.Done()
@@ -183,7 +192,7 @@
 func (p *peer) MarkReachable(string) {}
 
 // Interrupt implements the connections of the connector.
-func (p *peer) Interrupt(string) {}
+func (p *peer) Interrupt(string) { p.interrupts.Add(1) }
 
 // try connects a host to an upstream and returns the gateway and the time that it took.
 func (p *peer) try(t *testing.T, u upstream.Upstream) (gateway string, took time.Duration, err error) {
