--- a/internal/base/rpc/open.go
+++ b/internal/base/rpc/open.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -60,15 +61,24 @@
 	in protodelim.Reader
 	// release ends the pings that the stream needs, nil on the accepting side.
 	release func()
+	closed  atomic.Bool
 }
 
 // Read implements io.Reader.Read.
 func (c *streamConn) Read(b []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	return c.in.Read(b)
 }
 
-// Close implements io.Closer.Close.
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// Close implements io.Closer.Close. It ends a read that is under way, which a yamux stream leaves waiting for its peer.
 func (c *streamConn) Close() error {
+	c.closed.Store(true)
+	_ = c.SetReadDeadline(past)
 	if c.release != nil {
 		c.release()
 	}
