--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -58,6 +58,9 @@
 	if n > 0 {
 		k.touch()
 	}
+	if k.pathLost(err) {
+		k.interrupted.Store(true) // the HTTP library does not pass each error on
+	}
 	return n, err
 }
 
@@ -75,6 +78,9 @@
 func (k *conn) Write(b []byte) (int, error) {
 	n, err := k.Conn.Write(b)
 	k.sent.Add(int64(n))
+	if err != nil && k.gateway != "" {
+		k.sent.Add(1) // a session between hosts may still send what it gave up
+	}
 	return n, err
 }
 
