Ask seldom and few where no host reaches an upstream, and try lost paths in a chain

Hosts are asked about all lost paths at once, at most each 100 ms, after a second at the latest, and many of them once in a while only. A host that has links again tells those that asked it. One connection that takes long is no question; two are. Each lost path that is reached again has another one tried. Sessions between hosts are dialed for all that wait for them, and none of these waits longer than its context. A gateway reads on what its upstream reads no more, so that the other side learns of the end.

--- a/internal/base/rpc/endpoint.go
+++ b/internal/base/rpc/endpoint.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,8 @@
 	dialBackoff    = 200 * time.Millisecond
 	callTimeout    = 5 * time.Second
 	maxFrameBytes  = 16 << 20
+	// maxOpenAttempts is how often a stream is tried to be opened on sessions that end at once.
+	maxOpenAttempts = 3
 )
 
 // Endpoint sends calls to peers and serves their calls.
@@ -61,6 +64,8 @@
 	// Log receives the events of sessions.
 	Log zerolog.Logger
 
+	// ended says that no session may be opened any more.
+	ended    atomic.Bool
 	mu       sync.Mutex
 	handlers map[string]Handler
 	sessions map[sessionKey]*session
@@ -177,33 +182,68 @@
 	return h(ctx, from, body)
 }
 
-// openStream returns an idle or new stream to a peer, and dials the peer if there is no session.
+// openStream returns an idle or new stream to a peer, and waits for a session if there is none.
 func (l *Endpoint) openStream(ctx context.Context, e *session, to, lane string) (*yamux.Stream, error) {
+	for range maxOpenAttempts {
+		s, dialed, err := l.tryOpen(e, to, lane)
+		if s != nil || err != nil {
+			return s, err
+		}
+		select {
+		case <-dialed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return nil, errors.Newf("sessions to peer %s end at once", to)
+}
+
+// tryOpen returns a stream if there is a session, or else begins to dial and returns a channel that is closed after it.
+func (l *Endpoint) tryOpen(e *session, to, lane string) (*yamux.Stream, <-chan struct{}, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s := e.idleStream(); s != nil {
-		return s, nil
+		return s, nil, nil
 	}
 	if e.mux != nil && !e.mux.IsClosed() {
 		s, err := e.mux.OpenStream()
 		if err == nil {
-			return s, nil
+			return s, nil, nil
 		}
 		e.mux.end()
 		e.mux = nil
 	}
-	n := l.Timer.Now()
-	if n.Before(e.retryAt) {
-		return nil, errors.Newf("dialing peer %s failed recently, waiting before the next attempt", to)
+	if e.dialed != nil {
+		return nil, e.dialed, nil
+	}
+	if l.Timer.Now().Before(e.retryAt) {
+		return nil, nil, errors.Wrapf(e.failure, "dial peer %s", to)
 	}
+	e.dialed = make(chan struct{})
+	group.NewGroup(context.Background()).Go("dial", func(ctx context.Context) error {
+		l.dialSession(ctx, e, to, lane)
+		return nil
+	})
+	return nil, e.dialed, nil
+}
+
+// dialSession dials a peer for all calls that wait for it, whichever of them are given up meanwhile.
+func (l *Endpoint) dialSession(ctx context.Context, e *session, to, lane string) {
 	m, err := l.connect(ctx, to, lane)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.dialed)
+	e.dialed = nil
 	if err != nil {
+		e.failure = err
 		e.retryAt = l.Timer.Now().Add(dialBackoff)
-		return nil, err
+		return
 	}
 	e.mux = m
 	e.idle = nil
-	return m.OpenStream()
+	if l.ended.Load() {
+		m.end()
+	}
 }
 
 func (l *Endpoint) session(k sessionKey) *session {
@@ -222,6 +262,7 @@
 
 func (l *Endpoint) close() {
 	_ = l.Listener.Close()
+	l.ended.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.sessions {
--- a/internal/base/rpc/streams.go
+++ b/internal/base/rpc/streams.go
@@ -15,6 +15,10 @@
 	mu      sync.Mutex
 	mux     *link
 	retryAt time.Time
+	// failure is why the last dial failed.
+	failure error
+	// dialed is closed once the dial under way has ended, nil if there is none.
+	dialed chan struct{}
 	// idle holds the streams that the next calls can reuse.
 	idle []*yamux.Stream
 	// held pings the session while streams of Open are open, nil if none is.
--- a/internal/routing/reachability/path.go
+++ b/internal/routing/reachability/path.go
@@ -20,9 +20,6 @@
 	doubtedAt time.Time
 	// asked says that other hosts were asked since the path was lost.
 	asked bool
-	// askAt is when other hosts are asked about the upstream again, askDelay after the last time.
-	askAt    time.Time
-	askDelay time.Duration
 }
 
 // Worked records a connection of this host to an upstream, and reports whether the path was lost before.
@@ -38,6 +35,9 @@
 	p.workedAt, t.linkedAt = now, now
 	delete(t.lost, name)
 	delete(t.doubtful, name)
+	if len(t.lost) == 0 {
+		t.askDelay, t.searchedAt = minAskDelay, time.Time{}
+	}
 	t.updateTroubled()
 	clear(p.gateways)
 	return regained
@@ -60,7 +60,7 @@
 	delete(t.doubtful, name)
 	t.updateTroubled()
 	t.troubledAt = now
-	p.asked, p.askAt, p.askDelay = false, now, minAskDelay
+	p.asked = false
 	return true
 }
 
@@ -76,10 +76,17 @@
 	}
 }
 
-// Doubted returns the upstreams to which a connection took long moments ago and none has come about since.
+// Doubted returns the upstreams to which a connection took long moments ago and none has come about since, if there are several.
 func (t *Table) Doubted(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if l := t.doubted(now); len(l) >= minSuspicious {
+		return l
+	}
+	return nil
+}
+
+func (t *Table) doubted(now time.Time) []string {
 	maps.DeleteFunc(t.doubtful, func(_ string, p *path) bool { return !p.doubted(now) })
 	t.updateTroubled()
 	return slices.Sorted(maps.Keys(t.doubtful))
--- a/internal/routing/reachability/questions.go
+++ b/internal/routing/reachability/questions.go
@@ -1,6 +1,7 @@
 package reachability
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,43 +16,66 @@
 	return true
 }
 
-// Questions returns the upstreams about which other hosts are asked now: lost ones, and those in doubt.
+// Questions returns the upstreams about which other hosts are asked now: all lost ones, if one is new or it is time, and those in
+// doubt, if there are several. One connection that takes long says little.
 func (t *Table) Questions(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var l []string
-	for n, p := range t.lost {
-		if !now.Before(p.askAt) {
-			l = append(l, n)
-		}
+	if now.Before(t.askedAt.Add(askSpacing)) {
+		return nil
 	}
-	for n, p := range t.doubtful {
-		if p.doubted(now) {
-			l = append(l, n)
-		}
+	doubted := t.doubted(now)
+	due := len(t.lost) > 0 && !now.Before(t.askAt) || len(t.lost)+len(doubted) >= minSuspicious && len(doubted) > 0
+	for _, p := range t.lost {
+		due = due || !p.asked
 	}
+	if !due {
+		return nil
+	}
+	l := append(slices.Collect(maps.Keys(t.lost)), doubted...)
 	slices.Sort(l)
 	return l
 }
 
-// Asked records that other hosts were asked about upstreams. Where none reaches one, they are asked again later and later.
+// Asked records that other hosts were asked about upstreams. While none is known that reaches any, they are asked again later and
+// later.
 func (t *Table) Asked(names []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.askedAt = now
+	known := false
 	for _, n := range names {
-		p := t.paths[n]
-		if p == nil || !p.lost {
-			continue
-		}
-		p.expire(now)
-		p.asked = true
-		if len(p.gateways) > 0 {
-			p.askAt, p.askDelay = now.Add(refreshDelay), minAskDelay
-			continue
+		if p := t.lost[n]; p != nil {
+			p.expire(now)
+			p.asked = true
+			known = known || len(p.gateways) > 0
 		}
-		p.askAt = now.Add(p.askDelay)
-		p.askDelay = min(2*p.askDelay, maxAskDelay)
 	}
+	if known {
+		t.askAt, t.askDelay = now.Add(refreshDelay), minAskDelay
+		return
+	}
+	t.askAt = now.Add(t.askDelay)
+	t.askDelay = min(2*t.askDelay, refreshDelay)
+}
+
+// Search reports whether many hosts may be asked now, which is so once in a while.
+func (t *Table) Search(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.searchedAt.IsZero() && now.Before(t.searchedAt.Add(searchSpacing)) {
+		return false
+	}
+	t.searchedAt = now
+	return true
+}
+
+// Regained records that a host that had no links to upstreams says that it has some again.
+func (t *Table) Regained(host string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gateway(host).avoidUntil = time.Time{}
+	t.askAt = now
 }
 
 // Open reports whether it is an open question which other hosts reach an upstream that this one does not.
--- a/internal/routing/reachability/table.go
+++ b/internal/routing/reachability/table.go
@@ -15,17 +15,19 @@
 	// proofTTL is how long a connection proves that its upstream is reached and that this host has links, or a failed one the
 	// opposite.
 	proofTTL = 300 * time.Millisecond
-	// minAskDelay and maxAskDelay bound the time between two questions about an upstream that no other host reaches.
-	minAskDelay = 300 * time.Millisecond
-	maxAskDelay = 4 * time.Second
+	// askSpacing is the least time between two rounds of questions, minAskDelay the first time after which they are repeated while
+	// no host helps, and refreshDelay the last one and that while some do.
+	askSpacing   = 100 * time.Millisecond
+	minAskDelay  = 300 * time.Millisecond
+	refreshDelay = time.Second
+	// searchSpacing is the least time between two searches among many hosts.
+	searchSpacing = 30 * time.Second
 	// doubtTTL is how long a connection that takes long puts its path in doubt.
 	doubtTTL = 300 * time.Millisecond
 	// freshTime is how long after the loss of a path others may be about to be lost.
 	freshTime = time.Second
 	// minSuspicious is the number of lost paths from which on the others are suspect.
 	minSuspicious = 2
-	// refreshDelay is the time between two questions about an upstream to which a gateway is known.
-	refreshDelay = time.Second
 	// gatewayTTL is how long the answer of a gateway holds.
 	gatewayTTL = 3 * time.Second
 	// avoidTime is how long a host that was of no use as a gateway is asked last, and avoidCost its cost meanwhile, as remoteCost.
@@ -57,6 +59,11 @@
 	lost map[string]*path
 	// doubtful holds the paths that are in doubt or were.
 	doubtful map[string]*path
+	// askedAt is when other hosts were last asked, askAt when they are asked again, and askDelay the time from then to the next.
+	askedAt, askAt time.Time
+	askDelay       time.Duration
+	// searchedAt is when many hosts were last asked.
+	searchedAt time.Time
 	// linkedAt is when a connection to any upstream last came about.
 	linkedAt time.Time
 	// troubledAt is when a path was last lost or came in doubt.
@@ -74,6 +81,7 @@
 		domains:  map[string]string{},
 		sizes:    map[string]int{},
 		cutOff:   map[string]bool{},
+		askDelay: minAskDelay,
 		lost:     map[string]*path{},
 		doubtful: map[string]*path{},
 	}
--- a/internal/wire/connector/answer.go
+++ b/internal/wire/connector/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,17 +13,21 @@
 )
 
 const (
-	methodAsk = "reachability/ask"
+	methodAsk      = "reachability/ask"
+	methodRegained = "reachability/regained"
+	// askerTTL is how long a host that has asked is told when this one has links again.
+	askerTTL = 5 * time.Second
 	// proofTimeout bounds the wait of a host that is asked for the connections that it tries first.
 	proofTimeout = 80 * time.Millisecond
 )
 
 // handleAsk tells another host which upstreams this one reaches, after it has tried those of which it does not know.
-func (c *Connector) handleAsk(ctx context.Context, _ string, body []byte) ([]byte, error) {
+func (c *Connector) handleAsk(ctx context.Context, from string, body []byte) ([]byte, error) {
 	q := &tunnelmessage.Query{}
 	if err := proto.Unmarshal(body, q); err != nil {
 		return nil, refusal.NewNotRun(400, "malformed-query", err.Error())
 	}
+	c.noteAsker(from)
 	if q.Prove {
 		c.prove(ctx, q.Upstreams)
 	} else if !c.Table.Linked(c.Timer.Now()) {
@@ -77,3 +82,37 @@
 		}
 	}
 }
+
+// noteAsker remembers that a host has asked, and forgets those that have not for long.
+func (c *Connector) noteAsker(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.Timer.Now()
+	c.askers[name] = n
+	maps.DeleteFunc(c.askers, func(_ string, at time.Time) bool { return n.Sub(at) > askerTTL })
+}
+
+// tellAskers tells the hosts that have asked that this one has links again.
+func (c *Connector) tellAskers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for h, at := range c.askers {
+		if c.Timer.Now().Sub(at) > askerTTL {
+			continue
+		}
+		c.Group.Go("tell", func(ctx context.Context) error {
+			c.Link.Send(ctx, h, methodRegained, nil)
+			return nil
+		})
+	}
+}
+
+// handleRegained makes this host ask another one that has links again.
+func (c *Connector) handleRegained(_ context.Context, from string, _ []byte) ([]byte, error) {
+	c.Table.Regained(from, c.Timer.Now())
+	c.mu.Lock()
+	c.referred = append(c.referred, from)
+	c.mu.Unlock()
+	c.wake.Set()
+	return nil, nil
+}
--- a/internal/wire/connector/ask.go
+++ b/internal/wire/connector/ask.go
@@ -70,7 +70,11 @@
 	c.Table.SetHosts(c.Hosts())
 	var asked []string
 	witnesses := 0
-	for i := range maxRounds {
+	rounds := 1
+	if c.Table.Search(c.Timer.Now()) {
+		rounds = maxRounds
+	}
+	for i := range rounds {
 		hosts := c.Table.Candidates(askedHosts<<i, c.takeReferred(), asked, c.Timer.Now())
 		witnesses += c.askHosts(ctx, hosts, names, b, useful)
 		asked = append(asked, hosts...)
--- a/internal/wire/connector/check.go
+++ b/internal/wire/connector/check.go
@@ -45,9 +45,10 @@
 	lost := c.Table.Lost()
 	if n.Sub(c.probedAt) >= checkInterval {
 		c.probedAt = n
-		c.probe(lost)
+		c.probe(lost, maxProbes)
 	}
-	c.probe(c.Table.Doubted(n))
+	doubted := c.Table.Doubted(n)
+	c.probe(doubted, maxProbes)
 	var mu sync.Mutex
 	c.ask(ctx, func() {
 		mu.Lock()
@@ -55,7 +56,7 @@
 		waiting = c.answer(waiting, false)
 	})
 	c.answer(waiting, true)
-	if c.Table.Fresh(c.Timer.Now()) {
+	if len(lost)+len(doubted) > 0 && c.Table.Fresh(c.Timer.Now()) {
 		c.probeOthers(lost)
 	}
 	c.restore()
@@ -63,14 +64,14 @@
 	c.logChanges(lost)
 }
 
-// probe tries a connection to some upstreams, without waiting for it.
-func (c *Connector) probe(names []string) {
-	for _, i := range rand.Perm(len(names))[:min(len(names), maxProbes)] {
+// probe tries a connection to up to n of some upstreams, without waiting for it.
+func (c *Connector) probe(names []string, n int) {
+	for _, i := range rand.Perm(len(names))[:min(len(names), n)] {
 		c.probeOne(names[i])
 	}
 }
 
-// probeOne tries a connection to an upstream unless one is being tried.
+// probeOne tries a connection to an upstream unless one is being tried. If a lost one is reached again, others likely are.
 func (c *Connector) probeOne(name string) {
 	u, ok := c.Upstream(name)
 	c.mu.Lock()
@@ -80,13 +81,18 @@
 	}
 	c.probing[name] = true
 	c.Group.Go("probe", func(ctx context.Context) error {
-		if k, err := c.Dial(ctx, u); err == nil {
-			_ = k.Close()
-		}
+		lost := !c.Table.Direct(name)
+		k, err := c.Dial(ctx, u)
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		delete(c.probing, name)
-		return nil
+		c.mu.Unlock()
+		if err != nil {
+			return nil
+		}
+		if lost {
+			c.probe(c.Table.Lost(), 1)
+		}
+		return k.Close()
 	})
 }
 
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -37,6 +37,7 @@
 type link interface {
 	Handle(method string, h rpc.Handler)
 	Call(ctx context.Context, to, method string, body []byte) ([]byte, error)
+	Send(ctx context.Context, to, method string, body []byte) bool
 }
 
 // tunnels opens connections through other hosts.
@@ -94,6 +95,8 @@
 	waiting []question
 	// referred are hosts that others use as gateways.
 	referred []string
+	// askers holds when each host last asked this one.
+	askers map[string]time.Time
 	// probedAt is when the lost paths were last tried.
 	probedAt time.Time
 	// probing are the upstreams to which a connection is tried without a call.
@@ -104,7 +107,9 @@
 func (c *Connector) Register() {
 	c.wake = signal.NewSignal()
 	c.probing = map[string]bool{}
+	c.askers = map[string]time.Time{}
 	c.Link.Handle(methodAsk, c.handleAsk)
+	c.Link.Handle(methodRegained, c.handleRegained)
 }
 
 // Direct reports whether this host reaches an upstream by itself, as far as it knows.
@@ -146,7 +151,11 @@
 		return nil, "", err
 	}
 	o.start(ctx)
-	return o.wait(ctx)
+	k, g, err := o.wait(ctx)
+	if err != nil && ctx.Err() == nil && !c.Table.Direct(u.Name) {
+		return c.connectThrough(ctx, u) // a gateway may have become known since
+	}
+	return k, g, err
 }
 
 // patience returns how long a direct connection may take until one through a gateway is tried as well.
@@ -186,10 +195,15 @@
 }
 
 func (c *Connector) worked(name string) {
-	if !c.Table.Worked(name, c.Timer.Now()) {
+	n := c.Timer.Now()
+	linked := c.Table.Linked(n)
+	if !c.Table.Worked(name, n) {
 		return
 	}
 	c.Log.Info().Str("upstream", name).Msg("upstream reached again")
+	if !linked {
+		c.tellAskers()
+	}
 }
 
 func (c *Connector) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/wire/tunnel/service.go
+++ b/internal/wire/tunnel/service.go
@@ -124,16 +124,17 @@
 		b := s.buffer()
 		defer s.buffers.Put(b)
 		_, _ = io.CopyBuffer(writer{up}, reader{down}, *b)
+		_, _ = io.CopyBuffer(writer{io.Discard}, reader{down}, *b) // the host that asked may still send where the upstream reads no more
 		return nil
 	})
 	g.Go("answers", func(context.Context) error {
-		defer func() { _ = down.Close() }()
 		b := s.buffer()
 		defer s.buffers.Put(b)
 		_ = writeEnd(down, copyAnswer(down, up, *b))
 		return nil
 	})
 	_ = g.Wait()
+	_ = down.Close()
 }
 
 // copyAnswer sends the bytes of the upstream until its side ends, and returns how it did.
