--- a/internal/wire/tunnel/cut_test.go
+++ b/internal/wire/tunnel/cut_test.go
@@ -36,6 +36,7 @@
 				w := group.NewGroup(t.Context())
 				w.Go("upstream", func(ctx context.Context) error {
 					up := <-f.accepted
+					defer func() { _ = up.Close() }() // not before, as by a finalizer
 					if _, err := http.ReadRequest(bufio.NewReader(up)); err != nil {
 						return err
 					}
--- a/internal/wire/tunnel/verdict_test.go
+++ b/internal/wire/tunnel/verdict_test.go
@@ -79,6 +79,7 @@
 	w := group.NewGroup(t.Context())
 	w.Go("upstream", func(context.Context) error {
 		up := <-f.accepted
+		defer func() { _ = up.Close() }()
 		_ = up.SetReadDeadline(time.Now().Add(2 * time.Second))
 		_, err := http.ReadRequest(bufio.NewReader(up))
 		arrived <- err == nil
@@ -102,7 +103,9 @@
 	g := f.gatedLink()
 	w := group.NewGroup(t.Context())
 	w.Go("upstream", func(context.Context) error {
-		_, err := http.ReadRequest(bufio.NewReader(<-f.accepted))
+		up := <-f.accepted
+		defer func() { _ = up.Close() }() // not before, as by a finalizer
+		_, err := http.ReadRequest(bufio.NewReader(up))
 		_ = g.Close()
 		return err
 	})
