--- a/internal/config/configstore/check.go
+++ b/internal/config/configstore/check.go
@@ -9,10 +9,10 @@
 )
 
 // Check returns an error if the state violates an invariant.
-func (r *Store) Check() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return check(r.View(), &r.dedup, &r.history)
+func (s *Store) Check() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return check(s.View(), &s.dedup, &s.history)
 }
 
 func check(c *configuration.Configuration, m *dedupTable, h *history) error {
@@ -39,12 +39,12 @@
 }
 
 // check makes sure that no two changes made the same version and that no change made a version later than now.
-func (m *dedupTable) check(now uint64) error {
-	if len(m.order) != len(m.outcomes) || len(m.hashOrder) != len(m.idHashes) {
+func (t *dedupTable) check(now uint64) error {
+	if len(t.order) != len(t.outcomes) || len(t.hashOrder) != len(t.idHashes) {
 		return errors.New("a change ID is recorded twice")
 	}
 	madeBy := map[uint64]string{}
-	for id, p := range m.outcomes {
+	for id, p := range t.outcomes {
 		o, err := changeoutcome.Decode(p.Outcome)
 		if err != nil {
 			return err
--- a/internal/config/distribution/distribution.go
+++ b/internal/config/distribution/distribution.go
@@ -6,12 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/base/signal"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/config/configcache"
 	"siskinrun/internal/config/configstore"
@@ -72,7 +72,7 @@
 	cache       *configcache.Cache
 	selector    *peerselection.Selector
 	changed     chan struct{} // closed and replaced when the cache has a newer version
-	wake        chan struct{} // ends the backoff before the next pull
+	wake        signal.Signal // ends the backoff before the next pull
 	publishMu   sync.Mutex    // held while subscribers are notified, so that they get versions in order
 	subscribers []func(*configuration.Configuration)
 }
@@ -161,7 +161,7 @@
 		if s.View().Version >= version {
 			return nil
 		}
-		s.wakePull()
+		s.wake.Set()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -176,7 +176,7 @@
 		s.cache = configcache.NewCache(s.start, s.Lease)
 		s.selector = peerselection.NewSelector(s.Name, s.Domains, s.Control)
 		s.changed = make(chan struct{})
-		s.wake = make(chan struct{}, 1)
+		s.wake = signal.NewSignal()
 		s.published.Store(s.cache.Published())
 		s.lapsed.Store(true)
 		if s.Metrics == nil {
@@ -233,37 +233,6 @@
 	}
 }
 
-// confirm asks a quorum at intervals to confirm this host's replica.
-func (s *Service) confirm(ctx context.Context) error {
-	for {
-		if err := s.confirmOnce(ctx); err != nil {
-			s.Log.Debug().Err(err).Msg("configuration not confirmed")
-			s.applyLocal(s.Store.View())
-		}
-		if err := s.Timer.Sleep(ctx, confirmInterval); err != nil {
-			return err
-		}
-	}
-}
-
-func (s *Service) confirmOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	t, err := s.Client.Confirm(ctx, configurationGroup)
-	if err != nil {
-		return errors.Wrap(err, "confirm configuration with a quorum")
-	}
-	c := s.Store.View()
-	s.confirmed.Store(int64(s.Timer.Now().Sub(s.start)))
-	return s.update(func(now time.Time, v *configcache.Cache) error { return v.Confirm(now, t, c) })
-}
-
-// hasReplica reports whether a quorum has lately confirmed a replica of this host, which then needs no pulls from peers.
-func (s *Service) hasReplica() bool {
-	at := s.confirmed.Load()
-	return at > 0 && s.Timer.Now().Sub(s.start)-time.Duration(at) < s.Lease/staleDivisor
-}
-
 // logFreshness logs when the lease lapses and when it holds again.
 func (s *Service) logFreshness(time.Time) {
 	f := s.Fresh()
@@ -277,16 +246,3 @@
 	s.Log.Warn().Msg("configuration not fresh, keyed requests are refused")
 	metrics.GetOrRegisterCounter("configuration-lapses", s.Metrics).Inc(1)
 }
-
-// wakePull ends the backoff before the next pull.
-func (s *Service) wakePull() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-// hasStore reports whether this host has a replica and can confirm its freshness with a quorum.
-func (s *Service) hasStore() bool {
-	return s.Store != nil
-}
--- a/internal/measure/burnrate/burnrate.go
+++ b/internal/measure/burnrate/burnrate.go
@@ -41,31 +41,6 @@
 	dropped   int64
 }
 
-type seriesKey struct {
-	team  string
-	route string
-}
-
-// bucket counts the outcomes of one part of a window.
-type bucket struct {
-	number int64
-	counts counts
-}
-
-type counts struct {
-	answered, late, refused, overRate, rejected uint32
-}
-
-// series holds a ring of buckets for each window; a newer bucket overwrites the oldest one.
-type series [len(windows)][bucketsPerWindow]bucket
-
-// minute counts the online answers of an upstream in one minute and records whether batch calls ran.
-type minute struct {
-	number         int64
-	answered, late uint32
-	batch          bool
-}
-
 // NewTracker returns an empty tracker with the default objective.
 func NewTracker(host string) *Tracker {
 	return &Tracker{
@@ -77,19 +52,19 @@
 }
 
 // Add counts a finished call against the latency contract of its route.
-func (b *Tracker) Add(r callrecord.Record, contract route.Route) {
+func (t *Tracker) Add(r callrecord.Record, contract route.Route) {
 	if r.Batch {
-		b.markBatch(r)
+		t.markBatch(r)
 		return
 	}
 	c := classify(r, contract)
-	if m := b.minuteOf(r.Upstream, r.EndedAt.Unix()/secondsPerMinute); m != nil {
+	if m := t.minuteOf(r.Upstream, r.EndedAt.Unix()/secondsPerMinute); m != nil {
 		m.answered += c.answered
 		m.late += c.late
 	}
-	s := b.seriesOf(seriesKey{r.Team, r.Route}, r.EndedAt)
+	s := t.seriesOf(seriesKey{r.Team, r.Route}, r.EndedAt)
 	if s == nil {
-		b.dropped++
+		t.dropped++
 		return
 	}
 	for i, w := range windows {
@@ -124,140 +99,19 @@
 	return status >= minErrorStatus && status < minServerErrorStatus && status != statusTooManyRequests && status != statusTimeout
 }
 
-// markBatch marks the minutes in which a batch call ran.
-func (b *Tracker) markBatch(r callrecord.Record) {
-	end := r.EndedAt.Unix() / secondsPerMinute
-	start := r.EndedAt.Add(-r.Total+r.Waited).Unix() / secondsPerMinute
-	for n := max(start, end-minutesKept+1); n <= end; n++ {
-		if m := b.minuteOf(r.Upstream, n); m != nil {
-			m.batch = true
-		}
-	}
-}
-
-// minuteOf returns minute n of an upstream, or nil if it has been overwritten or the limit of upstreams is reached.
-func (b *Tracker) minuteOf(upstream string, n int64) *minute {
-	if upstream == "" {
-		return nil
-	}
-	u := b.upstreams[upstream]
-	if u == nil {
-		if len(b.upstreams) >= maxUpstreams {
-			b.evictIdleUpstreams(n)
-		}
-		if len(b.upstreams) >= maxUpstreams {
-			return nil
-		}
-		u = &[minutesKept]minute{}
-		b.upstreams[upstream] = u
-	}
-	m := &u[n%minutesKept]
-	if m.number > n {
-		return nil
-	}
-	if m.number < n {
-		*m = minute{number: n}
-	}
-	return m
-}
-
-// evictIdleUpstreams removes upstreams without a call in the minutes kept.
-func (b *Tracker) evictIdleUpstreams(now int64) {
-	for name, u := range b.upstreams {
-		idle := true
-		for _, m := range u {
-			idle = idle && m.number <= now-minutesKept
-		}
-		if idle {
-			delete(b.upstreams, name)
-		}
-	}
-}
-
-// seriesOf returns the series of a team and route, or nil if the limit of series is reached.
-func (b *Tracker) seriesOf(k seriesKey, now time.Time) *series {
-	s := b.series[k]
-	if s != nil {
-		return s
-	}
-	if len(b.series) >= maxSeries {
-		b.evictIdleSeries(now)
-	}
-	if len(b.series) >= maxSeries {
-		return nil
-	}
-	s = &series{}
-	b.series[k] = s
-	return s
-}
-
-// evictIdleSeries removes series without a call in the longest window.
-func (b *Tracker) evictIdleSeries(now time.Time) {
-	n := bucketNumber(now, windows[longestWindow])
-	for k, s := range b.series {
-		if s.sum(longestWindow, n) == (burnreport.Counts{}) {
-			delete(b.series, k)
-		}
-	}
-}
-
-func bucketNumber(t time.Time, window time.Duration) int64 {
-	return t.UnixNano() / int64(window/bucketsPerWindow)
-}
-
-// countsAt returns the counts of bucket n, or counts to discard if a newer bucket has overwritten it.
-func (s *series) countsAt(window int, n int64) *counts {
-	p := &s[window][n%bucketsPerWindow]
-	if p.number > n {
-		return &counts{}
-	}
-	if p.number < n {
-		*p = bucket{number: n}
-	}
-	return &p.counts
-}
-
-func (s *series) sum(window int, now int64) burnreport.Counts {
-	c := burnreport.Counts{}
-	for _, p := range s[window] {
-		if p.number > now-bucketsPerWindow {
-			c.Add(p.counts.report())
-		}
-	}
-	return c
-}
-
-func (c *counts) add(d counts) {
-	c.answered += d.answered
-	c.late += d.late
-	c.refused += d.refused
-	c.overRate += d.overRate
-	c.rejected += d.rejected
-}
-
-func (c counts) report() burnreport.Counts {
-	return burnreport.Counts{
-		Answered: int64(c.answered),
-		Late:     int64(c.late),
-		Refused:  int64(c.refused),
-		OverRate: int64(c.overRate),
-		Rejected: int64(c.rejected),
-	}
-}
-
 // Report returns the counts of all windows as of now.
-func (b *Tracker) Report(now time.Time) *burnreport.Report {
+func (t *Tracker) Report(now time.Time) *burnreport.Report {
 	r := &burnreport.Report{
-		Hosts:     []string{b.Host},
+		Hosts:     []string{t.Host},
 		At:        now,
-		Objective: b.Objective,
-		Series:    make([]burnreport.Series, 0, len(b.series)),
-		Dropped:   b.dropped,
+		Objective: t.Objective,
+		Series:    make([]burnreport.Series, 0, len(t.series)),
+		Dropped:   t.dropped,
 	}
 	for _, w := range windows {
 		r.Windows = append(r.Windows, duration.Duration(w))
 	}
-	for k, s := range b.series {
+	for k, s := range t.series {
 		l := make([]burnreport.Counts, len(windows))
 		for i, w := range windows {
 			l[i] = s.sum(i, bucketNumber(now, w))
@@ -267,25 +121,6 @@
 		}
 	}
 	r.SortWorstFirst(r.Series)
-	r.Minutes = b.reportMinutes(now.Unix() / secondsPerMinute)
+	r.Minutes = t.reportMinutes(now.Unix() / secondsPerMinute)
 	return r
 }
-
-func (b *Tracker) reportMinutes(now int64) []burnreport.Minute {
-	var l []burnreport.Minute
-	for name, u := range b.upstreams {
-		for _, m := range u {
-			if m.number <= now-minutesKept || m.answered == 0 && !m.batch {
-				continue
-			}
-			l = append(l, burnreport.Minute{
-				Upstream: name,
-				Start:    m.number,
-				Answered: int64(m.answered),
-				Late:     int64(m.late),
-				Batch:    m.batch,
-			})
-		}
-	}
-	return l
-}
