Test that a partly cut-off host keeps the streams of a silent upstream

A host that reaches any upstream in question is taken to reach all others too, also ones that the asking host has not lost. If one of these then falls silent for a moment, it is lost with gateways known, so its silent connections are ended before any host was asked about it.

--- a/internal/wire/connector/fleet_test.go
+++ b/internal/wire/connector/fleet_test.go
@@ -50,8 +50,9 @@
 	some map[string]bool
 	// dials counts connections by the host itself, and tunnels those that it carries.
 	dials, tunnels atomic.Int64
-	// interrupts counts the upstreams to which silent connections were ended.
-	interrupts atomic.Int64
+	// interrupts counts the upstreams to which silent connections were ended, and interrupted those by address.
+	interrupts  atomic.Int64
+	interrupted sync.Map
 	// slow is how long connections take, in nanoseconds.
 	slow atomic.Int64
 }
@@ -192,7 +193,10 @@
 func (p *peer) MarkReachable(string) {}
 
 // Interrupt implements the connections of the connector.
-func (p *peer) Interrupt(string) { p.interrupts.Add(1) }
+func (p *peer) Interrupt(address string) {
+	p.interrupts.Add(1)
+	p.interrupted.Store(address, true)
+}
 
 // try connects a host to an upstream and returns the gateway and the time that it took.
 func (p *peer) try(t *testing.T, u upstream.Upstream) (gateway string, took time.Duration, err error) {
