Test what answers in place of the rest of a stream

34 kinds of answers that are none to a request for the rest of a stream: refusals, failures, redirects, answers that are no streams, too short, too long, of another request, with another answer behind, from another event. After a broken answer no one ends the stream. After an answer without a framing that is closed between two events 13 of them do, where both upstreams that are asked for the rest answer so: the caller gets 5 of 20 events as a complete stream.

--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -92,7 +92,9 @@
 
 	mu    sync.Mutex
 	plans map[string][]cut
-	runs  map[string]int
+	// replies are sent as they are, after the planned cuts.
+	replies map[string][]reply
+	runs    map[string]int
 	// asked counts the sound requests of callers, and cases those with a plan.
 	asked, cases int
 	// usual is the framing of whole answers.
@@ -102,7 +104,7 @@
 func newCutFleet(t *testing.T) (*cutFleet, context.Context) {
 	t.Helper()
 	p, ctx := startPlatformFleet(t, platformHosts(cutHosts), "")
-	f := &cutFleet{platformFleet: p, workers: map[string]*platformWorker{}, plans: map[string][]cut{}, runs: map[string]int{}, usual: "chunks"}
+	f := &cutFleet{platformFleet: p, workers: map[string]*platformWorker{}, plans: map[string][]cut{}, replies: map[string][]reply{}, runs: map[string]int{}, usual: "chunks"}
 	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, cutConfiguration) })
 	for i := range cutWorkers {
 		w := &platformWorker{fleet: p, id: fmt.Sprint("i-", i), service: "lm", zone: "a", version: "v1", born: 1, alive: true}
@@ -152,6 +154,9 @@
 // answer writes one answer and reports whether the connection stays open.
 func (f *cutFleet) answer(worker string, c net.Conn, q *http.Request) bool {
 	id := q.Header.Get(wire.AttemptID)
+	if r, ok := f.nextReply(id); ok {
+		return r.write(c, id)
+	}
 	p := f.next(id)
 	after, _ := strconv.Atoi(q.Header.Get(wire.LastEventID))
 	var l []string
--- /dev/null
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"siskinrun/platform/wire"
+)
+
+const (
+	eventStream  = "Content-Type: text/event-stream"
+	notExecuted  = wire.NotExecuted + ": 1"
+	reachedEvent = 5
+)
+
+// oddAnswer is an answer that is none to a request for the events after reachedEvent, or a strange one.
+type oddAnswer struct {
+	name  string
+	reply reply
+}
+
+// oddAnswers are answers to a request for the events after reachedEvent that do not hold just these.
+func oddAnswers() []oddAnswer {
+	rest := eventsOf(reachedEvent+1, workerEvents)
+	l := []oddAnswer{
+		{"302", plain(framed(http.StatusFound, "", "Location: /other"))},
+		{"302 of events", plain(framed(http.StatusFound, "", "Location: /other", eventStream))},
+		{"204", plain(head(http.StatusNoContent) + "\r\n")},
+		{"no stream, empty", plain(framed(http.StatusOK, "", "Content-Type: text/plain"))},
+		{"no stream", plain(framed(http.StatusOK, "{}", "Content-Type: application/json"))},
+		{"no type", plain(framed(http.StatusOK, ""))},
+		{"no stream, no framing", reply{[]piece{{0, head(http.StatusOK, "Connection: close", "Content-Type: text/plain") + "\r\n"}}, true}},
+		{"shorter than its length", reply{[]piece{{0, head(http.StatusOK, eventStream, fmt.Sprintf("Content-Length: %d", len(rest)+1)) + "\r\n" + rest}}, true}},
+		{"longer than its length", plain(framed(http.StatusOK, rest, eventStream) + eventsOf(workerEvents+1, workerEvents+1))},
+		{"another answer behind", plain(framed(http.StatusOK, rest, eventStream) + framed(http.StatusOK, eventsOf(1, 2), eventStream))},
+		{"another answer behind a refusal", plain(framed(http.StatusServiceUnavailable, "", notExecuted) + framed(http.StatusOK, "", eventStream))},
+		{"another answer behind a failure", plain(framed(http.StatusInternalServerError, "") + framed(http.StatusOK, "", eventStream))},
+		{"of another request", plain(strings.ReplaceAll(framed(http.StatusOK, "", eventStream), requestID, "other"))},
+		{"interim answers", plain("HTTP/1.1 103 Early Hints\r\n\r\n" + framed(http.StatusOK, rest, eventStream))},
+		{"no HTTP", reply{[]piece{{0, rest}}, true}},
+		{"from its first event", plain(framed(http.StatusOK, eventsOf(1, workerEvents), eventStream))},
+		{"from its first event, short", plain(framed(http.StatusOK, eventsOf(1, reachedEvent-2), eventStream))},
+		{"from a later event", plain(framed(http.StatusOK, eventsOf(reachedEvent+3, workerEvents), eventStream))},
+		{"two events the wrong way about", plain(framed(http.StatusOK, eventsOf(reachedEvent+2, reachedEvent+2)+eventsOf(reachedEvent+1, reachedEvent+1), eventStream))},
+	}
+	for _, s := range []int{
+		http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusBadRequest,
+	} {
+		l = append(l,
+			oddAnswer{fmt.Sprint(s, " not run"), plain(framed(s, "", notExecuted))},
+			oddAnswer{fmt.Sprint(s, " not run, of events"), plain(framed(s, "", notExecuted, eventStream))})
+	}
+	for _, s := range []int{
+		http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusUnprocessableEntity, http.StatusInternalServerError,
+	} {
+		l = append(l, oddAnswer{fmt.Sprint(s), plain(framed(s, "", eventStream))})
+	}
+	return l
+}
+
+// askOdd plays a cut and then an odd answer a number of times on a request, and returns what its caller got.
+func (f *cutFleet) askOdd(ctx context.Context, t *testing.T, first cut, r reply, times int) (string, seen) {
+	t.Helper()
+	id := t.Name()
+	f.plan(id, first)
+	f.reply(id, slices.Repeat([]reply{r}, times)...)
+	f.cases++
+	h := f.entries[f.cases%len(f.entries)]
+	s := f.ask(ctx, h, streamRequest{id: id})
+	f.askSound(ctx, t, h)
+	return id, s
+}
+
+// wantSound says that a caller either has the whole stream or knows that it has not.
+func wantSound(t *testing.T, id string, s seen) {
+	t.Helper()
+	if !s.whole() && !s.broken() {
+		t.Errorf("%s: complete after event %d", id, s.last)
+	}
+}
+
+// TestStreamIsNotEndedByAnOddAnswer guards against an answer in place of the rest of a broken stream, or to what was to confirm
+// the end of one, that ends the stream as complete.
+func TestStreamIsNotEndedByAnOddAnswer(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	for _, first := range []cut{{"chunks", reset, reachedEvent, true, 0}, {"none", closed, reachedEvent, false, 0}} {
+		for _, o := range oddAnswers() {
+			t.Run(fmt.Sprint(first, " ", o.name), func(t *testing.T) {
+				id, s := f.askOdd(ctx, t, first, o.reply, 1)
+				wantWhole(t, id, s)
+			})
+			t.Run(fmt.Sprint(first, " ", o.name, " twice"), func(t *testing.T) { // no run is left
+				id, s := f.askOdd(ctx, t, first, o.reply, 2)
+				wantSound(t, id, s)
+			})
+		}
+	}
+}
