Believe no end of a stream that upstreams were asked to confirm and did not

A caller got 5 of 20 events as a complete stream where an answer without a framing was closed between two events and each upstream that was asked for the rest answered with a failure, a redirect or no stream. Such an answer neither went on with the stream nor said that nothing follows, but counted as if nobody had been asked: once the runs of the call were used up, the close was believed.

It counts now as a confirmation that breaks off does: the stream breaks off, and its caller may take it up. A close is still believed where nobody could be asked.

--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -17,7 +17,8 @@
 	maxConfirmRuns = 3
 )
 
-// errUnconfirmed is the failure of a stream whose end upstreams were asked to confirm, of which the last one broke off.
+// errUnconfirmed is the failure of a stream whose end upstreams were asked to confirm, of which the last one broke off or answered
+// with something else.
 var errUnconfirmed = refusal.NewMayHaveRun(statusBadGateway, "stream-lost", "no upstream confirmed the end of the stream")
 
 // confirm asks an upstream for what follows the given offset, since the answer that ended there did not say that it was whole.
@@ -80,7 +81,7 @@
 	if !isStream(&c, a) {
 		s.awaited()
 		_ = a.Body.Close()
-		return nil, true, nil
+		return nil, true, notResumed
 	}
 	return a, true, nil
 }
