--- a/cmd/siskinrun/odd_answers_test.go
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -100,3 +100,29 @@
 		}
 	}
 }
+
+// TestItemIsNotCompletedByAnOddAnswer guards against an answer in place of the rest of an item's text, or to what was to confirm
+// its end, that takes the place of the text or ends it.
+func TestItemIsNotCompletedByAnOddAnswer(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	odd := map[string]string{}
+	var ids []string
+	for _, first := range []cut{{"chunks", reset, reachedEvent, true, 0}, {"none", closed, reachedEvent, false, 0}} {
+		for _, o := range oddAnswers() {
+			if first.framing == "chunks" && o.name == fmt.Sprint(http.StatusUnprocessableEntity) {
+				continue // such an item can never be done
+			}
+			id := fmt.Sprint("odd-", len(ids))
+			f.plan(id, first)
+			f.reply(id, o.reply)
+			odd[id] = fmt.Sprint(first, " ", o.name)
+			ids = append(ids, id)
+		}
+	}
+	f.submit(ctx, "odd", ids)
+	for _, r := range f.results(ctx, "odd", len(ids)) {
+		if r.State != "completed" || r.Output != itemText() {
+			t.Errorf("%s: %s with %q after %d runs", odd[r.ID], r.State, r.Output, f.ran(r.ID))
+		}
+	}
+}
