Let no answer that is no stream take the place of an item's text

An item of a batch job whose upstream broke off after 5 of 20 events was listed as completed without a text, or with that of another answer, where the next run was answered with a redirect, no content, or a body that is no stream: such an answer counted as the item's own. A redirect with the type of a stream ended the text after 5 events.

A run that was to go on with a text is answered by a stream or it failed, which counts as a failed attempt, as an answer of 500 does; the text so far is kept. What makes an answer a stream is asked in one place for calls and items.

--- a/internal/data/answer/answer.go
+++ b/internal/data/answer/answer.go
@@ -7,8 +7,13 @@
 	"siskinrun/internal/data/framing"
 )
 
-// eventStream is the media type of a stream of events.
-const eventStream = "text/event-stream"
+const (
+	// eventStream is the media type of a stream of events.
+	eventStream = "text/event-stream"
+	// statusNoContent is the status of an answer without a body, and minOtherStatus the least one that is no success.
+	statusNoContent = 204
+	minOtherStatus  = 300
+)
 
 // Answer is the status, the headers and the body stream of an upstream's answer.
 type Answer struct {
@@ -33,3 +38,8 @@
 	t, _, _ := strings.Cut(a.ContentType, ";")
 	return strings.EqualFold(strings.TrimSpace(t), eventStream)
 }
+
+// HoldsEvents reports whether the body is a stream of events that was asked for: a failure and an answer without a body hold none.
+func (a *Answer) HoldsEvents() bool {
+	return a.EventStream() && a.Status < minOtherStatus && a.Status != statusNoContent
+}
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	maxAnswerBytes = 4 << 20
-	minErrorStatus = 400
-	codeBusy       = "upstream-busy"
-	minBackoff     = 100 * time.Millisecond
-	maxBackoff     = time.Second
+	maxAnswerBytes   = 4 << 20
+	minErrorStatus   = 400
+	statusBadGateway = 502
+	codeBusy         = "upstream-busy"
+	minBackoff       = 100 * time.Millisecond
+	maxBackoff       = time.Second
 	// maxConfirmations is how often a run is confirmed whose answers do not say that they are whole.
 	maxConfirmations = 3
 )
@@ -49,7 +50,8 @@
 }
 
 // Run sends an item to the named upstream. It goes on with the text so far if the upstream has the software that made it,
-// and begins anew otherwise. Its error is a refusal whose verdict tells whether the item may have run.
+// and begins anew otherwise: an answer that is no stream does not take the place of that text. Its error is a refusal whose verdict
+// tells whether the item may have run.
 func (r *Runner) Run(ctx context.Context, name string, i item.Item) (itemanswer.Answer, error) {
 	u, ok := r.upstream(name)
 	if !ok {
@@ -72,6 +74,9 @@
 		return itemanswer.Answer{}, err
 	}
 	defer func() { _ = a.Body.Close() }()
+	if i.NextEvent > 0 && a.Status < minErrorStatus && !a.HoldsEvents() {
+		return itemanswer.Answer{Status: statusBadGateway, Body: []byte(`{"error":{"code":"stream-lost"}}`)}, nil
+	}
 	if l.Inline && a.EventStream() && a.Status < minErrorStatus {
 		return r.collectStream(ctx, name, i, l, a, cancel)
 	}
@@ -80,7 +85,7 @@
 		return itemanswer.Answer{}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
 	}
 	if len(b) > maxAnswerBytes {
-		return itemanswer.Answer{Status: 502, Body: []byte(`{"error":{"code":"answer-too-long"}}`)}, nil
+		return itemanswer.Answer{Status: statusBadGateway, Body: []byte(`{"error":{"code":"answer-too-long"}}`)}, nil
 	}
 	return itemanswer.Answer{Status: a.Status, Body: b}, nil
 }
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -16,9 +16,6 @@
 
 const (
 	methodHead = "HEAD"
-	// statusNoContent is the status of an answer without a body, and minOtherStatus the least one that is no success.
-	statusNoContent = 204
-	minOtherStatus  = 300
 	// maxResumes limits the resumptions of one stream.
 	maxResumes = 4
 	// recordRenewal is the time after which the record of a stream that goes on is renewed, before it expires.
@@ -188,9 +185,9 @@
 // notResumed is the failure of an attempt that was to go on with a stream and was answered with something else.
 var notResumed = refusal.NewMayHaveRun(502, "stream-lost", "the upstream did not resume the stream")
 
-// isStream reports whether an answer is a stream of events: a failure and an answer without a body are none.
+// isStream reports whether an answer to a call is a stream of events.
 func isStream(c *call.Call, a *answer.Answer) bool {
-	return c.Stream && a.EventStream() && c.Method != methodHead && a.Status < minOtherStatus && a.Status != statusNoContent
+	return c.Stream && c.Method != methodHead && a.HoldsEvents()
 }
 
 // switchTo makes t the current attempt of the stream.
