Complete an item by no answer that says nothing of its end

An item was listed as completed with 5 of 20 events where an answer without a framing was closed between two events, and its upstream answered the call that was to ask for the rest with a failure, a redirect, no stream, or that it was too busy. Any answer counted as the word of an upstream that still serves, which was taken to end its streams itself. An upstream that serves may have cut that one stream all the same, and one that was replaced answers as well.

Only a stream in which nothing follows completes the text. After anything else the run failed, its text is kept and the next run goes on after it.

TestRefusalOfThisHostCompletesNoItem held that a busy upstream completes an item; it asks the opposite now, as of all other refusals, and is TestRefusalCompletesNoItem.

--- a/internal/jobs/runner/confirm_test.go
+++ b/internal/jobs/runner/confirm_test.go
@@ -35,30 +35,27 @@
 	return &answer.Answer{Status: 200, ContentType: "text/event-stream", Length: -1, Framing: framing.None, Body: io.NopCloser(r)}, nil
 }
 
-// TestRefusalOfThisHostCompletesNoItem guards against an item that is completed with a part of its text, since a rate limit
-// held off the call that was to ask its upstream for the rest.
-func TestRefusalOfThisHostCompletesNoItem(t *testing.T) {
-	for _, c := range []struct {
-		refusal *refusal.Refusal
-		whole   bool
-	}{
-		{refusal.UpstreamsLimited, false},
-		{refusal.NewNotRun(503, "upstream-unreachable", ""), false},
-		{refusal.NewNotRun(503, "upstream-gone", ""), false},
-		{refusal.NewMayHaveRun(502, "upstream-lost", ""), false},
-		{refusal.NewNotRun(503, "upstream-busy", ""), true},
+// TestRefusalCompletesNoItem guards against an item that is completed with a part of its text, since a rate limit held off the
+// call that was to ask its upstream for the rest, or the upstream had no room for it.
+func TestRefusalCompletesNoItem(t *testing.T) {
+	for _, f := range []*refusal.Refusal{
+		refusal.UpstreamsLimited,
+		refusal.NewNotRun(503, "upstream-unreachable", ""),
+		refusal.NewNotRun(503, "upstream-gone", ""),
+		refusal.NewMayHaveRun(502, "upstream-lost", ""),
+		refusal.NewNotRun(503, "upstream-busy", ""),
 	} {
-		t.Run(c.refusal.Code, func(t *testing.T) {
+		t.Run(f.Code, func(t *testing.T) {
 			is := is.New(t)
 			b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 			is.NoErr(err)
 			r := &Runner{
-				Pipeline:  &refusedPipeline{refusal: c.refusal},
+				Pipeline:  &refusedPipeline{refusal: f},
 				Timer:     timer.NewService(),
 				Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
 			}
 			a, err := r.Run(t.Context(), "u", item.Item{Line: b})
-			is.Equal(err == nil, c.whole)
+			is.True(err != nil)
 			is.Equal(string(a.Body)+string(a.Text), "a\nb") // what was made is kept
 		})
 	}
--- a/internal/jobs/runner/output.go
+++ b/internal/jobs/runner/output.go
@@ -13,8 +13,9 @@
 )
 
 var (
-	errEmpty = errors.New("the stream has no event")
-	errCut   = errors.New("the stream ended as that of an upstream that is lost")
+	errEmpty    = errors.New("the stream has no event")
+	errCut      = errors.New("the stream ended as that of an upstream that is lost")
+	errNoStream = errors.New("the upstream did not go on with the stream")
 )
 
 // output collects the text of the events of an item over all of its runs.
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -25,7 +25,6 @@
 	maxAnswerBytes   = 4 << 20
 	minErrorStatus   = 400
 	statusBadGateway = 502
-	codeBusy         = "upstream-busy"
 	minBackoff       = 100 * time.Millisecond
 	maxBackoff       = time.Second
 	// maxConfirmations is how often a run is confirmed whose answers do not say that they are whole.
@@ -111,7 +110,7 @@
 }
 
 // confirm asks the upstream for what follows the output so far, since the answer that ended there did not say that it was
-// whole, and adds it. It reports whether the output is whole, for which the word of an upstream that still serves is enough.
+// whole, and adds it. It reports whether the output is whole, for which an answer without a further event is enough.
 func (r *Runner) confirm(ctx context.Context, name string, i item.Item, l itemline.Line, o *output, cancel func()) (bool, error) {
 	u, ok := r.upstream(name)
 	if !ok {
@@ -119,11 +118,11 @@
 	}
 	a, err := r.Pipeline.Batch(ctx, u, r.call(i, l))
 	if err != nil {
-		return refusal.Of(err).Code == codeBusy, err
+		return false, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if !a.EventStream() || a.Status >= minErrorStatus {
-		return true, nil
+	if !a.HoldsEvents() {
+		return false, errNoStream
 	}
 	whole, err := o.read(a, r.watch(cancel))
 	return whole || o.events == 0 && err == nil, err
