--- a/cmd/siskinrun/odd_answers_test.go
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -17,6 +17,11 @@
 	reachedEvent = 5
 )
 
+// beforeOdd are answers of which the rest, or the confirmation of their end, is asked for.
+var beforeOdd = []cut{
+	{"chunks", reset, reachedEvent, true, 0}, {"none", closed, reachedEvent, false, 0}, {"none", whole, workerEvents, false, 0},
+}
+
 // oddAnswer is an answer that is none to a request for the events after reachedEvent, or a strange one.
 type oddAnswer struct {
 	name  string
@@ -87,7 +92,7 @@
 // the end of one, that ends the stream as complete.
 func TestStreamIsNotEndedByAnOddAnswer(t *testing.T) {
 	f, ctx := newCutFleet(t)
-	for _, first := range []cut{{"chunks", reset, reachedEvent, true, 0}, {"none", closed, reachedEvent, false, 0}} {
+	for _, first := range beforeOdd {
 		for _, o := range oddAnswers() {
 			t.Run(fmt.Sprint(first, " ", o.name), func(t *testing.T) {
 				id, s := f.askOdd(ctx, t, first, o.reply, 1)
@@ -107,7 +112,7 @@
 	f, ctx := newCutFleet(t)
 	odd := map[string]string{}
 	var ids []string
-	for _, first := range []cut{{"chunks", reset, reachedEvent, true, 0}, {"none", closed, reachedEvent, false, 0}} {
+	for _, first := range beforeOdd {
 		for _, o := range oddAnswers() {
 			if first.framing == "chunks" && o.name == fmt.Sprint(http.StatusUnprocessableEntity) {
 				continue // such an item can never be done
