--- a/cmd/siskinrun/odd_answers_test.go
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -7,6 +7,9 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"siskinrun/platform/wire"
 )
@@ -15,6 +18,8 @@
 	eventStream  = "Content-Type: text/event-stream"
 	notExecuted  = wire.NotExecuted + ": 1"
 	reachedEvent = 5
+	// leftSilence is how long the upstream of a stream that its caller left is silent.
+	leftSilence = 1500 * time.Millisecond
 )
 
 // beforeOdd are answers of which the rest, or the confirmation of their end, is asked for.
@@ -106,6 +111,39 @@
 	}
 }
 
+// TestStreamTakenUpIsNotEndedByAnOddAnswer guards against an answer in place of the rest of a stream that its caller takes up at
+// another host, which reaches it as the rest.
+func TestStreamTakenUpIsNotEndedByAnOddAnswer(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	is := is.New(t)
+	f.reply("left", reply{[]piece{{0, head(http.StatusOK, eventStream) + "\r\n" + eventsOf(1, reachedEvent)}, {leftSilence, eventsOf(reachedEvent+1, workerEvents)}}, true})
+	c, err := f.open(ctx, f.entries[0], streamRequest{id: "left", body: "left"})
+	is.NoErr(err)
+	is.NoErr(c.read(reachedEvent))
+	for n, o := range oddAnswers() {
+		t.Run(o.name, func(t *testing.T) {
+			id := t.Name()
+			h := f.entries[1+n%(cutHosts-1)]
+			f.reply(id, o.reply)
+			s := f.ask(ctx, h, streamRequest{id: id, resumes: "left", after: reachedEvent})
+			if s.status == http.StatusOK { // no other is that of a stream
+				wantWhole(t, id, s)
+			}
+			f.askSound(ctx, t, h)
+		})
+	}
+	t.Run("twice", func(t *testing.T) {
+		id := t.Name()
+		broken := cut{"chunks", reset, 3, true, 0}
+		f.plan(id, broken, broken, broken)
+		s := f.ask(ctx, f.entries[1], streamRequest{id: id, resumes: "left", after: reachedEvent})
+		wantBroken(t, id, s)
+		is.Equal(s.last, reachedEvent+3*3)
+		wantWhole(t, id, f.ask(ctx, f.entries[2], streamRequest{id: id + "-b", resumes: "left", after: s.last}))
+	})
+	_ = c.body.Close() // the first host has sent until now
+}
+
 // TestItemIsNotCompletedByAnOddAnswer guards against an answer in place of the rest of an item's text, or to what was to confirm
 // its end, that takes the place of the text or ends it.
 func TestItemIsNotCompletedByAnOddAnswer(t *testing.T) {
