Answer no caller that takes a stream up with what is no stream

A caller that took a stream up at another host got a complete answer of 200 without the rest where the upstream answered with a body that is no stream. Within one response such an answer was none already; the first answer to a call that names the last event its caller has was passed on whatever it was.

Such an attempt fails and is repeated as any other, and is refused with 502 when no attempt is left. Other statuses are passed on, 204 too: their callers see that they are no stream.

--- a/internal/data/answer/answer.go
+++ b/internal/data/answer/answer.go
@@ -43,3 +43,8 @@
 func (a *Answer) HoldsEvents() bool {
 	return a.EventStream() && a.Status < minOtherStatus && a.Status != statusNoContent
 }
+
+// OtherSuccess reports whether the answer is a success with a body that is no stream of events.
+func (a *Answer) OtherSuccess() bool {
+	return !a.EventStream() && a.Status < minOtherStatus && a.Status != statusNoContent
+}
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -114,7 +114,7 @@
 // Serve sends a call and returns its answer; the error is a refusal whose verdict covers all attempts.
 func (d *Dispatcher) Serve(ctx context.Context, c *call.Call) (*answer.Answer, error) {
 	d.RetryBudget.Request(d.Timer.Now())
-	s := &delivery{dispatcher: d, call: c, demand: d.demand(c)}
+	s := &delivery{dispatcher: d, call: c, demand: d.demand(c), takesUp: c.Stream && c.Offset > 0 && c.Method != methodHead}
 	a, u, err := s.run(ctx)
 	if err != nil {
 		return nil, err
@@ -165,6 +165,8 @@
 	verdict    verdict.Verdict
 	// runs is the number of failed attempts that may have run.
 	runs int
+	// takesUp says that the caller takes a stream up, of which no other success holds the rest.
+	takesUp bool
 }
 
 // run sends the call until an attempt succeeds or none is allowed.
@@ -237,6 +239,10 @@
 	if err := t.buffer(ctx, a); err != nil {
 		return nil, nil, err
 	}
+	if s.takesUp && a.OtherSuccess() {
+		_ = a.Body.Close()
+		return nil, nil, notResumed
+	}
 	return a, t, nil
 }
 
