Test ends of streams that this host itself refuses to have confirmed

A stream that is closed between two events of an answer without a framing ends as complete where its call is quarantined, has lost upstreams too often or is past its deadline: this host may not ask for the rest and believes the close.

--- a/internal/wire/dispatch/refused_rest_test.go
+++ b/internal/wire/dispatch/refused_rest_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"io"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/permit"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
@@ -62,3 +64,64 @@
 }
 
 const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// TestEndIsNotBelievedWhereThisHostMayNotAsk guards against a close between two events that counts as the end of a stream, since
+// this host itself refuses the call that was to ask for the rest.
+func TestEndIsNotBelievedWhereThisHostMayNotAsk(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		refuse func(b *fixture, q *call.Call)
+	}{
+		{"quarantined", func(b *fixture, _ *call.Call) { b.guard.blockAfter, b.guard.lost = 1, []bool{true} }},
+		{"lost too often", func(_ *fixture, q *call.Call) { q.Parts, q.Record.Lost = []uint64{1}, 2 }},
+		{"deadline", func(b *fixture, q *call.Call) { q.Deadline = b.timer.Now() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newFixture(t)
+			b.dispatcher.PlainStreams = true
+			b.picker.upstreams = []upstream.Upstream{
+				startScripted(t, "x", script{text: unframedHeaders + events(1, 3)}), startScripted(t, "y", script{text: framed(events(4, 5))}),
+			}
+			q := b.streamed(true)
+			a, err := b.dispatcher.Serve(t.Context(), q)
+			is.NoErr(err)
+			p := make([]byte, len(events(1, 3)))
+			_, err = io.ReadFull(a.Body, p)
+			is.NoErr(err)
+			c.refuse(b, q)
+			_, err = io.ReadAll(a.Body)
+			is.True(err != nil)
+			is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
+		})
+	}
+}
+
+// countingPermits grants every permit, and calls second with the second one.
+type countingPermits struct {
+	granted int
+	second  func()
+}
+
+func (p *countingPermits) Take(context.Context, upstream.Upstream, bool, time.Duration) permit.Permit {
+	p.granted++
+	if p.granted == 2 {
+		p.second()
+	}
+	return permit.Permit{Granted: true}
+}
+
+// TestWordOfAnUpstreamIsEnoughWhereThisHostMayNotAskAgain guards against a whole stream that breaks off, since its call is
+// quarantined once an upstream has said, without a framing, that nothing follows.
+func TestWordOfAnUpstreamIsEnoughWhereThisHostMayNotAskAgain(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	b.dispatcher.PlainStreams = true
+	b.dispatcher.Permits = &countingPermits{second: func() { b.guard.blockAfter, b.guard.lost = 1, []bool{true} }}
+	b.picker.upstreams = []upstream.Upstream{startScripted(t, "x", script{text: unframedHeaders + events(1, 3)}, script{text: unframedHeaders})}
+	a, err := b.dispatcher.Serve(t.Context(), b.streamed(true))
+	is.NoErr(err)
+	got, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(string(got), events(1, 3))
+}
