Believe no end of a stream where this host itself refuses to ask for the rest

A stream that was closed between two events of an answer without a framing ended as complete where its call was quarantined, had lost upstreams too often or was past its deadline. Nobody was asked for the rest, for a reason of this host that says nothing of the stream, and the close was believed as if nobody could be asked.

Such a stream breaks off, unless an upstream that was asked before has said that nothing follows. Where a call may run only once, its events have no numbers, its version is not known, or no attempt, permit or upstream is left, the close is believed as before: whole streams would break off there as well.

--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -22,11 +22,13 @@
 var errUnconfirmed = refusal.NewMayHaveRun(statusBadGateway, "stream-lost", "no upstream confirmed the end of the stream")
 
 // confirm asks an upstream for what follows the given offset, since the answer that ended there did not say that it was whole.
-// It ends the current attempt with cause, and returns nil if no upstream can be asked.
+// It ends the current attempt with cause, and returns nil if no upstream can be asked, with an error where the end is not to be
+// believed.
 func (s *stream) confirm(ctx context.Context, offset int, cause error) (*answer.Answer, error) {
 	s.endAttempt(ctx, cause)
 	var broken error
 	if cause != nil {
+		s.told = false
 		broken = errUnconfirmed
 	}
 	for ctx.Err() == nil && s.mayConfirm() {
@@ -41,16 +43,29 @@
 			broken = errUnconfirmed
 		}
 	}
+	if !s.told && s.barred() {
+		broken = errUnconfirmed
+	}
 	return nil, broken
 }
 
 // mayConfirm reports whether the call may be sent once more to confirm its end.
 func (s *stream) mayConfirm() bool {
-	d, c := s.dispatcher, s.call
-	if !c.RouteConfig.Repeatable || !c.Start.Known() || !d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c) || lostTooOften(c) {
+	if !s.resumable() || s.barred() {
 		return false
 	}
-	return len(s.refused) < maxUnreachable && s.runs() < cmp.Or(c.RouteConfig.MaxAttempts, maxConfirmRuns)
+	return len(s.refused) < maxUnreachable && s.runs() < cmp.Or(s.call.RouteConfig.MaxAttempts, maxConfirmRuns)
+}
+
+// resumable reports whether an upstream may go on with the stream.
+func (s *stream) resumable() bool {
+	return s.call.RouteConfig.Repeatable && s.call.Start.Known()
+}
+
+// barred reports whether this host refuses to send a resumable call once more.
+func (s *stream) barred() bool {
+	d, c := s.dispatcher, s.call
+	return s.resumable() && (!d.Timer.Now().Before(c.Deadline) || d.Guard.Blocks(c) || lostTooOften(c))
 }
 
 // ask makes one attempt, on any upstream that may get the call now and is none of those in refused, and returns the stream with
@@ -83,6 +98,7 @@
 		_ = a.Body.Close()
 		return nil, true, notResumed
 	}
+	s.told = true
 	return a, true, nil
 }
 
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -34,6 +34,8 @@
 	// awaiting is the context of the attempt that is to confirm the end, while it has not gone on with the stream.
 	awaiting     context.Context
 	stopAwaiting func()
+	// told says that an upstream was asked to confirm the end and has brought no event: if its answer ends, nothing follows.
+	told bool
 	// recordedAt is when other hosts were last told what began the stream.
 	recordedAt time.Time
 }
@@ -63,6 +65,7 @@
 // event counts an event and records the gap since the previous one.
 func (s *stream) event(int) {
 	s.awaited()
+	s.told = false
 	n := s.dispatcher.Timer.Now()
 	g := n.Sub(s.lastEvent)
 	s.lastEvent = n
