--- a/cmd/siskinrun/once_test.go
+++ b/cmd/siskinrun/once_test.go
@@ -23,7 +23,9 @@
   {"name": "once", "host": "` + streamHost + `", "path_prefix": "/once/", "route_type": "non_idempotent",
     "timeout_ms": 8000, "target_latency_ms": 300, "service": "once", "max_attempts": 3, "public": true},
   {"name": "slow", "host": "` + streamHost + `", "path_prefix": "/slow/", "route_type": "streaming", "gap_target_ms": 400,
-    "timeout_ms": 8000, "target_latency_ms": 300, "service": "once", "max_attempts": 3, "public": true}],
+    "timeout_ms": 8000, "target_latency_ms": 300, "service": "once", "max_attempts": 3, "public": true},
+  {"name": "slow-on", "host": "` + streamHost + `", "path_prefix": "/slow-on/", "route_type": "streaming", "gap_target_ms": 400,
+    "timeout_ms": 8000, "target_latency_ms": 300, "service": "once", "max_attempts": 3, "public": true, "resumable": true}],
   "services": [{"name": "once", "health_path": "/healthz", "max_conns": 200, "protocol": "h1"}],
   "limits": {}}`
 
@@ -42,7 +44,8 @@
 	runs map[string]int
 }
 
-// onceFleet is a fleet with two routes whose calls may run once, one of them for streams, and its workers.
+// onceFleet is a fleet with two routes whose calls may run once, one of them for streams, and one for streams that may go on, and
+// its workers.
 type onceFleet struct {
 	*platformFleet
 	workers []*onceWorker
--- a/cmd/siskinrun/slow_stream_test.go
+++ b/cmd/siskinrun/slow_stream_test.go
@@ -76,15 +76,22 @@
 		status   int
 		events   []string
 		whole    bool
+		// resumable says that the route lets streams go on at another worker.
+		resumable bool
 	}{
-		{"events with pauses", []piece{{0, event(1)}, {700 * time.Millisecond, event(2)}, {700 * time.Millisecond, event(3)}}, "", slowPatience, 200, []string{"1", "2", "3"}, true},
-		{"bytes with pauses", dribble(event(1)+event(2), slowStep/2), "", slowPatience, 200, []string{"1", "2"}, true},
-		{"comments between events", []piece{{slowStep, ":\n\n"}, {slowStep, event(1)}, {slowStep, ": a\n"}, {slowStep, ":\n\n"}, {slowStep, event(2)}, {slowStep, ":\n\n"}}, "", slowPatience, 200, []string{"1", "2"}, true},
-		{"a long pause", []piece{{0, event(1)}, {4500 * time.Millisecond, event(2)}}, "", 7 * time.Second, 200, []string{"1", "2"}, true},
-		{"comments without an event", nil, ":\n\n", slowPatience, 504, nil, false},
-		{"bytes without an event", nil, "x", slowPatience, 504, nil, false},
-		{"comments after an event", []piece{{0, event(1)}}, ":\n\n", slowPatience, 200, []string{"1"}, false},
-		{"bytes after an event", []piece{{0, event(1)}}, "x", slowPatience, 200, []string{"1"}, false},
+		{"events with pauses", []piece{{0, event(1)}, {700 * time.Millisecond, event(2)}, {700 * time.Millisecond, event(3)}}, "", slowPatience, 200, []string{"1", "2", "3"}, true, false},
+		{"bytes with pauses", dribble(event(1)+event(2), slowStep/2), "", slowPatience, 200, []string{"1", "2"}, true, false},
+		{"comments between events", []piece{{slowStep, ":\n\n"}, {slowStep, event(1)}, {slowStep, ": a\n"}, {slowStep, ":\n\n"}, {slowStep, event(2)}, {slowStep, ":\n\n"}}, "", slowPatience, 200, []string{"1", "2"}, true, false},
+		{"a long pause", []piece{{0, event(1)}, {4500 * time.Millisecond, event(2)}}, "", 7 * time.Second, 200, []string{"1", "2"}, true, false},
+		{"comments without an event", nil, ":\n\n", slowPatience, 504, nil, false, false},
+		{"bytes without an event", nil, "x", slowPatience, 504, nil, false, false},
+		{"comments after an event", []piece{{0, event(1)}}, ":\n\n", slowPatience, 200, []string{"1"}, false, false},
+		{"bytes after an event", []piece{{0, event(1)}}, "x", slowPatience, 200, []string{"1"}, false, false},
+		{"pauses of a second, may go on", []piece{{0, event(1)}, {time.Second, event(2)}, {time.Second, event(3)}}, "", usualPatience, 200, []string{"1", "2", "3"}, true, true},
+		{"a long pause, may go on", []piece{{0, event(1)}, {1500 * time.Millisecond, event(2)}}, "", usualPatience, 200, []string{"1", "2"}, true, true},
+		{"a pause before the first event, may go on", []piece{{1500 * time.Millisecond, event(1)}, {0, event(2)}}, "", usualPatience, 200, []string{"1", "2"}, true, true},
+		{"a pause inside an event, may go on", []piece{{0, event(1) + "id: 2\n"}, {1500 * time.Millisecond, "data: 2\n\n"}}, "", usualPatience, 200, []string{"1", "2"}, true, true},
+		{"a pause before the end, may go on", []piece{{0, event(1) + event(2)}, {1500 * time.Millisecond, ":\n\n"}}, "", usualPatience, 200, []string{"1", "2"}, true, true},
 	}
 	scripts := map[string]script{}
 	for n, c := range cases {
@@ -99,7 +106,11 @@
 			t.Parallel()
 			is := is.New(t)
 			began := f.timer.Now()
-			q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.entries[n%len(f.entries)]+":7443/slow/"+fmt.Sprint(n), strings.NewReader("x"))
+			path := "/slow/"
+			if c.resumable {
+				path = "/slow-on/"
+			}
+			q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.entries[n%len(f.entries)]+":7443"+path+fmt.Sprint(n), strings.NewReader("x"))
 			is.NoErr(err)
 			q.Host = streamHost
 			q.Header.Set(wire.AttemptID, fmt.Sprint("s", n))
