Test silent rests of streams, and a broken stream of a host that stops

TestStreamTakenUpIsNotEndedByAnOddAnswer is a part of TestStreamIsNotEndedByAnOddAnswer now, with all that it checked: both need the same fleet, which takes 4 s to start.

--- a/cmd/siskinrun/odd_answers_test.go
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +22,8 @@
 	reachedEvent = 5
 	// leftSilence is how long the upstream of a stream that its caller left is silent.
 	leftSilence = 1500 * time.Millisecond
+	// restSilence is how long an upstream is silent that is asked for the rest of a stream.
+	restSilence = 1200 * time.Millisecond
 )
 
 // beforeOdd are answers of which the rest, or the confirmation of their end, is asked for.
@@ -94,7 +98,7 @@
 }
 
 // TestStreamIsNotEndedByAnOddAnswer guards against an answer in place of the rest of a broken stream, or to what was to confirm
-// the end of one, that ends the stream as complete.
+// the end of one, that ends the stream as complete, or that reaches a caller that takes the stream up as its rest.
 func TestStreamIsNotEndedByAnOddAnswer(t *testing.T) {
 	f, ctx := newCutFleet(t)
 	for _, first := range beforeOdd {
@@ -109,12 +113,25 @@
 			})
 		}
 	}
+	t.Run("taken up", func(t *testing.T) { f.takeUpOdd(ctx, t) })
+	t.Run("silent", func(t *testing.T) { f.askSilent(ctx, t) })
+	t.Run("a host that stops", func(t *testing.T) {
+		is := is.New(t)
+		id, h := t.Name(), f.entries[0]
+		f.reply(id, reply{[]piece{{0, head(http.StatusOK, eventStream) + "Content-Length: 10000\r\n\r\n" + eventsOf(1, reachedEvent)}, {beforeReset, "id"}}, true}, silentRest())
+		c, err := f.open(ctx, h, streamRequest{id: id, body: id})
+		is.NoErr(err)
+		is.NoErr(c.read(reachedEvent))
+		is.NoErr(f.processes[h].Process.Signal(syscall.SIGTERM))
+		err = c.read(workerEvents)
+		t.Logf("events to %d: %v", c.last, err)
+		wantSound(t, id, seen{status: c.status, last: c.last, complete: err == io.EOF})
+	})
 }
 
-// TestStreamTakenUpIsNotEndedByAnOddAnswer guards against an answer in place of the rest of a stream that its caller takes up at
-// another host, which reaches it as the rest.
-func TestStreamTakenUpIsNotEndedByAnOddAnswer(t *testing.T) {
-	f, ctx := newCutFleet(t)
+// takeUpOdd plays odd answers in place of the rest of a stream that its caller takes up at other hosts, once and twice.
+func (f *cutFleet) takeUpOdd(ctx context.Context, t *testing.T) {
+	t.Helper()
 	is := is.New(t)
 	f.reply("left", reply{[]piece{{0, head(http.StatusOK, eventStream) + "\r\n" + eventsOf(1, reachedEvent)}, {leftSilence, eventsOf(reachedEvent+1, workerEvents)}}, true})
 	c, err := f.open(ctx, f.entries[0], streamRequest{id: "left", body: "left"})
@@ -144,6 +161,27 @@
 	_ = c.body.Close() // the first host has sent until now
 }
 
+// askSilent plays cuts after which the upstream that is asked for the rest is silent for a while.
+func (f *cutFleet) askSilent(ctx context.Context, t *testing.T) {
+	t.Helper()
+	for n, first := range beforeOdd {
+		t.Run(first.String(), func(t *testing.T) {
+			t.Parallel()
+			id := t.Name()
+			f.plan(id, first)
+			f.reply(id, silentRest())
+			wantWhole(t, id, f.ask(ctx, f.entries[n], streamRequest{id: id}))
+			is.New(t).True(f.ran(id) <= 3)
+		})
+	}
+}
+
+// silentRest is the rest of a stream after a silence.
+func silentRest() reply {
+	rest := eventsOf(reachedEvent+1, workerEvents)
+	return reply{pieces: []piece{{0, head(http.StatusOK, eventStream) + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(rest))}, {restSilence, rest}}}
+}
+
 // TestItemIsNotCompletedByAnOddAnswer guards against an answer in place of the rest of an item's text, or to what was to confirm
 // its end, that takes the place of the text or ends it.
 func TestItemIsNotCompletedByAnOddAnswer(t *testing.T) {
