Count no answer that is no stream as a failed attempt of an item

An item whose rest was answered with a redirect, no content or no stream was given up after max_attempts such answers: they counted as answers of 500 do. Its run failed without an answer, as one that breaks off.

TestAnswerThatIsNoStreamIsNoFailedAttempt says so; the tests of items with real hosts pass.

--- a/internal/jobs/runner/confirm_test.go
+++ b/internal/jobs/runner/confirm_test.go
@@ -18,6 +18,7 @@
 	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
+	"siskinrun/pkg/verdict"
 )
 
 // refusedPipeline answers the first call with two events without an end of their own, and refuses all others.
@@ -112,3 +113,30 @@
 	r := strings.NewReader("id: 1\ndata: a\n\n")
 	return &answer.Answer{Status: 200, ContentType: "text/event-stream; charset=utf-8", Framing: framing.Chunks, Body: io.NopCloser(r)}, nil
 }
+
+// otherPipeline answers with a success that is no stream.
+type otherPipeline struct{ status int }
+
+func (p otherPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
+	return &answer.Answer{Status: p.status, ContentType: "text/plain", Framing: framing.Length, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+// TestAnswerThatIsNoStreamIsNoFailedAttempt guards against an item that is given up after answers that are no failures, each in
+// place of the rest of its text.
+func TestAnswerThatIsNoStreamIsNoFailedAttempt(t *testing.T) {
+	for _, status := range []int{200, 204, 302} {
+		is := is.New(t)
+		b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
+		is.NoErr(err)
+		r := &Runner{
+			Pipeline:  otherPipeline{status},
+			Timer:     timer.NewService(),
+			Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+		}
+		a, err := r.Run(t.Context(), "u", item.Item{Line: b, NextEvent: 3, Text: []byte("a\nb"), Start: streamstart.Start{Service: "s", Version: "v"}})
+		is.True(err != nil) // only an answer counts as a failed attempt
+		is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
+		is.Equal(a.Status, 0)
+		is.Equal(len(a.Body), 0)
+	}
+}
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -74,7 +74,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	if i.NextEvent > 0 && a.Status < minErrorStatus && !a.HoldsEvents() {
-		return itemanswer.Answer{Status: statusBadGateway, Body: []byte(`{"error":{"code":"stream-lost"}}`)}, nil
+		return itemanswer.Answer{}, refusal.NewMayHaveRun(statusBadGateway, "answer-cut", errNoStream.Error())
 	}
 	if l.Inline && a.EventStream() && a.Status < minErrorStatus {
 		return r.collectStream(ctx, name, i, l, a, cancel)
