--- a/cmd/siskinrun/odd_answers_test.go
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -107,6 +107,9 @@
 				id, s := f.askOdd(ctx, t, first, o.reply, 1)
 				wantWhole(t, id, s)
 			})
+			if first.events == workerEvents {
+				continue // an end after the last event may be shown or not
+			}
 			t.Run(fmt.Sprint(first, " ", o.name, " twice"), func(t *testing.T) { // no run is left
 				id, s := f.askOdd(ctx, t, first, o.reply, 2)
 				wantSound(t, id, s)
