Test ends of streams at hosts that have lost all upstreams

A stream that is closed between two events of an answer without a framing ends as complete where no upstream can be picked to ask for the rest.

--- a/internal/wire/dispatch/refused_rest_test.go
+++ b/internal/wire/dispatch/refused_rest_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// TestEndIsNotBelievedWhereNoUpstreamIsLeft guards against a close between two events that counts as the end of a stream, since all
+// upstreams are lost to this host at that moment.
+func TestEndIsNotBelievedWhereNoUpstreamIsLeft(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	b.dispatcher.PlainStreams = true
+	b.picker.upstreams = []upstream.Upstream{startScripted(t, "x", script{text: unframedHeaders + events(1, 3)})}
+	a, err := b.dispatcher.Serve(t.Context(), b.streamed(true))
+	is.NoErr(err)
+	p := make([]byte, len(events(1, 3)))
+	_, err = io.ReadFull(a.Body, p)
+	is.NoErr(err)
+	b.picker.upstreams = nil
+	_, err = io.ReadAll(a.Body)
+	is.True(err != nil)
+	is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
+}
+
 // countingPermits grants every permit, and calls second with the second one.
 type countingPermits struct {
 	granted int
