Wait for an upstream that confirms the end of a stream, and believe no end without one

A stream that was closed between two events of an answer without a framing ended as complete at a host that had lost all its upstreams at that moment: nobody could be asked for the rest, and the close was believed. Just there a close is most likely that of an upstream that is lost.

Upstreams whose connections broke announce themselves again within moments: the end waits up to 750 ms for one, as it does for a silent one, and the stream breaks off if none comes. Where upstreams are at a limit, or have refused to run the call, the close is believed as before.

--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"siskinrun/internal/data/answer"
+	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
@@ -13,6 +14,8 @@
 const (
 	// confirmTime is how long the end of a stream waits for an upstream to go on with it or to say that nothing follows.
 	confirmTime = 750 * time.Millisecond
+	// confirmPause is the time between two looks for an upstream to ask.
+	confirmPause = 50 * time.Millisecond
 	// maxConfirmRuns is the number of runs of a call up to which it is sent to confirm its end, if its route names none.
 	maxConfirmRuns = 3
 )
@@ -36,12 +39,12 @@
 		if a != nil {
 			return a, nil
 		}
-		if !asked {
-			break
-		}
 		if err != nil && refusal.Of(err).Verdict != verdict.NotRun {
 			broken = errUnconfirmed
 		}
+		if !asked {
+			break
+		}
 	}
 	if !s.told && s.barred() {
 		broken = errUnconfirmed
@@ -75,7 +78,10 @@
 	c.Offset = offset
 	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
 	q.demand.Tried = s.refused
-	u, ok := q.pick()
+	u, ok := s.pickWithin(ctx, q)
+	if !ok && s.forsaken(q) {
+		return nil, false, errUnconfirmed
+	}
 	if !ok {
 		return nil, false, nil
 	}
@@ -102,6 +108,26 @@
 	return a, true, nil
 }
 
+// pickWithin picks an upstream, and waits up to confirmTime for one if all are lost: they announce themselves again.
+func (s *stream) pickWithin(ctx context.Context, q *delivery) (upstream.Upstream, bool) {
+	m := s.dispatcher.Timer
+	for end := m.Now().Add(confirmTime); ; {
+		u, ok := q.pick()
+		if ok || !s.forsaken(q) || !m.Now().Before(end) || m.Sleep(ctx, confirmPause) != nil {
+			return u, ok
+		}
+	}
+}
+
+// forsaken reports whether this host has no upstream that could confirm the end, not even one that is at a limit or refused to.
+func (s *stream) forsaken(q *delivery) bool {
+	if s.told || len(s.refused) > 0 {
+		return false
+	}
+	_, _, ok := s.dispatcher.Picker.Soonest(s.dispatcher.Timer.Now(), q.demand)
+	return !ok
+}
+
 // await returns a context for an attempt, which ends after confirmTime unless awaited is called before.
 func (s *stream) await(ctx context.Context) context.Context {
 	ctx, cancel := context.WithCancel(ctx)
