--- a/cmd/siskinrun/odd_answers_test.go
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -20,6 +20,8 @@
 	eventStream  = "Content-Type: text/event-stream"
 	notExecuted  = wire.NotExecuted + ": 1"
 	reachedEvent = 5
+	// oddInterval is the time between two odd answers, in which upstreams announce themselves again.
+	oddInterval = 20 * time.Millisecond
 	// leftSilence is how long the upstream of a stream that its caller left is silent.
 	leftSilence = 1500 * time.Millisecond
 	// restSilence is how long an upstream is silent that is asked for the rest of a stream.
@@ -86,6 +88,7 @@
 	h := f.entries[f.cases%len(f.entries)]
 	s := f.ask(ctx, h, streamRequest{id: id})
 	f.askSound(ctx, t, h)
+	is.New(t).NoErr(f.timer.Sleep(ctx, oddInterval))
 	return id, s
 }
 
