--- a/internal/jobs/runner/confirm_test.go
+++ b/internal/jobs/runner/confirm_test.go
@@ -18,6 +18,7 @@
 	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/pkg/refusal"
+	"siskinrun/pkg/verdict"
 )
 
 // refusedPipeline answers the first call with two events without an end of their own, and refuses all others.
@@ -35,30 +36,27 @@
 	return &answer.Answer{Status: 200, ContentType: "text/event-stream", Length: -1, Framing: framing.None, Body: io.NopCloser(r)}, nil
 }
 
-// TestRefusalOfThisHostCompletesNoItem guards against an item that is completed with a part of its text, since a rate limit
-// held off the call that was to ask its upstream for the rest.
-func TestRefusalOfThisHostCompletesNoItem(t *testing.T) {
-	for _, c := range []struct {
-		refusal *refusal.Refusal
-		whole   bool
-	}{
-		{refusal.UpstreamsLimited, false},
-		{refusal.NewNotRun(503, "upstream-unreachable", ""), false},
-		{refusal.NewNotRun(503, "upstream-gone", ""), false},
-		{refusal.NewMayHaveRun(502, "upstream-lost", ""), false},
-		{refusal.NewNotRun(503, "upstream-busy", ""), true},
+// TestRefusalCompletesNoItem guards against an item that is completed with a part of its text, since a rate limit held off the
+// call that was to ask its upstream for the rest, or the upstream had no room for it.
+func TestRefusalCompletesNoItem(t *testing.T) {
+	for _, f := range []*refusal.Refusal{
+		refusal.UpstreamsLimited,
+		refusal.NewNotRun(503, "upstream-unreachable", ""),
+		refusal.NewNotRun(503, "upstream-gone", ""),
+		refusal.NewMayHaveRun(502, "upstream-lost", ""),
+		refusal.NewNotRun(503, "upstream-busy", ""),
 	} {
-		t.Run(c.refusal.Code, func(t *testing.T) {
+		t.Run(f.Code, func(t *testing.T) {
 			is := is.New(t)
 			b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 			is.NoErr(err)
 			r := &Runner{
-				Pipeline:  &refusedPipeline{refusal: c.refusal},
+				Pipeline:  &refusedPipeline{refusal: f},
 				Timer:     timer.NewService(),
 				Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
 			}
 			a, err := r.Run(t.Context(), "u", item.Item{Line: b})
-			is.Equal(err == nil, c.whole)
+			is.True(err != nil)
 			is.Equal(string(a.Body)+string(a.Text), "a\nb") // what was made is kept
 		})
 	}
@@ -115,3 +113,30 @@
 	r := strings.NewReader("id: 1\ndata: a\n\n")
 	return &answer.Answer{Status: 200, ContentType: "text/event-stream; charset=utf-8", Framing: framing.Chunks, Body: io.NopCloser(r)}, nil
 }
+
+// otherPipeline answers with a success that is no stream.
+type otherPipeline struct{ status int }
+
+func (p otherPipeline) Batch(context.Context, upstream.Upstream, *call.Call) (*answer.Answer, error) {
+	return &answer.Answer{Status: p.status, ContentType: "text/plain", Framing: framing.Length, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+// TestAnswerThatIsNoStreamIsNoFailedAttempt guards against an item that is given up after answers that are no failures, each in
+// place of the rest of its text.
+func TestAnswerThatIsNoStreamIsNoFailedAttempt(t *testing.T) {
+	for _, status := range []int{200, 204, 302} {
+		is := is.New(t)
+		b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
+		is.NoErr(err)
+		r := &Runner{
+			Pipeline:  otherPipeline{status},
+			Timer:     timer.NewService(),
+			Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+		}
+		a, err := r.Run(t.Context(), "u", item.Item{Line: b, NextEvent: 3, Text: []byte("a\nb"), Start: streamstart.Start{Service: "s", Version: "v"}})
+		is.True(err != nil) // only an answer counts as a failed attempt
+		is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
+		is.Equal(a.Status, 0)
+		is.Equal(len(a.Body), 0)
+	}
+}
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -22,11 +22,11 @@
 )
 
 const (
-	maxAnswerBytes = 4 << 20
-	minErrorStatus = 400
-	codeBusy       = "upstream-busy"
-	minBackoff     = 100 * time.Millisecond
-	maxBackoff     = time.Second
+	maxAnswerBytes   = 4 << 20
+	minErrorStatus   = 400
+	statusBadGateway = 502
+	minBackoff       = 100 * time.Millisecond
+	maxBackoff       = time.Second
 	// maxConfirmations is how often a run is confirmed whose answers do not say that they are whole.
 	maxConfirmations = 3
 )
@@ -49,7 +49,8 @@
 }
 
 // Run sends an item to the named upstream. It goes on with the text so far if the upstream has the software that made it,
-// and begins anew otherwise. Its error is a refusal whose verdict tells whether the item may have run.
+// and begins anew otherwise: an answer that is no stream does not take the place of that text. Its error is a refusal whose verdict
+// tells whether the item may have run.
 func (r *Runner) Run(ctx context.Context, name string, i item.Item) (itemanswer.Answer, error) {
 	u, ok := r.upstream(name)
 	if !ok {
@@ -72,6 +73,9 @@
 		return itemanswer.Answer{}, err
 	}
 	defer func() { _ = a.Body.Close() }()
+	if i.NextEvent > 0 && a.Status < minErrorStatus && !a.HoldsEvents() {
+		return itemanswer.Answer{}, refusal.NewMayHaveRun(statusBadGateway, "answer-cut", errNoStream.Error())
+	}
 	if l.Inline && a.EventStream() && a.Status < minErrorStatus {
 		return r.collectStream(ctx, name, i, l, a, cancel)
 	}
@@ -80,7 +84,7 @@
 		return itemanswer.Answer{}, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
 	}
 	if len(b) > maxAnswerBytes {
-		return itemanswer.Answer{Status: 502, Body: []byte(`{"error":{"code":"answer-too-long"}}`)}, nil
+		return itemanswer.Answer{Status: statusBadGateway, Body: []byte(`{"error":{"code":"answer-too-long"}}`)}, nil
 	}
 	return itemanswer.Answer{Status: a.Status, Body: b}, nil
 }
@@ -106,7 +110,7 @@
 }
 
 // confirm asks the upstream for what follows the output so far, since the answer that ended there did not say that it was
-// whole, and adds it. It reports whether the output is whole, for which the word of an upstream that still serves is enough.
+// whole, and adds it. It reports whether the output is whole, for which an answer without a further event is enough.
 func (r *Runner) confirm(ctx context.Context, name string, i item.Item, l itemline.Line, o *output, cancel func()) (bool, error) {
 	u, ok := r.upstream(name)
 	if !ok {
@@ -114,11 +118,11 @@
 	}
 	a, err := r.Pipeline.Batch(ctx, u, r.call(i, l))
 	if err != nil {
-		return refusal.Of(err).Code == codeBusy, err
+		return false, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if !a.EventStream() || a.Status >= minErrorStatus {
-		return true, nil
+	if !a.HoldsEvents() {
+		return false, errNoStream
 	}
 	whole, err := o.read(a, r.watch(cancel))
 	return whole || o.events == 0 && err == nil, err
