End silent connections only where another host has connected since the loss

A host that reaches one of the upstreams in question is taken to reach the others, which was enough to end silent connections to any of them. So on a host that is partly cut off the streams of an upstream that falls silent for a second were ended. Upstreams are found by their names in one step.

--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -16,6 +16,7 @@
 	"siskinrun/internal/config/distribution"
 	"siskinrun/internal/config/keyauth"
 	"siskinrun/internal/config/operatorapi"
+	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/fleet/gossip"
 	"siskinrun/internal/fleet/streamregistry"
 	"siskinrun/internal/jobs/assignment"
@@ -83,9 +84,11 @@
 	planner          *planner.Planner
 	limitedUpstreams map[string]bool
 	// assignment assigns the upstreams to the hosts that run batch items, as of the last list of upstreams.
-	assignment     atomic.Pointer[assignment.Assignment]
-	picker         *picker.Picker
-	paths          *reachability.Table
+	assignment atomic.Pointer[assignment.Assignment]
+	picker     *picker.Picker
+	paths      *reachability.Table
+	// upstreams holds the known upstreams by their names.
+	upstreams      atomic.Pointer[map[string]upstream.Upstream]
 	connector      *connector.Connector
 	tunnels        *tunnel.Service
 	batchLimiter   *batchlimit.Limiter
--- a/internal/product/server/reach.go
+++ b/internal/product/server/reach.go
@@ -54,10 +54,19 @@
 
 // upstream returns an upstream by its name.
 func (p *components) upstream(name string) (upstream.Upstream, bool) {
-	for _, u := range p.gossip.Upstreams() {
-		if u.Name == name {
-			return u, true
-		}
+	m := p.upstreams.Load()
+	if m == nil {
+		return upstream.Upstream{}, false
 	}
-	return upstream.Upstream{}, false
+	u, ok := (*m)[name]
+	return u, ok
+}
+
+// indexUpstreams keeps the known upstreams by their names.
+func (p *components) indexUpstreams(l []upstream.Upstream) {
+	m := make(map[string]upstream.Upstream, len(l))
+	for _, u := range l {
+		m[u.Name] = u
+	}
+	p.upstreams.Store(&m)
 }
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -41,6 +41,7 @@
 	p.picker.SetUpstreams(l, n)
 	p.permits.Retain(l)
 	p.paths.SetUpstreams(l)
+	p.indexUpstreams(l)
 	now := map[string]bool{}
 	for _, u := range l {
 		if !u.Leaving {
--- a/internal/routing/reachability/gateways.go
+++ b/internal/routing/reachability/gateways.go
@@ -29,6 +29,11 @@
 	if len(a.Reached) == 0 {
 		return
 	}
+	for _, n := range a.Reached {
+		if p := t.lost[n]; p != nil && a.Proof {
+			p.proven = true
+		}
+	}
 	unreached := map[string]bool{}
 	for _, n := range slices.Concat(a.Asked, a.Lost) {
 		unreached[n] = true
@@ -43,6 +48,14 @@
 	}
 }
 
+// Alone reports whether this host has lost the path to an upstream and another one has connected to it since.
+func (t *Table) Alone(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.lost[name]
+	return p != nil && p.proven
+}
+
 // Avoid records that a host is of no use as a gateway for now.
 func (t *Table) Avoid(name string, now time.Time) {
 	t.mu.Lock()
--- a/internal/routing/reachability/path.go
+++ b/internal/routing/reachability/path.go
@@ -18,8 +18,8 @@
 	gateways map[string]time.Time
 	// doubtedAt is when a connection last took long.
 	doubtedAt time.Time
-	// asked says that other hosts were asked since the path was lost.
-	asked bool
+	// asked says that other hosts were asked since the path was lost, and proven that one of them has connected to the upstream.
+	asked, proven bool
 }
 
 // Worked records a connection of this host to an upstream, and reports whether the path was lost before.
@@ -31,7 +31,7 @@
 		return false
 	}
 	regained = p.lost
-	p.lost, p.asked = false, false
+	p.lost, p.asked, p.proven = false, false, false
 	p.workedAt, t.linkedAt = now, now
 	delete(t.lost, name)
 	delete(t.doubtful, name)
@@ -60,7 +60,7 @@
 	delete(t.doubtful, name)
 	t.updateTroubled()
 	t.troubledAt = now
-	p.asked = false
+	p.asked, p.proven = false, false
 	return true
 }
 
--- a/internal/wire/connector/answer.go
+++ b/internal/wire/connector/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -56,8 +57,10 @@
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
 	if n := c.Timer.Now(); !c.Table.Linked(n) {
-		names = append(slices.Clone(names), c.Table.Unproven(n, firstProbes)...)
+		names = slices.Concat(names, c.Table.Unproven(n, firstProbes))
 	}
+	names = slices.Clone(names)
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	tried := 0
 	ended := make(chan struct{}, maxProbes)
 	for _, name := range names {
--- a/internal/wire/connector/ask.go
+++ b/internal/wire/connector/ask.go
@@ -62,8 +62,9 @@
 	if len(names) == 0 {
 		return
 	}
-	open := slices.ContainsFunc(names, func(n string) bool { return len(c.Table.Gateways(n, c.Timer.Now())) == 0 })
-	b, err := proto.Marshal(&tunnelmessage.Query{Upstreams: names, Prove: open})
+	q := &tunnelmessage.Query{Upstreams: names}
+	q.Prove = slices.ContainsFunc(names, func(n string) bool { return !c.Table.Alone(n) })
+	b, err := proto.Marshal(q)
 	if err != nil {
 		return // cannot happen: the names come from valid announcements
 	}
@@ -76,7 +77,7 @@
 	}
 	for i := range rounds {
 		hosts := c.Table.Candidates(askedHosts<<i, c.takeReferred(), asked, c.Timer.Now())
-		witnesses += c.askHosts(ctx, hosts, names, b, useful)
+		witnesses += c.askHosts(ctx, hosts, q, b, useful)
 		asked = append(asked, hosts...)
 		if len(hosts) == 0 || witnesses >= enoughWitnesses || !c.Table.Unanswered(names, c.Timer.Now()) {
 			break
@@ -95,14 +96,14 @@
 }
 
 // askHosts asks some hosts at once and returns how many of them have links.
-func (c *Connector) askHosts(ctx context.Context, hosts, names []string, query []byte, useful func()) (linked int) {
+func (c *Connector) askHosts(ctx context.Context, hosts []string, q *tunnelmessage.Query, query []byte, useful func()) (linked int) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	g := group.NewGroup(ctx)
 	var n atomic.Int64
 	for _, h := range hosts {
 		g.Go("ask", func(ctx context.Context) error {
-			a, ok := c.askHost(ctx, h, names, query)
+			a, ok := c.askHost(ctx, h, q, query)
 			if ok && a.Linked {
 				n.Add(1)
 			}
@@ -117,17 +118,17 @@
 }
 
 // askHost asks one host and returns its answer, if it gives one.
-func (c *Connector) askHost(ctx context.Context, h string, names []string, query []byte) (pathanswer.Answer, bool) {
+func (c *Connector) askHost(ctx context.Context, h string, q *tunnelmessage.Query, query []byte) (pathanswer.Answer, bool) {
 	b, err := c.Link.Call(ctx, h, methodAsk, query)
 	m := &tunnelmessage.Result{}
 	if err != nil || proto.Unmarshal(b, m) != nil {
 		c.Table.Avoid(h, c.Timer.Now())
 		return pathanswer.Answer{}, false
 	}
-	a := pathanswer.Answer{Asked: names, Lost: m.Lost, Linked: m.Linked, Busy: int(m.Busy), Full: m.Full}
+	a := pathanswer.Answer{Asked: q.Upstreams, Proof: q.Prove, Lost: m.Lost, Linked: m.Linked, Busy: int(m.Busy), Full: m.Full}
 	for _, i := range m.Reached {
-		if int(i) < len(names) {
-			a.Reached = append(a.Reached, names[i])
+		if int(i) < len(q.Upstreams) {
+			a.Reached = append(a.Reached, q.Upstreams[i])
 		}
 	}
 	c.Table.Answered(h, a, c.Timer.Now())
--- a/internal/wire/connector/check.go
+++ b/internal/wire/connector/check.go
@@ -120,9 +120,11 @@
 
 // interrupt ends the silent connections to upstreams whose path is lost and that other hosts reach.
 func (c *Connector) interrupt(lost []string) {
-	n := c.Timer.Now()
 	for _, name := range lost {
-		if u, ok := c.Upstream(name); ok && len(c.Table.Gateways(name, n)) > 0 {
+		if !c.Table.Alone(name) {
+			continue
+		}
+		if u, ok := c.Upstream(name); ok {
 			c.Connections.Interrupt(u.Address)
 		}
 	}
