Leave permits to bursts while upstreams without a limit have slots

Cause: an upstream that names a limit was picked like any other until a quarter of what its committed rate saves up was used, so calls of quiet seconds took 31 to 53 of 135 to 156 permits before each burst, though upstreams without a limit had slots free or taken by batch only.

Change: while candidates without a limit have a quarter of their slots free, the call goes to one of these.

Figures: load play in memory, 297 quiet calls take 0 permits in place of 78, 994 calls of four bursts start in time in place of 940.

--- a/internal/routing/picker/limit_load_test.go
+++ b/internal/routing/picker/limit_load_test.go
@@ -32,8 +32,8 @@
 	free map[string][]time.Time
 	// running holds the ends of the calls that run, in order.
 	running []callEnd
-	// started, late and refused count calls.
-	started, late, refused int
+	// started, late and refused count calls, and permits those that took a permit.
+	started, late, refused, permits int
 }
 
 // callEnd is the end of a call at an upstream.
@@ -89,6 +89,9 @@
 	}
 	if m := l.meters[u.Name]; ok && m != nil {
 		_, ok = m.Take(now, true, permitPatience)
+		if ok {
+			l.permits++
+		}
 	}
 	if !ok {
 		l.refused++
@@ -145,3 +148,27 @@
 		})
 	}
 }
+
+// TestQuietSecondsLeaveThePermitsToBursts guards against calls that spend permits while upstreams without a limit have slots,
+// so that the calls of the next burst find none.
+func TestQuietSecondsLeaveThePermitsToBursts(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedLoad(12, 8, 2.4)
+	const cycle, burst = 5800 * time.Millisecond, 2400 * time.Millisecond
+	calls, permits, inBursts := 0, 0, 0
+	for i := range 4 {
+		from := time.Duration(i) * cycle
+		n, s := l.permits, l.started
+		l.play(22, from, from+cycle-burst)
+		permits += l.permits - n
+		calls += l.started - s
+		s = l.started
+		l.play(110, from+cycle-burst, from+cycle)
+		inBursts += l.started - s
+	}
+	t.Logf("quiet seconds: %d calls with %d permits; bursts: %d started in time; %d late, %d refused",
+		calls, permits, inBursts, l.late, l.refused)
+	is.True(permits*5 <= calls)
+	is.True(inBursts >= 980)
+	is.Equal(l.late, 0)
+}
--- a/internal/routing/picker/limits.go
+++ b/internal/routing/picker/limits.go
@@ -78,6 +78,22 @@
 	return m.load(now, c.ReportTTL)+1 > m.slots
 }
 
+// spareShare is the share of its slots up to which an upstream without a rate limit goes before those that name one.
+const spareShare = 0.75
+
+// sparing returns the candidates that cost no permit and have slots to spare if there are any, so that permits are left for
+// times at which there are none, and otherwise all.
+func (c *Picker) sparing(p *pool, list []candidate, d *demand.Demand, now time.Time) []candidate {
+	spare := func(v candidate) bool {
+		m := v.member
+		return !c.named(m) && c.eligible(m, d) && m.load(now, c.ReportTTL)+1 <= spareShare*m.slots
+	}
+	if !p.limited || !slices.ContainsFunc(list, spare) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(v candidate) bool { return !spare(v) })
+}
+
 // limitCost returns the cost of the reserve of an upstream that names a rate limit.
 func (c *Picker) limitCost(m *member, now time.Time) float64 {
 	if c.Limits == nil {
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -111,7 +111,7 @@
 	}
 	m := c.probe(p, &d, now)
 	if m == nil {
-		m = c.best(p, c.sample(p, &d), &d, now)
+		m = c.best(p, c.sparing(p, c.sample(p, &d), &d, now), &d, now)
 	}
 	if m == nil {
 		m = c.scan(p, &d, now)
