Let calls that find no permit come back after a second at least

Cause: a call that was refused for want of a permit was told to come back after 100 to 150 ms, or after the wait of those in line before it. In a burst it came back into that burst, waited there beyond the time in which it had to start, and took the permit of a call that was not late.

Change: a second at least, as other refusals of dispatch name. The lane decides it.

--- a/internal/limits/lane/lane.go
+++ b/internal/limits/lane/lane.go
@@ -22,6 +22,9 @@
 	// firstPace and firstAnswer are the averages of a line that has seen no call.
 	firstPace   = 250 * time.Millisecond
 	firstAnswer = 250 * time.Millisecond
+	// minRetryAfter is the shortest Retry-After of a call that found no permit. A call that comes back too soon waits among
+	// those that come meanwhile, and is late.
+	minRetryAfter = time.Second
 	// minRetry is the least time between two attempts of the first call to be sent.
 	minRetry = 5 * time.Millisecond
 )
@@ -68,6 +71,12 @@
 	return q.estimate(l.Timer.Now(), len(q.waiters))
 }
 
+// Refuse refuses a call of a service for lack of a permit. It names the time after which there should be one, that of the
+// waiting calls included.
+func (l *Lane) Refuse(service string, next time.Duration) error {
+	return refusal.UpstreamsLimited.WithRetryAfter(max(next, l.Estimate(service), minRetryAfter)).WithJitter()
+}
+
 // Served records the time from the departure of a call to the end of its answer.
 func (l *Lane) Served(service string, took time.Duration) {
 	l.mu.Lock()
--- a/internal/routing/picker/limit_load_test.go
+++ b/internal/routing/picker/limit_load_test.go
@@ -8,11 +8,14 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/outcome"
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/limits/lane"
 	"siskinrun/internal/limits/meter"
 	"siskinrun/internal/routing/picker"
+	"siskinrun/pkg/refusal"
 )
 
 const (
@@ -39,8 +42,12 @@
 	free map[string][]time.Time
 	// running holds the ends of the calls that run, in order.
 	running []callEnd
-	// started, late and refused count calls, and permits those that took a permit.
-	started, late, refused, permits int
+	// returning holds the callers that were refused and come back, and returnIn after which time; none do if it is nil.
+	returning []returningCall
+	returnIn  func() time.Duration
+	// started, late and refused count calls, permits those that took a permit, and back those that came back and started in
+	// time then.
+	started, late, refused, permits, back int
 }
 
 // callEnd is the end of a call at an upstream.
@@ -50,6 +57,11 @@
 	host     int
 }
 
+// returningCall is a call that comes back after a refusal, when it came back and when it is tried next.
+type returningCall struct {
+	since, next time.Time
+}
+
 func newLimitedLoad(hosts, upstreams, limited int, limit float64) *limitedLoad {
 	l := &limitedLoad{meters: map[string]*meter.Meter{}, free: map[string][]time.Time{}}
 	var all []upstream.Upstream
@@ -87,12 +99,45 @@
 func (l *limitedLoad) play(perSecond float64, from, to time.Duration) {
 	gap := time.Duration(float64(time.Second) / perSecond)
 	for d := from; d < to; d += gap {
+		l.tryAgain(start.Add(d))
 		l.call(start.Add(d))
 	}
 }
 
 // call sends one call, at once or when there is a permit, or refuses it.
 func (l *limitedLoad) call(now time.Time) {
+	if l.try(now, now) {
+		return
+	}
+	l.refused++
+	if l.returnIn != nil {
+		t := now.Add(l.returnIn())
+		l.returning = append(l.returning, returningCall{since: t, next: t})
+	}
+}
+
+// tryAgain sends the calls that have come back, in order, and keeps those for which there is no permit yet.
+func (l *limitedLoad) tryAgain(now time.Time) {
+	var keep []returningCall
+	for _, r := range l.returning {
+		if r.next.After(now) {
+			keep = append(keep, r)
+			continue
+		}
+		if !l.try(r.since, now) {
+			r.next = now.Add(permitPatience)
+			keep = append(keep, r)
+			continue
+		}
+		if now.Sub(r.since) <= permitPatience {
+			l.back++
+		}
+	}
+	l.returning = keep
+}
+
+// try sends a call that arrived at one time and is tried at another, if there is a permit in time.
+func (l *limitedLoad) try(arrived, now time.Time) bool {
 	l.finish(now)
 	l.tell(now)
 	h := l.calls % len(l.hosts)
@@ -109,11 +154,10 @@
 			l.permits++
 		}
 	}
-	if !ok {
-		l.refused++
-		return
+	if ok {
+		l.run(h, u.Name, arrived, later(at, now))
 	}
-	l.run(h, u.Name, now, later(at, now))
+	return ok
 }
 
 // tell lets all hosts apply the counts of the others if it is time.
@@ -223,3 +267,21 @@
 	t.Logf("%d calls: %d started in time, %d late, %d refused", l.calls, l.started, l.late, l.refused)
 	is.True(l.late*100 <= l.calls)
 }
+
+// TestRefusedCallsComeBackWhenThereArePermits guards against calls that are refused in a burst and come back into it, where
+// they wait until they are late and take the permits that others could use in time.
+func TestRefusedCallsComeBackWhenThereArePermits(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedLoad(1, 12, 8, 2)
+	w := &lane.Lane{Timer: timer.NewManual(start)}
+	l.returnIn = func() time.Duration { return refusal.Of(w.Refuse("s", 0)).RetryAfter }
+	const cycle, burst = 5800 * time.Millisecond, 2400 * time.Millisecond
+	for i := range 10 {
+		from := time.Duration(i) * cycle
+		l.play(22, from, from+cycle-burst)
+		l.play(110, from+cycle-burst, from+cycle)
+	}
+	l.play(22, 10*cycle, 11*cycle)
+	t.Logf("%d started in time, %d late, %d refused of whom %d came back and started in time", l.started, l.late, l.refused, l.back)
+	is.True(3*l.back >= 2*l.refused)
+}
--- a/internal/wire/pipeline/dispatch.go
+++ b/internal/wire/pipeline/dispatch.go
@@ -10,9 +10,6 @@
 	"siskinrun/pkg/verdict"
 )
 
-// minPermitRetry is the shortest Retry-After of a call that found no permit.
-const minPermitRetry = 100 * time.Millisecond
-
 // dispatch sends a call once it has a slot and a permit. A call that finds no permit is refused at once if it could no
 // longer start in time, and otherwise waits in the lane of its service.
 func (p *Pipeline) dispatch(ctx context.Context, c *call.Call, t *tracker) (*answer.Answer, error) {
@@ -27,7 +24,7 @@
 		least = refusal.Of(err).RetryAfter
 	}
 	if !mayWait(c) {
-		return nil, refuseLimited(max(least, p.Lane.Estimate(s)))
+		return nil, p.Lane.Refuse(s, least)
 	}
 	return p.dispatchInOrder(ctx, c, t, least)
 }
@@ -37,7 +34,7 @@
 	s := c.RouteConfig.Service
 	ticket, err := p.Lane.Enter(s, c.StartDeadline)
 	if err != nil {
-		return nil, refuseLimited(max(least, refusal.Of(err).RetryAfter))
+		return nil, p.Lane.Refuse(s, least)
 	}
 	sent := false
 	defer func() { p.Lane.Leave(s, ticket, sent) }()
@@ -85,8 +82,3 @@
 	f := refusal.Of(err)
 	return f != nil && f.Code == refusal.CodeUpstreamsLimited && f.Verdict == verdict.NotRun
 }
-
-// refuseLimited refuses a call for lack of a permit with the time after which there should be one.
-func refuseLimited(next time.Duration) error {
-	return refusal.UpstreamsLimited.WithRetryAfter(max(next, minPermitRetry)).WithJitter()
-}
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -41,7 +41,7 @@
 // lane lets calls wait in order while all upstreams of their service are at their rate limits.
 type lane interface {
 	Busy(service string) bool
-	Estimate(service string) time.Duration
+	Refuse(service string, next time.Duration) error
 	Served(service string, took time.Duration)
 	Enter(service string, deadline time.Time) (ticket uint64, err error)
 	Wait(ctx context.Context, service string, ticket uint64, least time.Duration, deadline time.Time) error
