Let calls use upstreams with limits once their reserve is full

Cause: since permits are left to bursts, upstreams that name a limit got no call at all while others had a quarter of their slots free. Permits beyond what can be saved up were lost, and as only an answer tells that a limit has ended, a limit could outlive its end.

Change: candidates whose reserve is full stay beside those without a limit.

--- a/internal/routing/picker/limit_load_test.go
+++ b/internal/routing/picker/limit_load_test.go
@@ -252,6 +252,19 @@
 	is.Equal(l.late, 0)
 }
 
+// TestLimitedUpstreamsGetCallsWhileOthersHaveSlots guards against upstreams that are passed over for good: permits that cannot be
+// saved up are lost, and only an answer tells that a limit has ended.
+func TestLimitedUpstreamsGetCallsWhileOthersHaveSlots(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedLoad(1, 12, 8, 2.4)
+	const length = 20 * time.Second
+	l.play(20, 0, length)
+	for _, m := range l.meters {
+		is.True(len(m.Starts(start.Add(length))) > 0)
+	}
+	is.Equal(l.refused, 0)
+}
+
 // TestHostsDoNotFillTheSameSlots guards against calls that start late because several hosts sent one each for the same slot of
 // an upstream without a limit, before they heard of each other's.
 func TestHostsDoNotFillTheSameSlots(t *testing.T) {
--- a/internal/routing/picker/limits.go
+++ b/internal/routing/picker/limits.go
@@ -81,8 +81,8 @@
 // spareShare is the share of its slots up to which an upstream without a rate limit goes before those that name one.
 const spareShare = 0.75
 
-// sparing returns the candidates that cost no permit and have slots to spare if there are any, so that permits are left for
-// times at which there are none, and otherwise all.
+// sparing returns all candidates or, if some cost no permit and have slots to spare, these and those whose reserve is full.
+// What others save up is left for times at which no slots are to spare.
 func (c *Picker) sparing(p *pool, list []candidate, d *demand.Demand, now time.Time) []candidate {
 	spare := func(v candidate) bool {
 		m := v.member
@@ -91,7 +91,16 @@
 	if !p.limited || !slices.ContainsFunc(list, spare) {
 		return list
 	}
-	return slices.DeleteFunc(list, func(v candidate) bool { return !spare(v) })
+	return slices.DeleteFunc(list, func(v candidate) bool { return !spare(v) && !c.reserveFull(v.member, now) })
+}
+
+// reserveFull reports whether an upstream names a rate limit and what it lets through now could not be saved up further.
+func (c *Picker) reserveFull(m *member, now time.Time) bool {
+	if !c.named(m) {
+		return false
+	}
+	_, used := c.Limits.Next(m.upstream.Name, m.upstream.Incarnation, now)
+	return used <= 0
 }
 
 // limitCost returns the cost of the reserve of an upstream that names a rate limit.
