--- a/internal/routing/picker/limit_load_test.go
+++ b/internal/routing/picker/limit_load_test.go
@@ -8,11 +8,14 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/outcome"
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/limits/lane"
 	"siskinrun/internal/limits/meter"
 	"siskinrun/internal/routing/picker"
+	"siskinrun/pkg/refusal"
 )
 
 const (
@@ -26,24 +29,41 @@
 
 // limitedLoad plays calls to upstreams of which some name a rate limit.
 type limitedLoad struct {
-	picker *picker.Picker
+	// hosts are the pickers of the hosts, which take calls in turn, and counts the calls that each has at each upstream.
+	hosts  []*picker.Picker
+	counts []map[string]int
+	// interval is the time between two times at which hosts apply the counts of others, and told when they last did.
+	interval time.Duration
+	told     time.Time
+	// calls counts all calls.
+	calls  int
 	meters map[string]*meter.Meter
 	// free holds when the slots of each upstream become free.
 	free map[string][]time.Time
 	// running holds the ends of the calls that run, in order.
 	running []callEnd
-	// started, late and refused count calls.
-	started, late, refused int
+	// returning holds the callers that were refused and come back, and returnIn after which time; none do if it is nil.
+	returning []returningCall
+	returnIn  func() time.Duration
+	// started, late and refused count calls, permits those that took a permit, and back those that came back and started in
+	// time then.
+	started, late, refused, permits, back int
 }
 
 // callEnd is the end of a call at an upstream.
 type callEnd struct {
 	at       time.Time
 	upstream string
+	host     int
 }
 
-func newLimitedLoad(upstreams, limited int, limit float64) *limitedLoad {
-	l := &limitedLoad{picker: picker.NewPicker(1), meters: map[string]*meter.Meter{}, free: map[string][]time.Time{}}
+// returningCall is a call that comes back after a refusal, when it came back and when it is tried next.
+type returningCall struct {
+	since, next time.Time
+}
+
+func newLimitedLoad(hosts, upstreams, limited int, limit float64) *limitedLoad {
+	l := &limitedLoad{meters: map[string]*meter.Meter{}, free: map[string][]time.Time{}}
 	var all []upstream.Upstream
 	for i := range upstreams {
 		u := upstream.Upstream{Name: fmt.Sprint("u", i), Service: "s", Slots: loadSlots}
@@ -54,8 +74,13 @@
 			l.meters[u.Name].SetRate(start, limit)
 		}
 	}
-	l.picker.Limits = l
-	l.picker.SetUpstreams(all, start)
+	for i := range hosts {
+		p := picker.NewPicker(uint64(i + 1))
+		p.Limits = l
+		p.SetUpstreams(all, start)
+		l.hosts = append(l.hosts, p)
+		l.counts = append(l.counts, map[string]int{})
+	}
 	return l
 }
 
@@ -74,37 +99,93 @@
 func (l *limitedLoad) play(perSecond float64, from, to time.Duration) {
 	gap := time.Duration(float64(time.Second) / perSecond)
 	for d := from; d < to; d += gap {
+		l.tryAgain(start.Add(d))
 		l.call(start.Add(d))
 	}
 }
 
 // call sends one call, at once or when there is a permit, or refuses it.
 func (l *limitedLoad) call(now time.Time) {
+	if l.try(now, now) {
+		return
+	}
+	l.refused++
+	if l.returnIn != nil {
+		t := now.Add(l.returnIn())
+		l.returning = append(l.returning, returningCall{since: t, next: t})
+	}
+}
+
+// tryAgain sends the calls that have come back, in order, and keeps those for which there is no permit yet.
+func (l *limitedLoad) tryAgain(now time.Time) {
+	var keep []returningCall
+	for _, r := range l.returning {
+		if r.next.After(now) {
+			keep = append(keep, r)
+			continue
+		}
+		if !l.try(r.since, now) {
+			r.next = now.Add(permitPatience)
+			keep = append(keep, r)
+			continue
+		}
+		if now.Sub(r.since) <= permitPatience {
+			l.back++
+		}
+	}
+	l.returning = keep
+}
+
+// try sends a call that arrived at one time and is tried at another, if there is a permit in time.
+func (l *limitedLoad) try(arrived, now time.Time) bool {
 	l.finish(now)
+	l.tell(now)
+	h := l.calls % len(l.hosts)
+	l.calls++
 	d := demand.Demand{Service: "s"}
-	u, ok := l.picker.Pick(now, d)
+	u, ok := l.hosts[h].Pick(now, d)
 	at := now
 	if !ok {
-		u, at, ok = l.picker.Soonest(now, d)
+		u, at, ok = l.hosts[h].Soonest(now, d)
 	}
 	if m := l.meters[u.Name]; ok && m != nil {
 		_, ok = m.Take(now, true, permitPatience)
+		if ok {
+			l.permits++
+		}
 	}
-	if !ok {
-		l.refused++
+	if ok {
+		l.run(h, u.Name, arrived, later(at, now))
+	}
+	return ok
+}
+
+// tell lets all hosts apply the counts of the others if it is time.
+func (l *limitedLoad) tell(now time.Time) {
+	if now.Sub(l.told) < l.interval {
 		return
 	}
-	l.run(u.Name, now, later(at, now))
+	l.told = now
+	for u := range l.free {
+		all := 0
+		for _, c := range l.counts {
+			all += c[u]
+		}
+		for i, p := range l.hosts {
+			p.SetPeerRequests(u, all-l.counts[i][u], now)
+		}
+	}
 }
 
 // run starts a call that arrived at one time and was sent at another in the first slot that is free.
-func (l *limitedLoad) run(name string, arrived, sent time.Time) {
+func (l *limitedLoad) run(host int, name string, arrived, sent time.Time) {
 	slots := l.free[name]
 	slices.SortFunc(slots, time.Time.Compare)
 	begun := later(slots[0], sent)
 	slots[0] = begun.Add(answerTime)
-	l.picker.Started(name)
-	l.running = append(l.running, callEnd{at: slots[0], upstream: name})
+	l.hosts[host].Started(name)
+	l.counts[host][name]++
+	l.running = append(l.running, callEnd{at: slots[0], upstream: name, host: host})
 	if begun.Sub(arrived) > latestStart {
 		l.late++
 		return
@@ -118,7 +199,8 @@
 		if e.at.After(now) {
 			return false
 		}
-		l.picker.Finished(e.upstream, outcome.Succeeded, answerTime, now)
+		l.hosts[e.host].Finished(e.upstream, outcome.Succeeded, answerTime, now)
+		l.counts[e.host][e.upstream]--
 		return true
 	})
 }
@@ -136,7 +218,7 @@
 	for _, c := range []struct{ limited, least int }{{11, 240}, {8, 270}} {
 		t.Run(fmt.Sprint(c.limited, " of 12 limited"), func(t *testing.T) {
 			is := is.New(t)
-			l := newLimitedLoad(12, c.limited, 2.5)
+			l := newLimitedLoad(1, 12, c.limited, 2.5)
 			l.play(20, 0, 4*time.Second)
 			l.play(120, 4*time.Second, 6400*time.Millisecond)
 			t.Logf("%d started in time, %d late, %d refused", l.started, l.late, l.refused)
@@ -145,3 +227,74 @@
 		})
 	}
 }
+
+// TestQuietSecondsLeaveThePermitsToBursts guards against calls that spend permits while upstreams without a limit have slots,
+// so that the calls of the next burst find none.
+func TestQuietSecondsLeaveThePermitsToBursts(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedLoad(1, 12, 8, 2.4)
+	const cycle, burst = 5800 * time.Millisecond, 2400 * time.Millisecond
+	calls, permits, inBursts := 0, 0, 0
+	for i := range 4 {
+		from := time.Duration(i) * cycle
+		n, s := l.permits, l.started
+		l.play(22, from, from+cycle-burst)
+		permits += l.permits - n
+		calls += l.started - s
+		s = l.started
+		l.play(110, from+cycle-burst, from+cycle)
+		inBursts += l.started - s
+	}
+	t.Logf("quiet seconds: %d calls with %d permits; bursts: %d started in time; %d late, %d refused",
+		calls, permits, inBursts, l.late, l.refused)
+	is.True(permits*5 <= calls)
+	is.True(inBursts >= 980)
+	is.Equal(l.late, 0)
+}
+
+// TestLimitedUpstreamsGetCallsWhileOthersHaveSlots guards against upstreams that are passed over for good: permits that cannot be
+// saved up are lost, and only an answer tells that a limit has ended.
+func TestLimitedUpstreamsGetCallsWhileOthersHaveSlots(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedLoad(1, 12, 8, 2.4)
+	const length = 20 * time.Second
+	l.play(20, 0, length)
+	for _, m := range l.meters {
+		is.True(len(m.Starts(start.Add(length))) > 0)
+	}
+	is.Equal(l.refused, 0)
+}
+
+// TestHostsDoNotFillTheSameSlots guards against calls that start late because several hosts sent one each for the same slot of
+// an upstream without a limit, before they heard of each other's.
+func TestHostsDoNotFillTheSameSlots(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedLoad(9, 12, 8, 2.4)
+	l.interval = picker.CountsInterval(true)
+	const cycle, burst = 5800 * time.Millisecond, 2400 * time.Millisecond
+	for i := range 8 {
+		from := time.Duration(i) * cycle
+		l.play(22, from, from+cycle-burst)
+		l.play(110, from+cycle-burst, from+cycle)
+	}
+	t.Logf("%d calls: %d started in time, %d late, %d refused", l.calls, l.started, l.late, l.refused)
+	is.True(l.late*100 <= l.calls)
+}
+
+// TestRefusedCallsComeBackWhenThereArePermits guards against calls that are refused in a burst and come back into it, where
+// they wait until they are late and take the permits that others could use in time.
+func TestRefusedCallsComeBackWhenThereArePermits(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedLoad(1, 12, 8, 2)
+	w := &lane.Lane{Timer: timer.NewManual(start)}
+	l.returnIn = func() time.Duration { return refusal.Of(w.Refuse("s", 0)).RetryAfter }
+	const cycle, burst = 5800 * time.Millisecond, 2400 * time.Millisecond
+	for i := range 10 {
+		from := time.Duration(i) * cycle
+		l.play(22, from, from+cycle-burst)
+		l.play(110, from+cycle-burst, from+cycle)
+	}
+	l.play(22, 10*cycle, 11*cycle)
+	t.Logf("%d started in time, %d late, %d refused of whom %d came back and started in time", l.started, l.late, l.refused, l.back)
+	is.True(3*l.back >= 2*l.refused)
+}
--- a/internal/routing/picker/limits.go
+++ b/internal/routing/picker/limits.go
@@ -78,6 +78,31 @@
 	return m.load(now, c.ReportTTL)+1 > m.slots
 }
 
+// spareShare is the share of its slots up to which an upstream without a rate limit goes before those that name one.
+const spareShare = 0.75
+
+// sparing returns all candidates or, if some cost no permit and have slots to spare, these and those whose reserve is full.
+// What others save up is left for times at which no slots are to spare.
+func (c *Picker) sparing(p *pool, list []candidate, d *demand.Demand, now time.Time) []candidate {
+	spare := func(v candidate) bool {
+		m := v.member
+		return !c.named(m) && c.eligible(m, d) && m.load(now, c.ReportTTL)+1 <= spareShare*m.slots
+	}
+	if !p.limited || !slices.ContainsFunc(list, spare) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(v candidate) bool { return !spare(v) && !c.reserveFull(v.member, now) })
+}
+
+// reserveFull reports whether an upstream names a rate limit and what it lets through now could not be saved up further.
+func (c *Picker) reserveFull(m *member, now time.Time) bool {
+	if !c.named(m) {
+		return false
+	}
+	_, used := c.Limits.Next(m.upstream.Name, m.upstream.Incarnation, now)
+	return used <= 0
+}
+
 // limitCost returns the cost of the reserve of an upstream that names a rate limit.
 func (c *Picker) limitCost(m *member, now time.Time) float64 {
 	if c.Limits == nil {
