--- a/cmd/siskinrun/link_fleet_test.go
+++ b/cmd/siskinrun/link_fleet_test.go
@@ -29,6 +29,8 @@
 	tellPath   = "/tell/"
 	singlePath = "/single/"
 	openPath   = "/open/"
+	// keyedPath is the path of streams of callers with keys.
+	keyedPath = "/keyed/"
 )
 
 // linkNetwork is the prefix of the addresses of the hosts of a linkFleet.
@@ -44,37 +46,48 @@
   {"name": "open", "host": "` + streamHost + `", "path_prefix": "` + openPath + `", "route_type": "idempotent",
     "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true},
   {"name": "single", "host": "` + streamHost + `", "path_prefix": "` + singlePath + `", "route_type": "non_idempotent",
-    "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true}],
+    "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true},
+  {"name": "keyed", "host": "` + streamHost + `", "path_prefix": "` + keyedPath + `", "route_type": "streaming",
+    "timeout_ms": 8000, "target_latency_ms": 300, "service": "lm", "max_attempts": 3, "resumable": false, "gap_target_ms": 400}],
   "services": [{"name": "lm", "health_path": "/healthz", "max_conns": 200, "protocol": "h1", "engine": {"slots": 8}},
     {"name": "desk", "health_path": "` + plainHealthPath + `", "max_conns": 400, "protocol": "h1"}],
-  "limits": {}}`
+  "tenants": [{"name": "team0", "api_keys": ["key-team0"]}], "limits": {}}`
 
 // linkFleet is a fleet whose entry hosts run in this process, so that their links to upstreams can be lost.
 type linkFleet struct {
 	*plainFleet
+	linkSetup
 	board   *switchboard
 	engines []*platformWorker
 }
 
+// linkSetup describes a linkFleet.
+type linkSetup struct {
+	// hosts is the number of entry hosts, of which the last ones run as processes of their own.
+	hosts, processes int
+	// tune, if set, changes the settings of the hosts in this process, and engine the workers for streams.
+	tune   func(s *settings.Settings)
+	engine func(w *platformWorker)
+}
+
 // newLinkFleet starts a control host, entry hosts in three failure domains and workers, and returns once all hosts serve.
 func newLinkFleet(t *testing.T) (*linkFleet, context.Context) {
 	t.Helper()
-	var hosts []string
-	for i := range linkHosts {
-		hosts = append(hosts, fmt.Sprint(linkNetwork, 31+i))
-	}
-	p, ctx := preparePlatformFleet(t, linkNetwork+"11", hosts, "")
-	f := &linkFleet{plainFleet: p.newPlain(ctx, plainSetup{}), board: newSwitchboard()}
-	t.Cleanup(f.board.end) // before the hosts stop
-	f.serve(f.control)
-	for _, h := range hosts {
-		f.serve(h)
-	}
+	return startLinkFleet(t, linkSetup{hosts: linkHosts})
+}
+
+// startLinkFleet starts a fleet with workers and returns once all hosts serve.
+func startLinkFleet(t *testing.T, s linkSetup) (*linkFleet, context.Context) {
+	t.Helper()
+	f, ctx := startLinkHosts(t, s)
 	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, linkConfiguration) })
 	for i := range linkEngines {
 		w := &platformWorker{
-			fleet: p, id: fmt.Sprint("e-", i), service: "lm", zone: string(rune('a' + i%len(platformEntries))), version: "v1", born: 1,
-			alive: true,
+			fleet: f.platformFleet, id: fmt.Sprint("e-", i), service: "lm", zone: string(rune('a' + i%len(platformEntries))),
+			version: "v1", born: 1, alive: true,
+		}
+		if s.engine != nil {
+			s.engine(w)
 		}
 		f.engines = append(f.engines, w)
 		f.run(ctx, w)
@@ -82,28 +95,55 @@
 	for i := range linkDesks {
 		f.startPlain(ctx, i, 0)
 	}
-	for _, h := range hosts {
+	for _, h := range f.entries {
 		f.awaitServing(ctx, h)
 	}
 	is.New(t).NoErr(f.timer.Sleep(ctx, time.Second)) // all hosts have heard of all workers
 	return f, ctx
 }
 
+// startLinkHosts starts the hosts of a fleet.
+func startLinkHosts(t *testing.T, s linkSetup) (*linkFleet, context.Context) {
+	t.Helper()
+	var hosts []string
+	for i := range s.hosts {
+		hosts = append(hosts, fmt.Sprint(linkNetwork, 31+i))
+	}
+	p, ctx := preparePlatformFleet(t, linkNetwork+"11", hosts, "")
+	f := &linkFleet{plainFleet: p.newPlain(ctx, plainSetup{}), linkSetup: s, board: newSwitchboard()}
+	t.Cleanup(f.board.end) // before the hosts stop
+	f.serve(f.control)
+	for _, h := range hosts[:s.hosts-s.processes] {
+		f.serve(h)
+	}
+	if s.processes > 0 {
+		f.program = buildProgram(t)
+	}
+	for _, h := range hosts[s.hosts-s.processes:] {
+		f.start(h)
+	}
+	return f, ctx
+}
+
 // serve runs a host in this process until the test ends.
 func (f *linkFleet) serve(host string) {
 	f.t.Helper()
 	load := func() (*settings.Settings, error) {
 		s, err := settings.Load(filepath.Join(f.folder, host+".json"), "")
-		if err == nil {
-			s.Limits.MemoryBytes = 0 // the limit is one of the process
+		if err != nil {
+			return nil, err
+		}
+		s.Limits.MemoryBytes = 0 // the limit is one of the process
+		if f.tune != nil {
+			f.tune(s)
 		}
-		return s, err
+		return s, nil
 	}
 	is := is.New(f.t)
 	s, err := load()
 	is.NoErr(err)
 	is.NoErr(s.ReadSecrets())
-	f.logs[host] = &bytes.Buffer{}
+	f.logs[host], f.inside[host] = &bytes.Buffer{}, true
 	l := &logwriter.Writer{Out: f.logs[host]}
 	h := &server.Server{
 		LogWriter: l, Dialect: platform.NewDialect(), Name: host, Settings: s, Reload: load, DialUpstream: f.board.dialer(host),
@@ -124,6 +164,22 @@
 	}
 }
 
+// restore makes all links of hosts sound.
+func (f *linkFleet) restore(hosts ...string) {
+	for _, h := range hosts {
+		f.board.restore(h)
+	}
+}
+
+// pick returns the entry hosts of some numbers.
+func (f *linkFleet) pick(numbers ...int) []string {
+	var l []string
+	for _, i := range numbers {
+		l = append(l, f.entries[i])
+	}
+	return l
+}
+
 // streamRuns returns how often workers began to run each attempt at a stream.
 func (f *linkFleet) streamRuns() map[string]int {
 	m := map[string]int{}
--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -63,10 +63,12 @@
 	program   string
 	entries   []string
 	processes map[string]*exec.Cmd
-	logs      map[string]*bytes.Buffer
-	timer     *timer.Service
-	group     *group.Group
-	http      *http.Client
+	// inside holds the hosts that run in this process.
+	inside map[string]bool
+	logs   map[string]*bytes.Buffer
+	timer  *timer.Service
+	group  *group.Group
+	http   *http.Client
 }
 
 var platformSettings = `{"site": "s",
@@ -116,7 +118,8 @@
 func preparePlatformFleet(t testing.TB, control string, entries []string, keeps string) (*platformFleet, context.Context) {
 	t.Helper()
 	f := &platformFleet{
-		t: t, folder: t.TempDir(), control: control, entries: entries, processes: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
+		t: t, folder: t.TempDir(), control: control, entries: entries, processes: map[string]*exec.Cmd{},
+		inside: map[string]bool{}, logs: map[string]*bytes.Buffer{},
 		timer: timer.NewService(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
@@ -201,7 +204,7 @@
 // ready returns an error unless every entry host is ready.
 func (f *platformFleet) ready(ctx context.Context) error {
 	for _, h := range f.entries {
-		if f.processes[h] == nil {
+		if f.processes[h] == nil && !f.inside[h] {
 			continue
 		}
 		q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h+":7444"+wire.PathReady, nil)
@@ -232,6 +235,8 @@
 	prompt string
 	// body is the body, empty for the usual one.
 	body string
+	// key is the key of the caller, empty for none.
+	key string
 	// patience is how long the client waits, zero for the usual time.
 	patience time.Duration
 }
@@ -257,6 +262,9 @@
 	q.Host = streamHost
 	q.Header.Set(wire.AttemptID, s.id)
 	q.Header.Set(wire.Deadline, strconv.FormatInt(cmp.Or(s.patience, usualPatience).Milliseconds(), 10))
+	if s.key != "" {
+		q.Header.Set("Authorization", wire.Scheme+" "+s.key)
+	}
 	if s.prompt != "" {
 		q.Header.Set(wire.PromptPrefix, s.prompt)
 	}
--- a/cmd/siskinrun/stranded_test.go
+++ b/cmd/siskinrun/stranded_test.go
@@ -183,6 +183,30 @@
 	}
 }
 
+// play sends calls before, during and after lose, which takes as long as links are lost and returns when the last one was.
+// From contact after that on, these hosts must serve first tries as often as the others, also when the links are back.
+func (f *linkFleet) play(ctx context.Context, t *testing.T, name string, off []string, lose func() (lost time.Time)) {
+	t.Helper()
+	s := &strandedTraffic{linkFleet: f, name: name}
+	is := is.New(t)
+	sending, stop := context.WithCancel(ctx)
+	g := group.NewGroup(sending)
+	g.Go("traffic", s.run)
+	is.NoErr(f.timer.Sleep(ctx, beforeCut))
+	lost := lose()
+	back := f.timer.Now()
+	f.restore(off...)
+	is.NoErr(f.timer.Sleep(ctx, afterCut))
+	end := f.timer.Now()
+	stop()
+	is.NoErr(g.Wait())
+	for _, k := range strandedKinds {
+		s.compare(t, "cut off", lost.Add(contact), back, off, k)
+	}
+	s.compare(t, "links back", back, end, off, strandedKinds...)
+	s.checkRuns(t)
+}
+
 // TestHostsWithoutLinksToUpstreamsServeTheirCallers guards against hosts that lose their links to all upstreams and refuse
 // their callers, though hosts beside them reach these upstreams.
 func TestHostsWithoutLinksToUpstreamsServeTheirCallers(t *testing.T) {
@@ -198,30 +222,13 @@
 		{"all but one reset", resets, []int{0, 1, 2, 3, 4, 5, 6, 7}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var off []string
-			for _, i := range c.hosts {
-				off = append(off, f.entries[i])
-			}
-			s := &strandedTraffic{linkFleet: f, name: string(c.link)}
-			is := is.New(t)
-			sending, stop := context.WithCancel(ctx)
-			g := group.NewGroup(sending)
-			g.Go("traffic", s.run)
-			is.NoErr(f.timer.Sleep(ctx, beforeCut))
-			cut := f.timer.Now()
-			f.cut(c.link, off...)
-			is.NoErr(f.timer.Sleep(ctx, cutTime))
-			back := f.timer.Now()
-			f.cut(sound, off...)
-			is.NoErr(f.timer.Sleep(ctx, afterCut))
-			end := f.timer.Now()
-			stop()
-			is.NoErr(g.Wait())
-			for _, k := range strandedKinds {
-				s.compare(t, "cut off", cut.Add(contact), back, off, k)
-			}
-			s.compare(t, "links back", back, end, off, strandedKinds...)
-			s.checkRuns(t)
+			off := f.pick(c.hosts...)
+			f.play(ctx, t, string(c.link), off, func() time.Time {
+				lost := f.timer.Now()
+				f.cut(c.link, off...)
+				is.New(t).NoErr(f.timer.Sleep(ctx, cutTime))
+				return lost
+			})
 		})
 	}
 }
--- a/cmd/siskinrun/switchboard_test.go
+++ b/cmd/siskinrun/switchboard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -55,6 +56,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.links[ends{host, address}] = l
+	b.changed(host)
+}
+
+// restore makes all links of a host sound.
+func (b *switchboard) restore(host string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.links, func(e ends, _ link) bool { return e.host == host })
+	b.changed(host)
+}
+
+// changed tells the connections of a host of its links; the caller holds the lock.
+func (b *switchboard) changed(host string) {
 	for c := range b.conns {
 		if c.ends.host == host {
 			c.change(b.find(c.ends))
