--- a/cmd/siskinrun/stranded_test.go
+++ b/cmd/siskinrun/stranded_test.go
@@ -34,6 +34,7 @@
 // firstTry is a call that its caller did not send before, and what became of it.
 type firstTry struct {
 	at     time.Time
+	took   time.Duration
 	id     string
 	kind   string
 	host   string
@@ -72,6 +73,7 @@
 		g.Go("call", func(ctx context.Context) error {
 			y := firstTry{at: s.timer.Now(), id: fmt.Sprint(s.name, strings.ReplaceAll(kind, "/", "-"), n), kind: kind, host: h}
 			s.call(ctx, &y)
+			y.took = s.timer.Now().Sub(y.at)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.tries = append(s.tries, y)
--- a/cmd/siskinrun/switchboard_test.go
+++ b/cmd/siskinrun/switchboard_test.go
@@ -45,10 +45,12 @@
 	mu    sync.Mutex
 	links map[ends]link
 	conns map[*linkConn]bool
+	// dials counts the connections that each host tried to open.
+	dials map[string]int
 }
 
 func newSwitchboard() *switchboard {
-	return &switchboard{links: map[ends]link{}, conns: map[*linkConn]bool{}}
+	return &switchboard{links: map[ends]link{}, conns: map[*linkConn]bool{}, dials: map[string]int{}}
 }
 
 // set changes the link between a host and an address, or between the host and all that have no link of their own.
@@ -95,6 +97,7 @@
 
 func (b *switchboard) dial(ctx context.Context, e ends) (net.Conn, error) {
 	b.mu.Lock()
+	b.dials[e.host]++
 	l := b.find(e)
 	b.mu.Unlock()
 	switch l {
@@ -118,6 +121,13 @@
 	return c, nil
 }
 
+// dialed returns how many connections a host has tried to open.
+func (b *switchboard) dialed(host string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dials[host]
+}
+
 // end closes all connections.
 func (b *switchboard) end() {
 	b.mu.Lock()
