--- a/cmd/siskinrun/cut_worker_test.go
+++ b/cmd/siskinrun/cut_worker_test.go
@@ -104,17 +104,23 @@
 func newCutFleet(t *testing.T) (*cutFleet, context.Context) {
 	t.Helper()
 	p, ctx := startPlatformFleet(t, platformHosts(cutHosts), "")
-	f := &cutFleet{platformFleet: p, workers: map[string]*platformWorker{}, plans: map[string][]cut{}, replies: map[string][]reply{}, runs: map[string]int{}, usual: "chunks"}
+	return p.newCuts(ctx), ctx
+}
+
+// newCuts starts workers that answer as planned before the fleet's hosts.
+func (f *platformFleet) newCuts(ctx context.Context) *cutFleet {
+	f.t.Helper()
+	c := &cutFleet{platformFleet: f, workers: map[string]*platformWorker{}, plans: map[string][]cut{}, replies: map[string][]reply{}, runs: map[string]int{}, usual: "chunks"}
 	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, cutConfiguration) })
 	for i := range cutWorkers {
-		w := &platformWorker{fleet: p, id: fmt.Sprint("i-", i), service: "lm", zone: "a", version: "v1", born: 1, alive: true}
-		f.workers[w.id] = w
-		w.answer = func(c net.Conn, q *http.Request) bool { return f.answer(w.id, c, q) }
+		w := &platformWorker{fleet: f, id: fmt.Sprint("i-", i), service: "lm", zone: "a", version: "v1", born: 1, alive: true}
+		c.workers[w.id] = w
+		w.answer = func(k net.Conn, q *http.Request) bool { return c.answer(w.id, k, q) }
 		f.run(ctx, w)
 	}
 	f.await(ctx, "readiness", func() error { return f.ready(ctx) })
-	is.New(t).NoErr(f.timer.Sleep(ctx, time.Second)) // all hosts have heard of all workers and the configuration
-	return f, ctx
+	is.New(f.t).NoErr(f.timer.Sleep(ctx, time.Second)) // all hosts have heard of all workers and the configuration
+	return c
 }
 
 // plan sets how the runs of a request are answered, in their order.
--- a/cmd/siskinrun/once_test.go
+++ b/cmd/siskinrun/once_test.go
@@ -32,6 +32,9 @@
 // longBody is longer than what the buffers of a connection take.
 const longBody = 3 << 20
 
+// lossTime is the time in which callers must hear that an answer was lost, well before their deadline.
+const lossTime = time.Second
+
 // script answers one request to a worker; the connection closes when it returns.
 type script = func(w *onceWorker, k *net.TCPConn, q *http.Request)
 
@@ -54,16 +57,22 @@
 func newOnceFleet(t testing.TB, scripts map[string]script) (*onceFleet, context.Context) {
 	t.Helper()
 	p, ctx := newPlatformFleet(t)
-	f := &onceFleet{platformFleet: p}
+	return p.newOnce(ctx, scripts), ctx
+}
+
+// newOnce starts workers that answer by scripts before the fleet's hosts.
+func (f *platformFleet) newOnce(ctx context.Context, scripts map[string]script) *onceFleet {
+	f.t.Helper()
+	o := &onceFleet{platformFleet: f}
 	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, onceConfiguration) })
 	for i := range 3 {
 		w := &onceWorker{id: fmt.Sprint("i-", i), scripts: scripts, runs: map[string]int{}}
-		w.start(ctx, p)
-		f.workers = append(f.workers, w)
+		w.start(ctx, f)
+		o.workers = append(o.workers, w)
 	}
 	f.await(ctx, "readiness", func() error { return f.ready(ctx) })
-	is.New(t).NoErr(f.timer.Sleep(ctx, time.Second)) // all hosts have heard of all workers
-	return f, ctx
+	is.New(f.t).NoErr(f.timer.Sleep(ctx, time.Second)) // all hosts have heard of all workers
+	return o
 }
 
 // runs returns how often a request may have run.
@@ -130,8 +139,16 @@
 	_ = k.Close()
 }
 
-// TestCallThatMayRunOnceIsNeitherRepeatedNorSaidNotToHaveRun guards against a repeat or a false promise after a lost answer.
-func TestCallThatMayRunOnceIsNeitherRepeatedNorSaidNotToHaveRun(t *testing.T) {
+// onceCase is a way in which a worker loses a call.
+type onceCase struct {
+	name     string
+	body     int
+	script   script
+	statuses []int
+}
+
+// onceCases returns ways in which workers lose calls, and how these may be answered.
+func onceCases() []onceCase {
 	lost := []int{http.StatusBadGateway, http.StatusGatewayTimeout}
 	head := func(q *http.Request, status string) string {
 		return "HTTP/1.1 " + status + "\r\nX-Response-Signature: s\r\n" + wire.AttemptID + ": " + q.Header.Get(wire.AttemptID) + "\r\n"
@@ -146,12 +163,7 @@
 			resetConn(k)
 		}
 	}
-	cases := []struct {
-		name     string
-		body     int
-		script   script
-		statuses []int
-	}{
+	return []onceCase{
 		{"reset after the head of a long request", longBody, func(w *onceWorker, k *net.TCPConn, q *http.Request) {
 			w.count(q)
 			resetConn(k)
@@ -188,24 +200,41 @@
 			_, _ = io.Copy(io.Discard, q.Body)
 		}, []int{http.StatusServiceUnavailable}},
 	}
-	scripts := map[string]script{}
-	for n, c := range cases {
-		scripts[fmt.Sprint(n)] = c.script
+}
+
+// onceScripts returns the scripts of onceCases by their paths.
+func onceScripts() map[string]script {
+	m := map[string]script{}
+	for n, c := range onceCases() {
+		m[fmt.Sprint(n)] = c.script
 	}
-	f, ctx := newOnceFleet(t, scripts)
-	for n, c := range cases {
+	return m
+}
+
+// TestCallThatMayRunOnceIsNeitherRepeatedNorSaidNotToHaveRun guards against a repeat or a false promise after a lost answer.
+func TestCallThatMayRunOnceIsNeitherRepeatedNorSaidNotToHaveRun(t *testing.T) {
+	f, ctx := newOnceFleet(t, onceScripts())
+	f.loseOnceCalls(ctx, t, f.entries)
+}
+
+// loseOnceCalls plays onceCases at hosts.
+func (f *onceFleet) loseOnceCalls(ctx context.Context, t *testing.T, hosts []string) {
+	t.Helper()
+	for n, c := range onceCases() {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			for i, h := range f.entries {
+			for i, h := range hosts {
 				id := fmt.Sprint("c", n, "-", i)
 				q, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprint("http://", h, ":7443/once/", n), strings.NewReader(strings.Repeat("x", c.body)))
 				is.NoErr(err)
 				q.Host = streamHost
 				q.Header.Set(wire.AttemptID, id)
 				q.Header.Set(wire.Deadline, "3000")
+				sent := f.timer.Now()
 				r, err := f.http.Do(q)
 				is.NoErr(err)
 				_ = r.Body.Close()
+				is.True(f.timer.Now().Sub(sent) < lossTime)
 				is.True(f.runs(id) <= 1)
 				is.True(slices.Contains(c.statuses, r.StatusCode))
 			}
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -45,6 +45,10 @@
 	received func(prompt string)
 	// answer, if set, answers each request in place of the usual events, and reports whether the connection stays open.
 	answer func(c net.Conn, q *http.Request) bool
+	// pace, if set, returns the time that follows an event in place of workerStep.
+	pace func(q *http.Request, event int) time.Duration
+	// finished, if set, is called at the end of each request with whether its answer was written whole.
+	finished func(q *http.Request, whole bool)
 	// limit, if set, returns the limit that the worker names at a time, empty for none.
 	limit func(at time.Time) string
 	// zone is the failure domain of the worker.
@@ -212,7 +216,11 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		if !w.run(ctx, c, q, version) {
+		whole := w.run(ctx, c, q, version)
+		if w.finished != nil {
+			w.finished(q, whole)
+		}
+		if !whole {
 			return
 		}
 	}
@@ -272,7 +280,11 @@
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
 			return false
 		}
-		if w.fleet.timer.Sleep(ctx, workerStep) != nil {
+		d := workerStep
+		if w.pace != nil {
+			d = w.pace(q, n)
+		}
+		if w.fleet.timer.Sleep(ctx, d) != nil {
 			return false
 		}
 	}
