--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -46,7 +46,7 @@
 	// answer, if set, answers each request in place of the usual events, and reports whether the connection stays open.
 	answer func(c net.Conn, q *http.Request) bool
 	// pace, if set, returns the time that follows an event in place of workerStep.
-	pace func(q *http.Request, event int) time.Duration
+	pace func(path string, event int) time.Duration
 	// finished, if set, is called at the end of each request with whether its answer was written whole.
 	finished func(q *http.Request, whole bool)
 	// limit, if set, returns the limit that the worker names at a time, empty for none.
@@ -282,7 +282,7 @@
 		}
 		d := workerStep
 		if w.pace != nil {
-			d = w.pace(q, n)
+			d = w.pace(q.URL.Path, n)
 		}
 		if w.fleet.timer.Sleep(ctx, d) != nil {
 			return false
