--- a/cmd/siskinrun/link_fleet_test.go
+++ b/cmd/siskinrun/link_fleet_test.go
@@ -64,7 +64,7 @@
 // linkSetup describes a linkFleet.
 type linkSetup struct {
 	// hosts is the number of entry hosts, of which the last ones run as processes of their own.
-	hosts, processes int
+	hosts, apart int
 	// tune, if set, changes the settings of the hosts in this process, and engine the workers for streams.
 	tune   func(s *settings.Settings)
 	engine func(w *platformWorker)
@@ -113,13 +113,13 @@
 	f := &linkFleet{plainFleet: p.newPlain(ctx, plainSetup{}), linkSetup: s, board: newSwitchboard()}
 	t.Cleanup(f.board.end) // before the hosts stop
 	f.serve(f.control)
-	for _, h := range hosts[:s.hosts-s.processes] {
+	for _, h := range hosts[:s.hosts-s.apart] {
 		f.serve(h)
 	}
-	if s.processes > 0 {
+	if s.apart > 0 {
 		f.program = buildProgram(t)
 	}
-	for _, h := range hosts[s.hosts-s.processes:] {
+	for _, h := range hosts[s.hosts-s.apart:] {
 		f.start(h)
 	}
 	return f, ctx
@@ -190,3 +190,10 @@
 	}
 	return m
 }
+
+// ranPlain returns how often workers began to run an attempt at a call without events.
+func (f *linkFleet) ranPlain(id string) int {
+	f.plainFleet.mu.Lock()
+	defer f.plainFleet.mu.Unlock()
+	return f.reached[id]
+}
--- a/cmd/siskinrun/stranded_test.go
+++ b/cmd/siskinrun/stranded_test.go
@@ -39,6 +39,8 @@
 	kind   string
 	host   string
 	served bool
+	// whole says that the answer reached the end of its framing.
+	whole bool
 	// outcome says what the caller got.
 	outcome string
 	status  int
@@ -107,7 +109,8 @@
 	}
 	err = c.read(workerEvents + 1)
 	y.outcome = fmt.Sprint("200, ", c.last, " events: ", err)
-	y.served = err == io.EOF && slices.Equal(c.data, wholeData())
+	y.whole = err == io.EOF
+	y.served = y.whole && slices.Equal(c.data, wholeData())
 }
 
 // wholeData are the events of a whole stream.
