--- a/cmd/siskinrun/carried_calls_test.go
+++ b/cmd/siskinrun/carried_calls_test.go
@@ -235,6 +235,7 @@
 			t.Errorf("%d of the requests were answered %s", n, k)
 		}
 	}
+	is.Equal(f.untrue(), 0)
 	for _, h := range f.entries {
 		a := f.try(ctx, h, "last-"+h, page)
 		t.Logf("%s: %s", h, a.kind())
--- a/cmd/siskinrun/once_test.go
+++ b/cmd/siskinrun/once_test.go
@@ -139,7 +139,7 @@
 	_ = k.Close()
 }
 
-// onceCase is a way in which a worker loses a call.
+// onceCase is a way in which a worker loses a call or answers it early.
 type onceCase struct {
 	name     string
 	body     int
@@ -199,6 +199,12 @@
 			_ = k.CloseWrite()
 			_, _ = io.Copy(io.Discard, q.Body)
 		}, []int{http.StatusServiceUnavailable}},
+		{"answered inside a long request", longBody, func(w *onceWorker, k *net.TCPConn, q *http.Request) {
+			w.count(q)
+			_, _ = io.CopyN(io.Discard, q.Body, longBody/2)
+			_, _ = io.WriteString(k, head(q, "200 OK")+"Content-Length: 2\r\n\r\nab")
+			_, _ = io.Copy(io.Discard, q.Body)
+		}, []int{http.StatusOK}},
 	}
 }
 
