Test a longer outage before one host reaches upstreams again

Hosts that asked the others in vain ask again later and later, so the test failed at times after 3.5 s without upstreams and fails always after 5.5 s.

--- a/cmd/siskinrun/lost_upstreams_test.go
+++ b/cmd/siskinrun/lost_upstreams_test.go
@@ -17,6 +17,8 @@
 	knowTime    = 1500 * time.Millisecond
 	refusalTime = 200 * time.Millisecond
 	lostTime    = 2 * time.Second
+	// outageTime is long enough that hosts have asked one another several times in vain.
+	outageTime = 5500 * time.Millisecond
 	// refusedShare is the share of calls that must be refused within refusalTime.
 	refusedShare = 0.95
 	// maxDialRate is the most connections a second that a host may try while it reaches no upstream.
@@ -63,7 +65,7 @@
 	is := is.New(t)
 	f.cut(hang, f.entries...)
 	f.play(ctx, t, "again", f.entries[1:], func() time.Time {
-		is.NoErr(f.timer.Sleep(ctx, knowTime+lostTime))
+		is.NoErr(f.timer.Sleep(ctx, outageTime))
 		f.restore(f.entries[0])
 		back := f.timer.Now()
 		is.NoErr(f.timer.Sleep(ctx, 3*contact))
