List what fails on the code as it is, and say what lost calls are answered

A refusal inside a long carried request fails since reads of a closed stream between hosts are ended: 504 after 3 s in place of 503.

--- a/cmd/siskinrun/once_test.go
+++ b/cmd/siskinrun/once_test.go
@@ -240,9 +240,10 @@
 				r, err := f.http.Do(q)
 				is.NoErr(err)
 				_ = r.Body.Close()
-				is.True(f.timer.Now().Sub(sent) < lossTime)
-				is.True(f.runs(id) <= 1)
-				is.True(slices.Contains(c.statuses, r.StatusCode))
+				took := f.timer.Now().Sub(sent)
+				if took >= lossTime || f.runs(id) > 1 || !slices.Contains(c.statuses, r.StatusCode) {
+					t.Errorf("status %d after %v, %d runs", r.StatusCode, took, f.runs(id))
+				}
 			}
 		})
 	}
