--- a/cmd/siskinrun/stranded_test.go
+++ b/cmd/siskinrun/stranded_test.go
@@ -34,10 +34,13 @@
 // firstTry is a call that its caller did not send before, and what became of it.
 type firstTry struct {
 	at     time.Time
+	took   time.Duration
 	id     string
 	kind   string
 	host   string
 	served bool
+	// whole says that the answer reached the end of its framing.
+	whole bool
 	// outcome says what the caller got.
 	outcome string
 	status  int
@@ -72,6 +75,7 @@
 		g.Go("call", func(ctx context.Context) error {
 			y := firstTry{at: s.timer.Now(), id: fmt.Sprint(s.name, strings.ReplaceAll(kind, "/", "-"), n), kind: kind, host: h}
 			s.call(ctx, &y)
+			y.took = s.timer.Now().Sub(y.at)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.tries = append(s.tries, y)
@@ -105,7 +109,8 @@
 	}
 	err = c.read(workerEvents + 1)
 	y.outcome = fmt.Sprint("200, ", c.last, " events: ", err)
-	y.served = err == io.EOF && slices.Equal(c.data, wholeData())
+	y.whole = err == io.EOF
+	y.served = y.whole && slices.Equal(c.data, wholeData())
 }
 
 // wholeData are the events of a whole stream.
@@ -183,6 +188,30 @@
 	}
 }
 
+// play sends calls before, during and after lose, which takes as long as links are lost and returns when the last one was.
+// From contact after that on, these hosts must serve first tries as often as the others, also when the links are back.
+func (f *linkFleet) play(ctx context.Context, t *testing.T, name string, off []string, lose func() (lost time.Time)) {
+	t.Helper()
+	s := &strandedTraffic{linkFleet: f, name: name}
+	is := is.New(t)
+	sending, stop := context.WithCancel(ctx)
+	g := group.NewGroup(sending)
+	g.Go("traffic", s.run)
+	is.NoErr(f.timer.Sleep(ctx, beforeCut))
+	lost := lose()
+	back := f.timer.Now()
+	f.restore(off...)
+	is.NoErr(f.timer.Sleep(ctx, afterCut))
+	end := f.timer.Now()
+	stop()
+	is.NoErr(g.Wait())
+	for _, k := range strandedKinds {
+		s.compare(t, "cut off", lost.Add(contact), back, off, k)
+	}
+	s.compare(t, "links back", back, end, off, strandedKinds...)
+	s.checkRuns(t)
+}
+
 // TestHostsWithoutLinksToUpstreamsServeTheirCallers guards against hosts that lose their links to all upstreams and refuse
 // their callers, though hosts beside them reach these upstreams.
 func TestHostsWithoutLinksToUpstreamsServeTheirCallers(t *testing.T) {
@@ -198,30 +227,13 @@
 		{"all but one reset", resets, []int{0, 1, 2, 3, 4, 5, 6, 7}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var off []string
-			for _, i := range c.hosts {
-				off = append(off, f.entries[i])
-			}
-			s := &strandedTraffic{linkFleet: f, name: string(c.link)}
-			is := is.New(t)
-			sending, stop := context.WithCancel(ctx)
-			g := group.NewGroup(sending)
-			g.Go("traffic", s.run)
-			is.NoErr(f.timer.Sleep(ctx, beforeCut))
-			cut := f.timer.Now()
-			f.cut(c.link, off...)
-			is.NoErr(f.timer.Sleep(ctx, cutTime))
-			back := f.timer.Now()
-			f.cut(sound, off...)
-			is.NoErr(f.timer.Sleep(ctx, afterCut))
-			end := f.timer.Now()
-			stop()
-			is.NoErr(g.Wait())
-			for _, k := range strandedKinds {
-				s.compare(t, "cut off", cut.Add(contact), back, off, k)
-			}
-			s.compare(t, "links back", back, end, off, strandedKinds...)
-			s.checkRuns(t)
+			off := f.pick(c.hosts...)
+			f.play(ctx, t, string(c.link), off, func() time.Time {
+				lost := f.timer.Now()
+				f.cut(c.link, off...)
+				is.New(t).NoErr(f.timer.Sleep(ctx, cutTime))
+				return lost
+			})
 		})
 	}
 }
--- a/cmd/siskinrun/switchboard_test.go
+++ b/cmd/siskinrun/switchboard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -44,10 +45,12 @@
 	mu    sync.Mutex
 	links map[ends]link
 	conns map[*linkConn]bool
+	// dials counts the connections that each host tried to open.
+	dials map[string]int
 }
 
 func newSwitchboard() *switchboard {
-	return &switchboard{links: map[ends]link{}, conns: map[*linkConn]bool{}}
+	return &switchboard{links: map[ends]link{}, conns: map[*linkConn]bool{}, dials: map[string]int{}}
 }
 
 // set changes the link between a host and an address, or between the host and all that have no link of their own.
@@ -55,6 +58,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.links[ends{host, address}] = l
+	b.changed(host)
+}
+
+// restore makes all links of a host sound.
+func (b *switchboard) restore(host string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.links, func(e ends, _ link) bool { return e.host == host })
+	b.changed(host)
+}
+
+// changed tells the connections of a host of its links; the caller holds the lock.
+func (b *switchboard) changed(host string) {
 	for c := range b.conns {
 		if c.ends.host == host {
 			c.change(b.find(c.ends))
@@ -81,6 +97,7 @@
 
 func (b *switchboard) dial(ctx context.Context, e ends) (net.Conn, error) {
 	b.mu.Lock()
+	b.dials[e.host]++
 	l := b.find(e)
 	b.mu.Unlock()
 	switch l {
@@ -104,6 +121,13 @@
 	return c, nil
 }
 
+// dialed returns how many connections a host has tried to open.
+func (b *switchboard) dialed(host string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dials[host]
+}
+
 // end closes all connections.
 func (b *switchboard) end() {
 	b.mu.Lock()
