Bound what an open stream between hosts holds unread

A gateway serves up to 512 tunnels, and each could hold 1 MB that its upstream or the other host does not read. 256 kB is the least that the session library takes.

--- a/internal/base/rpc/link.go
+++ b/internal/base/rpc/link.go
@@ -15,8 +15,8 @@
 }
 
 // newLink returns the session that start opens on a connection, which it closes on failure.
-func newLink(c net.Conn, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*link, error) {
-	m, err := start(&coalescingConn{Conn: c}, muxConfig())
+func newLink(c net.Conn, lane string, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*link, error) {
+	m, err := start(&coalescingConn{Conn: c}, muxConfig(lane))
 	if err != nil {
 		_ = c.Close()
 		return nil, err
--- a/internal/base/rpc/session.go
+++ b/internal/base/rpc/session.go
@@ -23,15 +23,21 @@
 	handshakeTimeout = time.Second
 	maxHelloBytes    = 4096
 	acceptBacklog    = 1024
-	streamWindow     = 1 << 20
+	// callWindow and openWindow bound the bytes of a call and of an open stream that the other side has not read yet. A host may
+	// have hundreds of open streams.
+	callWindow = 1 << 20
+	openWindow = 256 << 10
 )
 
-func muxConfig() *yamux.Config {
+func muxConfig(lane string) *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
 	c.EnableKeepAlive = false              // pinger pings only during calls
 	c.ConnectionWriteTimeout = pingTimeout // yamux also applies it to pings
-	c.MaxStreamWindowSize = streamWindow
+	c.MaxStreamWindowSize = callWindow
+	if lane == laneStreams {
+		c.MaxStreamWindowSize = openWindow
+	}
 	c.LogOutput = io.Discard
 	return c
 }
@@ -62,7 +68,7 @@
 		_ = c.Close()
 		return nil, errors.Wrapf(err, "handshake with %s", to)
 	}
-	return newLink(c, yamux.Client)
+	return newLink(c, lane, yamux.Client)
 }
 
 func (l *Endpoint) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -159,7 +165,7 @@
 		_ = c.Close()
 		return
 	}
-	m, err := newLink(c, yamux.Server)
+	m, err := newLink(c, h.Lane, yamux.Server)
 	if err != nil {
 		return
 	}
