Cut links between hosts and upstreams in a soak

Nine entry hosts, cuts of each way and extent that overlap and flap, hosts that stop and come back, also those that carry for others, and workers that crash or are silent, while calls of all kinds come over new and over open connections. Checked are whole streams, refusals that did not run, calls that run once, the share served by hosts without links, and what is left of tunnels and goroutines.

--- a/cmd/siskinrun/link_fleet_test.go
+++ b/cmd/siskinrun/link_fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,16 +45,31 @@
   {"name": "open", "host": "` + streamHost + `", "path_prefix": "` + openPath + `", "route_type": "idempotent",
     "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true},
   {"name": "single", "host": "` + streamHost + `", "path_prefix": "` + singlePath + `", "route_type": "non_idempotent",
-    "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true}],
+    "timeout_ms": 4000, "target_latency_ms": 800, "service": "desk", "max_attempts": 3, "public": true},
+  {"name": "lots", "host": "` + streamHost + `", "path_prefix": "` + lotsPath + `", "route_type": "batch", "timeout_ms": 4000,
+    "target_latency_ms": 1000, "service": "bulk", "max_attempts": 2, "completion_target_ms": 20000, "max_wait_s": 50}],
   "services": [{"name": "lm", "health_path": "/healthz", "max_conns": 200, "protocol": "h1", "engine": {"slots": 8}},
-    {"name": "desk", "health_path": "` + plainHealthPath + `", "max_conns": 400, "protocol": "h1"}],
-  "limits": {}}`
+    {"name": "desk", "health_path": "` + plainHealthPath + `", "max_conns": 400, "protocol": "h1"},
+    {"name": "bulk", "health_path": "` + plainHealthPath + `", "max_conns": 400, "protocol": "h1", "engine": {"slots": 8}}],
+  "limits": {}, "tenants": [{"name": "team0", "api_keys": ["key-team0"]}]}`
 
 // linkFleet is a fleet whose entry hosts run in this process, so that their links to upstreams can be lost.
 type linkFleet struct {
 	*plainFleet
 	board   *switchboard
 	engines []*platformWorker
+
+	runsMu sync.Mutex
+	// runs holds the current run of each host.
+	runs map[string]*hostRun
+}
+
+// hostRun is a run of a host in this process.
+type hostRun struct {
+	// stop tells the host to stop, as SIGTERM does.
+	stop context.CancelFunc
+	// ended is closed when the host has stopped.
+	ended chan struct{}
 }
 
 // newLinkFleet starts a control host, entry hosts in three failure domains and workers, and returns once all hosts serve.
@@ -64,7 +80,7 @@
 		hosts = append(hosts, fmt.Sprint(linkNetwork, 31+i))
 	}
 	p, ctx := preparePlatformFleet(t, linkNetwork+"11", hosts, "")
-	f := &linkFleet{plainFleet: p.newPlain(ctx, plainSetup{}), board: newSwitchboard()}
+	f := &linkFleet{plainFleet: p.newPlain(ctx, plainSetup{}), board: newSwitchboard(), runs: map[string]*hostRun{}}
 	t.Cleanup(f.board.end) // before the hosts stop
 	f.serve(f.control)
 	for _, h := range hosts {
@@ -89,7 +105,7 @@
 	return f, ctx
 }
 
-// serve runs a host in this process until the test ends.
+// serve runs a host in this process until it is told to stop or the test ends.
 func (f *linkFleet) serve(host string) {
 	f.t.Helper()
 	load := func() (*settings.Settings, error) {
@@ -103,20 +119,46 @@
 	s, err := load()
 	is.NoErr(err)
 	is.NoErr(s.ReadSecrets())
-	f.logs[host] = &bytes.Buffer{}
+	if f.logs[host] == nil {
+		f.logs[host] = &bytes.Buffer{}
+	}
 	l := &logwriter.Writer{Out: f.logs[host]}
 	h := &server.Server{
 		LogWriter: l, Dialect: platform.NewDialect(), Name: host, Settings: s, Reload: load, DialUpstream: f.board.dialer(host),
 		Log: zerolog.New(l).Level(zerolog.WarnLevel).With().Timestamp().Str("host", host).Logger(),
 	}
-	f.group.Go(host, func(ctx context.Context) error {
-		if err := h.Run(ctx); err != nil {
+	running, stop := context.WithCancel(f.group.Context())
+	r := &hostRun{stop: stop, ended: make(chan struct{})}
+	f.runsMu.Lock()
+	f.runs[host] = r
+	f.runsMu.Unlock()
+	f.group.Go(host, func(context.Context) error {
+		defer close(r.ended)
+		if err := h.Run(running); err != nil {
 			f.t.Errorf("%s: %v", host, err)
 		}
 		return nil
 	})
 }
 
+// terminate tells a host to stop, and starts it again some time after it has stopped. It fails the test if that takes long.
+func (f *linkFleet) terminate(ctx context.Context, host string, away time.Duration) {
+	f.t.Helper()
+	f.runsMu.Lock()
+	r := f.runs[host]
+	f.runsMu.Unlock()
+	r.stop()
+	late := f.timer.After(stopGrace, func(time.Time) { f.t.Errorf("%s has not stopped after %v", host, stopGrace) })
+	select {
+	case <-r.ended:
+	case <-ctx.Done():
+	}
+	late()
+	if f.timer.Sleep(ctx, away) == nil {
+		f.serve(host)
+	}
+}
+
 // cut sets the links between hosts and all upstreams.
 func (f *linkFleet) cut(l link, hosts ...string) {
 	for _, h := range hosts {
--- a/cmd/siskinrun/plain_worker_test.go
+++ b/cmd/siskinrun/plain_worker_test.go
@@ -102,7 +102,7 @@
 			return
 		}
 		b, err := io.ReadAll(q.Body)
-		if err != nil {
+		if err != nil || w.awaitSilence(ctx, 0) != nil {
 			return
 		}
 		switch {
@@ -146,7 +146,7 @@
 	if strings.Contains(r.path, "/slow") {
 		d = slowWorkTime
 	}
-	if err := f.timer.Sleep(ctx, d); err != nil {
+	if err := w.awaitSilence(ctx, d); err != nil {
 		return err
 	}
 	a := r.answer()
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -63,6 +63,8 @@
 	conns    map[net.Conn]bool
 	stop     context.CancelFunc
 	runs     []workerRun
+	// silentUntil is when the worker goes on after a silence.
+	silentUntil time.Time
 }
 
 // workerRun is a request that the worker began to run.
@@ -120,7 +122,7 @@
 	w.fleet.group.Go("heartbeats", func(context.Context) error {
 		defer func() { _ = l.Close() }()
 		for n := 2; ; n++ {
-			if w.fleet.timer.Sleep(ctx, heartbeatInterval) != nil {
+			if w.awaitSilence(ctx, heartbeatInterval) != nil {
 				return nil
 			}
 			_ = w.beat(ctx, n)
@@ -182,12 +184,40 @@
 	}
 }
 
+// silence makes the worker read and write nothing for a time.
+func (w *platformWorker) silence(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silentUntil = w.fleet.timer.Now().Add(d)
+}
+
+// awaitSilence waits for d and until the worker is not silent.
+func (w *platformWorker) awaitSilence(ctx context.Context, d time.Duration) error {
+	for {
+		if d > 0 && w.fleet.timer.Sleep(ctx, d) != nil {
+			return ctx.Err()
+		}
+		w.mu.Lock()
+		d = w.silentUntil.Sub(w.fleet.timer.Now())
+		w.mu.Unlock()
+		if d <= 0 {
+			return nil
+		}
+	}
+}
+
 func (w *platformWorker) currentVersion() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.version
 }
 
+func (w *platformWorker) currentAddress() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.address
+}
+
 // ran returns the requests that the worker began to run.
 func (w *platformWorker) ran() []workerRun {
 	w.mu.Lock()
@@ -208,6 +238,9 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
+		if w.awaitSilence(ctx, 0) != nil {
+			return
+		}
 		if q.Header.Get(wire.ExpectedInstance) != w.id {
 			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 			continue
@@ -249,7 +282,7 @@
 	if answer != nil {
 		return answer(c, q)
 	}
-	if w.fleet.timer.Sleep(ctx, workerStep) != nil {
+	if w.awaitSilence(ctx, workerStep) != nil {
 		return false
 	}
 	h := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Signature: " + w.id + "\r\n" +
@@ -272,7 +305,7 @@
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
 			return false
 		}
-		if w.fleet.timer.Sleep(ctx, workerStep) != nil {
+		if w.awaitSilence(ctx, workerStep) != nil {
 			return false
 		}
 	}
--- a/cmd/siskinrun/switchboard_test.go
+++ b/cmd/siskinrun/switchboard_test.go
@@ -55,6 +55,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.links[ends{host, address}] = l
+	b.apply(host)
+}
+
+// forget lets the link between a host and an address be as the one between the host and all upstreams.
+func (b *switchboard) forget(host, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.links, ends{host, address})
+	b.apply(host)
+}
+
+// apply tells the connections of a host the state of their links; the caller holds the lock.
+func (b *switchboard) apply(host string) {
 	for c := range b.conns {
 		if c.ends.host == host {
 			c.change(b.find(c.ends))
