--- a/cmd/siskinrun/link_soak_faults_test.go
+++ b/cmd/siskinrun/link_soak_faults_test.go
@@ -104,6 +104,19 @@
 	return strings.Join(f.lines, "\n")
 }
 
+// count returns the number of faults of a kind that hosts had.
+func (f *linkFaults) count(k faultKind) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.spells {
+		if s.kind == k {
+			n++
+		}
+	}
+	return n
+}
+
 // begin begins a spell of a host, and returns what ends it.
 func (f *linkFaults) begin(k faultKind, host string) (end func()) {
 	f.mu.Lock()
--- a/cmd/siskinrun/link_soak_test.go
+++ b/cmd/siskinrun/link_soak_test.go
@@ -74,6 +74,7 @@
 		})
 	}
 	s.inject(ctx)
+	t.Logf("all is healed after %v: %d cuts, %d stops", f.timer.Now().Sub(s.began), s.faults.count(cutOff), s.faults.count(down))
 	is.NoErr(f.timer.Sleep(ctx, linkCalm))
 	calm := f.timer.Now()
 	is.NoErr(f.timer.Sleep(ctx, linkJudged))
@@ -242,7 +243,7 @@
 		s.faults.note("%s crashes", w.id)
 		w.crash()
 		err := s.timer.Sleep(ctx, away)
-		w.restart(ctx, version)
+		w.restart(s.context, version)
 		s.faults.note("%s is back as %s", w.id, version)
 		return err
 	})
@@ -261,7 +262,7 @@
 		w := s.workers[slot]
 		s.plainFleet.mu.Unlock()
 		s.faults.note("%s crashes", w.id)
-		w.end(ctx)
+		w.end(s.context)
 		err := s.timer.Sleep(ctx, plainReturn+2*heartbeatInterval)
 		s.faults.note("%s is back", name)
 		return err
