--- a/cmd/siskinrun/switchboard_test.go
+++ b/cmd/siskinrun/switchboard_test.go
@@ -69,6 +69,14 @@
 	b.changed(host)
 }
 
+// forget lets the link between a host and an address be as the one between the host and all upstreams.
+func (b *switchboard) forget(host, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.links, ends{host, address})
+	b.changed(host)
+}
+
 // changed tells the connections of a host of its links; the caller holds the lock.
 func (b *switchboard) changed(host string) {
 	for c := range b.conns {
