--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -252,6 +252,7 @@
 	case ctx.Err() != nil: // the connection is no longer wanted
 	case code == "upstream-unreachable", code == "unknown-upstream":
 		c.Table.Unreached(gateway, u.Name)
+		c.wake.Set()
 	default:
 		c.Table.Avoid(gateway, c.Timer.Now())
 	}
