--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -42,7 +42,8 @@
 	ended func()
 }
 
-// processStart is the origin of the times of connections.
+// processStart is the origin of the times of connections, by a clock that stands still while the host is suspended: it has not
+// listened then.
 var processStart = time.Now()
 
 func newConn(c net.Conn, address string) *conn {
