--- a/internal/state/replica/node_test.go
+++ b/internal/state/replica/node_test.go
@@ -26,14 +26,17 @@
 
 // node is one simulated host: a replica, its storage and a state machine that hashes what it applies.
 type node struct {
-	sim                  *simulation
-	self                 identity.Identity
-	disk                 *fakeDisk
-	storage              *storage.Storage
-	replica              *replica.Replica
-	pending              []effect.Effect
-	up                   bool
-	clockRate            float64
+	sim       *simulation
+	self      identity.Identity
+	disk      *fakeDisk
+	storage   *storage.Storage
+	replica   *replica.Replica
+	pending   []effect.Effect
+	writing   bool
+	up        bool
+	clockRate float64
+	// syncTime, if set, is how long a write takes; effects of that time wait for the next write.
+	syncTime             time.Duration
 	applied              uint64
 	stateHash            uint64
 	members              memberset.Set
@@ -96,9 +99,7 @@
 	n.sim.send(n, e.Send)
 	if e.IsDurable() || len(e.SendAfterSync) > 0 {
 		n.pending = append(n.pending, e)
-		if len(n.pending) == 1 {
-			n.sim.schedule(n.sim.latency(), func() error { return n.write() })
-		}
+		n.scheduleWrite()
 	}
 	for _, c := range e.Committed {
 		if err := n.apply(c); err != nil {
@@ -119,6 +120,27 @@
 	return n.sim.checker.node(n)
 }
 
+// scheduleWrite starts a write of the pending effects unless one is under way.
+func (n *node) scheduleWrite() {
+	if n.syncTime == 0 {
+		if len(n.pending) == 1 {
+			n.sim.schedule(n.sim.latency(), n.write)
+		}
+		return
+	}
+	if n.writing || len(n.pending) == 0 {
+		return
+	}
+	n.writing = true
+	all := n.pending
+	n.pending = nil
+	n.sim.schedule(n.syncTime, func() error {
+		n.writing = false
+		defer n.scheduleWrite()
+		return n.writeAll(all)
+	})
+}
+
 // write makes all pending effects durable with one sync.
 func (n *node) write() error {
 	if !n.up || len(n.pending) == 0 {
@@ -126,6 +148,10 @@
 	}
 	all := n.pending
 	n.pending = nil
+	return n.writeAll(all)
+}
+
+func (n *node) writeAll(all []effect.Effect) error {
 	if err := n.storage.Write(all); err != nil {
 		return n.onError(err)
 	}
