Elect a leader on disks whose syncs are slow

Cause: a candidate's election timer ran from the start of its campaign, but its requests leave only once its term is durable, and the answers only once the voters' are. With syncs longer than about half the timer it started another term each time before the votes of the last one had come, so that no term ever had a leader. The same happened to voters that were still writing their vote.

Change: the timer of an election waits for the term to be durable and starts then; a voter that is still writing its term or vote grants no further one and does not campaign; votes of the current term also count while the candidate asks whether it may start the next. An unused field is removed.

--- a/internal/state/replica/chaos_test.go
+++ b/internal/state/replica/chaos_test.go
@@ -110,6 +110,7 @@
 		n.crash()
 	}
 	f := w.newNode(n.index())
+	f.syncTime = w.randomSyncTime()
 	w.nodes[n.index()] = f
 	w.lostMember = &old
 	w.schedule(100*time.Millisecond, f.restart)
@@ -199,6 +200,7 @@
 	w.healedIndex = w.checker.acked + 1
 	for _, n := range w.nodes {
 		n.disk.opsUntilCrash = -1
+		n.syncTime = min(n.syncTime, healedSyncTime)
 		w.schedule(2*time.Second, n.restart)
 	}
 }
--- a/internal/state/replica/election.go
+++ b/internal/state/replica/election.go
@@ -23,7 +23,7 @@
 }
 
 func (r *Replica) onPreVote(now time.Time, m message.Message) {
-	ok := m.Term > r.ballot.Term && r.upToDate(m) && !r.inLeaderLease(now)
+	ok := m.Term > r.ballot.Term && r.upToDate(m) && !r.inLeaderLease(now) && r.ballotDurable()
 	if ok {
 		r.send(message.Message{Kind: message.PreVoteReply, To: m.From, Term: m.Term})
 		return
@@ -41,7 +41,7 @@
 	if r.role != rolePreCandidate || m.Term != r.ballot.Term+1 {
 		return
 	}
-	if r.recordVote(m.From) {
+	if r.recordVote(r.preVotes, m.From) {
 		r.campaign(now, false)
 	}
 }
@@ -70,13 +70,13 @@
 // preCampaign asks the voters whether they would grant their votes, without starting a term.
 func (r *Replica) preCampaign(now time.Time) {
 	r.role = rolePreCandidate
-	r.votes = map[identity.Identity]bool{}
+	r.preVotes = map[identity.Identity]bool{}
 	for _, i := range r.members.current().Voters {
 		if i != r.Self {
 			r.send(message.Message{Kind: message.PreVote, To: i, Term: r.ballot.Term + 1, Index: r.log.last(), LogTerm: r.log.lastTerm()})
 		}
 	}
-	if r.recordVote(r.Self) {
+	if r.recordVote(r.preVotes, r.Self) {
 		r.campaign(now, false)
 	}
 }
@@ -96,20 +96,27 @@
 	}
 }
 
-// recordVote records a vote and reports whether a majority has granted theirs.
-func (r *Replica) recordVote(from identity.Identity) bool {
+// recordVote adds a voter to votes and reports whether a majority has granted theirs.
+func (r *Replica) recordVote(votes map[identity.Identity]bool, from identity.Identity) bool {
 	if r.members.current().HasVoter(from) {
-		r.votes[from] = true
+		votes[from] = true
 	}
-	return len(r.votes) >= r.members.current().Majority()
+	return len(votes) >= r.members.current().Majority()
 }
 
+// countVote counts a vote for this member in the current term, which may come while it already asks for the next term.
 func (r *Replica) countVote(now time.Time, from identity.Identity) {
-	if r.role == roleCandidate && r.recordVote(from) {
+	campaigning := r.role == roleCandidate || r.role == rolePreCandidate && r.ballot.Vote == r.Self
+	if campaigning && r.recordVote(r.votes, from) {
 		r.becomeLeader(now)
 	}
 }
 
+// ballotDurable reports whether the term and vote of this member are durable, so that it may answer for them.
+func (r *Replica) ballotDurable() bool {
+	return r.durableBallot == r.ballot
+}
+
 func (r *Replica) onTimeoutNow(now time.Time, m message.Message) {
 	if m.Term == r.ballot.Term && r.role == roleFollower && r.members.current().HasVoter(r.Self) && !r.installing() {
 		r.campaign(now, true)
--- a/internal/state/replica/node_test.go
+++ b/internal/state/replica/node_test.go
@@ -67,6 +67,7 @@
 	}
 	n.members = r.Members
 	n.pending = nil
+	n.writing = false
 	n.proposed = map[uint64]uint64{}
 	n.up = true
 	n.replica = replica.NewReplica(n.self, n.sim.random.Uint64(), r, n.clock())
@@ -134,7 +135,11 @@
 	n.writing = true
 	all := n.pending
 	n.pending = nil
+	r := n.replica
 	n.sim.schedule(n.syncTime, func() error {
+		if !n.up || n.replica != r {
+			return nil
+		}
 		n.writing = false
 		defer n.scheduleWrite()
 		return n.writeAll(all)
--- a/internal/state/replica/random_test.go
+++ b/internal/state/replica/random_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strconv"
 	"testing"
+	"time"
 )
 
 const (
@@ -14,6 +15,8 @@
 	seedCountEnv  = "SISKINRUN_SEEDS"
 	firstSeedEnv  = "SISKINRUN_FIRST_SEED"
 	maxFaultSeeds = 4000
+	slowDiskRuns  = 500
+	maxSyncTime   = 1500 * time.Millisecond
 )
 
 func envNumber(t *testing.T, name string, fallback uint64) uint64 {
@@ -45,6 +48,23 @@
 	}
 }
 
+// TestRandomRunsOnSlowDisks simulates runs in which syncs take up to maxSyncTime until all faults end.
+func TestRandomRunsOnSlowDisks(t *testing.T) {
+	t.Parallel()
+	first := envNumber(t, firstSeedEnv, 1)
+	n := envNumber(t, seedCountEnv, slowDiskRuns)
+	for s := first; s < first+n; s++ {
+		w := newSimulation(s, "")
+		w.slowDisks = true
+		for _, h := range w.nodes {
+			h.syncTime = w.randomSyncTime()
+		}
+		if err := w.run(); err != nil {
+			t.Fatalf("seed %d: %v", s, err)
+		}
+	}
+}
+
 // TestFaultsAreCaught checks that the random runs detect faults injected into the algorithm and the disk.
 func TestFaultsAreCaught(t *testing.T) {
 	t.Parallel()
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -67,8 +67,8 @@
 	leader            identity.Identity
 	lastLeaderContact time.Time
 	electionDeadline  time.Time
+	preVotes          map[identity.Identity]bool
 	votes             map[identity.Identity]bool
-	forced            bool
 	incoming          *incomingSnapshot
 	electionsDeferred bool
 	leaderState
@@ -113,6 +113,7 @@
 		commitIndex:       r.Base,
 		lastLeaderContact: now,
 		maxEntries:        maxBatchEntries,
+		votes:             map[identity.Identity]bool{},
 		snapshot:          position{r.Base, r.BaseTerm, r.Members},
 	}
 	p.members = newMemberHistory(p.snapshot, r.Entries)
@@ -153,7 +154,7 @@
 		r.tickLeader(now)
 		return
 	}
-	if now.Before(r.electionDeadline) {
+	if now.Before(r.electionDeadline) || !r.ballotDurable() {
 		return
 	}
 	r.leader = identity.Identity{}
@@ -173,17 +174,26 @@
 
 // Persisted reports to the replica that all effects up to writeID are durable.
 func (r *Replica) Persisted(now time.Time, writeID uint64) {
+	wasDurable := r.ballotDurable()
 	for len(r.pendingWrites) > 0 && r.pendingWrites[0].id <= writeID {
 		r.durableBallot = r.pendingWrites[0].ballot
 		r.durableIndex = max(r.durableIndex, r.pendingWrites[0].last)
 		r.pendingWrites = r.pendingWrites[1:]
 	}
-	if r.role == roleCandidate && r.durableBallot == r.ballot {
-		r.countVote(now, r.Self)
+	if !wasDurable && r.ballotDurable() {
+		r.onBallotDurable(now)
 	}
 	r.advanceCommit()
 }
 
+// onBallotDurable starts the wait for votes, because requests and grants leave only once their term is durable.
+func (r *Replica) onBallotDurable(now time.Time) {
+	r.resetElectionTimer(now)
+	if r.ballot.Vote == r.Self {
+		r.countVote(now, r.Self)
+	}
+}
+
 // dropPendingAfter forgets the entries after index that are durable, being written or about to be written.
 func (r *Replica) dropPendingAfter(index uint64) {
 	r.durableIndex = min(r.durableIndex, index)
@@ -223,7 +233,7 @@
 		r.resetElectionTimer(now)
 	}
 	r.role = roleFollower
-	r.forced = false
+	r.votes = map[identity.Identity]bool{}
 	if !leader.IsZero() {
 		r.leader = leader
 	}
--- a/internal/state/replica/simulation_test.go
+++ b/internal/state/replica/simulation_test.go
@@ -16,6 +16,8 @@
 	nodes      = 3
 	faultySpan = 12 * time.Second
 	healedSpan = 8 * time.Second
+	// healedSyncTime bounds the syncs of slow disks once faults end.
+	healedSyncTime = 5 * time.Millisecond
 )
 
 // simulation is a seeded run of three hosts in virtual time.
@@ -33,6 +35,7 @@
 	extraLatency   [nodes][nodes]time.Duration
 	batch          int
 	faultsOff      bool
+	slowDisks      bool
 	lostMember     *identity.Identity
 	disks          int
 	healedIndex    uint64
@@ -86,6 +89,14 @@
 	return &node{sim: w, self: id, disk: d, clockRate: 0.98 + 0.04*w.random.Float64()}
 }
 
+// randomSyncTime returns how long each sync of a new disk takes.
+func (w *simulation) randomSyncTime() time.Duration {
+	if !w.slowDisks || w.faultsOff {
+		return 0
+	}
+	return 1 + time.Duration(w.random.Int64N(int64(maxSyncTime)))
+}
+
 func (w *simulation) run() error {
 	for _, n := range w.nodes {
 		if err := n.start(); err != nil {
--- a/internal/state/replica/step.go
+++ b/internal/state/replica/step.go
@@ -59,7 +59,7 @@
 		r.commitTo(m.Commit)
 	}
 	a := message.Message{Kind: message.HeartbeatReply, To: m.From, Round: m.Round}
-	if r.durableBallot != r.ballot {
+	if !r.ballotDurable() {
 		r.sendAfterSync(a)
 		return
 	}
