Wait a minute for progress in tests of control hosts

Cause: the tests waited 8 s for a leader, a formation or a commit. Each takes up to five syncs one after the other, and a sync of a disk that others use as well takes up to 2.5 s, so that they failed for the machine's sake. 8 s is no stated bound: how long elections may take for a given sync is checked in virtual time by TestLeaderIsElectedOnSlowDisks. TestLeaderWithoutQuorumReportsUnknownOrNotRun waited until the other hosts had ended, which may outlast the leader's own lease; it now proposes once they have been told to end.

Change: progressWait of a minute; host.cancel beside host.stop.

--- a/internal/state/control/control_test.go
+++ b/internal/state/control/control_test.go
@@ -207,7 +207,7 @@
 	l := f.leader(0)
 	for _, n := range f.names {
 		if n != l.name {
-			f.hosts[n].stop()
+			f.hosts[n].cancel()
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/state/control/fleet_test.go
+++ b/internal/state/control/fleet_test.go
@@ -65,7 +65,9 @@
 	client   *proposal.Client
 	counters []*counter
 	metrics  metrics.Registry
-	stop     func()
+	// cancel tells the host to end and returns at once; stop waits until it has ended.
+	cancel func()
+	stop   func()
 }
 
 type fleet struct {
@@ -151,6 +153,7 @@
 	g.Go("timer", m.Run)
 	g.Go("link", l.Run)
 	g.Go("control", h.control.Run)
+	h.cancel = cancel
 	h.stop = sync.OnceFunc(func() {
 		cancel()
 		if err := g.Wait(); err != nil && ctx.Err() == nil {
@@ -168,8 +171,11 @@
 	<-ctx.Done()
 }
 
+// progressWait is how long a test waits for progress, which takes several syncs of a disk that others use as well.
+const progressWait = time.Minute
+
 func testContext(t testing.TB) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), progressWait)
 	t.Cleanup(cancel)
 	return ctx
 }
