--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"siskinrun/internal/data/gossipmessage"
-	"siskinrun/internal/fleet/rumour"
+	"siskinrun/internal/fleet/gossipwire"
 )
 
 // exchange starts the anti-entropy exchanges of this period.
@@ -147,7 +147,7 @@
 
 // confirmedAlive asks other hosts to probe a peer and reports whether it answered any of them.
 func (s *Service) confirmedAlive(ctx context.Context, peer string, others []string) bool {
-	b, err := proto.Marshal(&rumour.Probe{Host: peer})
+	b, err := proto.Marshal(&gossipwire.Probe{Host: peer})
 	if err != nil {
 		return false
 	}
--- a/internal/fleet/gossip/handle.go
+++ b/internal/fleet/gossip/handle.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"siskinrun/internal/fleet/rumour"
+	"siskinrun/internal/fleet/gossipwire"
 	"siskinrun/pkg/refusal"
 )
 
@@ -45,7 +45,7 @@
 
 // handleProbe exchanges with a host on behalf of another one.
 func (s *Service) handleProbe(ctx context.Context, _ string, body []byte) ([]byte, error) {
-	p := &rumour.Probe{}
+	p := &gossipwire.Probe{}
 	if err := proto.Unmarshal(body, p); err != nil {
 		return nil, refusal.NewNotRun(400, "malformed-news", err.Error())
 	}
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -9,11 +9,11 @@
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
-	"siskinrun/internal/fleet/rumour"
+	"siskinrun/internal/fleet/gossipwire"
 )
 
 func encode(n gossipmessage.Message) ([]byte, error) {
-	m := &rumour.News{From: n.From, Fingerprint: n.Fingerprint, Sequences: n.Sequences, Mismatch: n.Mismatch}
+	m := &gossipwire.News{From: n.From, Fingerprint: n.Fingerprint, Sequences: n.Sequences, Mismatch: n.Mismatch}
 	for _, h := range n.Hosts {
 		m.Hosts = append(m.Hosts, encodeHost(h))
 	}
@@ -21,7 +21,7 @@
 		m.Announcements = append(m.Announcements, encodeAnnouncement(a))
 	}
 	for _, r := range n.Reports {
-		m.Reports = append(m.Reports, &rumour.Report{
+		m.Reports = append(m.Reports, &gossipwire.Report{
 			Origin:         encodeOrigin(r.Origin),
 			AgeNanoseconds: int64(r.Age),
 			Upstream:       r.Report.Upstream,
@@ -32,7 +32,7 @@
 		})
 	}
 	for _, c := range n.Counts {
-		m.Counts = append(m.Counts, &rumour.Count{
+		m.Counts = append(m.Counts, &gossipwire.Count{
 			Origin:         encodeOrigin(c.Origin),
 			AgeNanoseconds: int64(c.Age),
 			Upstream:       c.Upstream,
@@ -48,7 +48,7 @@
 
 // decode decodes the news of a peer.
 func decode(b []byte) (gossipmessage.Message, error) {
-	m := &rumour.News{}
+	m := &gossipwire.News{}
 	if err := proto.Unmarshal(b, m); err != nil {
 		return gossipmessage.Message{}, errors.Wrap(err, "decode news")
 	}
@@ -89,11 +89,11 @@
 	return n, nil
 }
 
-func encodeOccupancy(o gossipmessage.Occupancy) *rumour.Occupancy {
-	return &rumour.Occupancy{Upstream: o.Upstream, AgeNanoseconds: int64(o.Age), Online: int64(o.Online), Batch: int64(o.Batch)}
+func encodeOccupancy(o gossipmessage.Occupancy) *gossipwire.Occupancy {
+	return &gossipwire.Occupancy{Upstream: o.Upstream, AgeNanoseconds: int64(o.Age), Online: int64(o.Online), Batch: int64(o.Batch)}
 }
 
-func decodeOccupancy(o *rumour.Occupancy) gossipmessage.Occupancy {
+func decodeOccupancy(o *gossipwire.Occupancy) gossipmessage.Occupancy {
 	return gossipmessage.Occupancy{
 		Upstream: o.Upstream,
 		Age:      time.Duration(o.AgeNanoseconds),
@@ -102,16 +102,16 @@
 	}
 }
 
-func encodeOrigin(o gossipmessage.Origin) *rumour.Origin {
-	return &rumour.Origin{Host: o.Host, Boot: o.Boot, Sequence: o.Sequence}
+func encodeOrigin(o gossipmessage.Origin) *gossipwire.Origin {
+	return &gossipwire.Origin{Host: o.Host, Boot: o.Boot, Sequence: o.Sequence}
 }
 
-func decodeOrigin(o *rumour.Origin) gossipmessage.Origin {
+func decodeOrigin(o *gossipwire.Origin) gossipmessage.Origin {
 	return gossipmessage.Origin{Host: o.GetHost(), Boot: o.GetBoot(), Sequence: o.GetSequence()}
 }
 
-func encodeHost(h gossipmessage.Host) *rumour.Host {
-	return &rumour.Host{
+func encodeHost(h gossipmessage.Host) *gossipwire.Host {
+	return &gossipwire.Host{
 		Name:          h.Name,
 		FailureDomain: h.FailureDomain,
 		Boot:          h.Boot,
@@ -126,9 +126,9 @@
 	}
 }
 
-func encodeAnnouncement(a gossipmessage.Announcement) *rumour.Announcement {
+func encodeAnnouncement(a gossipmessage.Announcement) *gossipwire.Announcement {
 	u := a.Upstream
-	return &rumour.Announcement{
+	return &gossipwire.Announcement{
 		Origin:         encodeOrigin(a.Origin),
 		AgeNanoseconds: int64(a.Age),
 		Name:           u.Name,
@@ -147,7 +147,7 @@
 	}
 }
 
-func decodeAnnouncement(a *rumour.Announcement) gossipmessage.Announcement {
+func decodeAnnouncement(a *gossipwire.Announcement) gossipmessage.Announcement {
 	return gossipmessage.Announcement{
 		Origin: decodeOrigin(a.Origin),
 		Age:    time.Duration(a.AgeNanoseconds),
@@ -169,7 +169,7 @@
 	}
 }
 
-func decodeReport(r *rumour.Report) gossipmessage.Report {
+func decodeReport(r *gossipwire.Report) gossipmessage.Report {
 	return gossipmessage.Report{
 		Origin: decodeOrigin(r.Origin),
 		Age:    time.Duration(r.AgeNanoseconds),
--- /dev/null
+++ b/internal/fleet/gossipwire/doc.go
@@ -0,0 +1,2 @@
+// Package gossipwire holds the gossip messages about hosts and upstreams.
+package gossipwire
--- a/internal/fleet/rumour/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package rumour holds the gossip messages about hosts and upstreams.
-package rumour
--- a/internal/limits/allowance/allowance.go
+++ b/internal/limits/allowance/allowance.go
@@ -4,9 +4,9 @@
 	"math"
 	"time"
 
-	"siskinrun/internal/limits/ask"
-	"siskinrun/internal/limits/award"
-	"siskinrun/internal/limits/holding"
+	"siskinrun/internal/limits/grantbalance"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 )
 
 const (
@@ -24,7 +24,7 @@
 	maxPrefetchShare = 0.75
 	// idleTimeout is how long a host keeps units for a team without requests.
 	idleTimeout = 3 * time.Second
-	// minRetryInterval is the shortest time between asks while the owner grants less than is needed.
+	// minRetryInterval is the shortest time between requests while the owner grants less than is needed.
 	minRetryInterval = 10 * time.Millisecond
 )
 
@@ -36,7 +36,7 @@
 	Host string
 	// Boot identifies the run of this host.
 	Boot uint64
-	// Sequence is the sequence number of the last ask.
+	// Sequence is the sequence number of the last request.
 	Sequence uint64
 
 	term          uint64
@@ -61,13 +61,13 @@
 	number   uint64
 	left     int64
 	returned int64
-	// reportedIn is the sequence number of the ask that first reported the grant as spent, or zero.
+	// reportedIn is the sequence number of the request that first reported the grant as spent, or zero.
 	reportedIn uint64
 	expires    time.Time
 	sent       time.Time
 }
 
-// pending is the ask that awaits its award.
+// pending is the request that awaits its reply.
 type pending struct {
 	sequence uint64
 	want     int64
@@ -104,15 +104,15 @@
 	a.largestCost = max(a.largestCost, cost)
 }
 
-// Ask returns the next ask for the owner, if one is due.
-func (a *Allowance) Ask(now time.Time, need, least int64) (ask.Ask, bool) {
+// NextRequest returns the next request for the owner, if one is due.
+func (a *Allowance) NextRequest(now time.Time, need, least int64) (grantrequest.Request, bool) {
 	a.dropExpired(now)
 	if a.pending.sequence != 0 && !a.pending.lost {
-		return ask.Ask{}, false
+		return grantrequest.Request{}, false
 	}
 	a.updateDemand(now)
 	returned := a.returnSurplus(now, need)
-	q := ask.Ask{Team: a.Team, Host: a.Host, Boot: a.Boot, Term: a.term, Demand: int64(math.Ceil(a.demandRate))}
+	q := grantrequest.Request{Team: a.Team, Host: a.Host, Boot: a.Boot, Term: a.term, Demand: int64(math.Ceil(a.demandRate))}
 	if need > 0 && !now.Before(a.retryAt) {
 		q.Least = max(least-a.balance(), 0)
 		q.Need = max(need-a.balance(), 0)
@@ -122,17 +122,17 @@
 	}
 	q.Want = max(q.Want, q.Need)
 	if q.Want == 0 && !returned && !a.pending.lost && !a.reportDue() {
-		return ask.Ask{}, false
+		return grantrequest.Request{}, false
 	}
 	a.unreported = 0
 	q.Sequence = a.nextSequence(now, q.Want)
-	q.Holdings = a.holdings(q.Sequence)
+	q.Balances = a.balances(q.Sequence)
 	q.Earlier = a.earlierTerms(a.term)
 	return q, true
 }
 
-// Award adds the grant that answers the pending ask; awards for other asks or of earlier terms are ignored.
-func (a *Allowance) Award(now time.Time, w award.Award) {
+// ApplyReply adds the grant that answers the pending request; replies for other requests or of earlier terms are ignored.
+func (a *Allowance) ApplyReply(now time.Time, w grantreply.Reply) {
 	p := a.pending
 	if w.Sequence != p.sequence || w.Term < a.term {
 		return
@@ -157,7 +157,7 @@
 	}
 }
 
-// Fence rejects awards of terms before the given one and returns the units that may still be spent of those terms.
+// Fence rejects replies of terms before the given one and returns the units that may still be spent of those terms.
 func (a *Allowance) Fence(now time.Time, term uint64) int64 {
 	a.dropExpired(now)
 	if term > a.term {
@@ -167,12 +167,12 @@
 	return a.earlierTerms(term)
 }
 
-// Drain makes the next ask return all units and stops prefetching.
+// Drain makes the next request return all units and stops prefetching.
 func (a *Allowance) Drain() {
 	a.draining = true
 }
 
-// MarkLost marks an ask as unanswered, so that it is resent, and reports whether it was still pending.
+// MarkLost marks a request as unanswered, so that it is resent, and reports whether it was still pending.
 func (a *Allowance) MarkLost(sequence uint64) bool {
 	if a.pending.sequence != sequence {
 		return false
@@ -197,18 +197,18 @@
 	return a.burst
 }
 
-// Idle reports whether the host holds no grant, has no pending ask and has had no recent request.
+// Idle reports whether the host holds no grant, has no pending request to the owner and has had no recent request of a caller.
 func (a *Allowance) Idle(now time.Time) bool {
 	a.dropExpired(now)
 	return len(a.grants) == 0 && a.pending.sequence == 0 && now.Sub(a.lastUsed) > 2*idleTimeout
 }
 
-// reportDue reports whether enough was spent since the last ask to tell the owner at once.
+// reportDue reports whether enough was spent since the last request to tell the owner at once.
 func (a *Allowance) reportDue() bool {
 	return a.unreported > 0 && a.unreported*reportDivisor >= a.burst
 }
 
-// nextSequence returns the sequence number of the ask to send. A lost ask is resent under its own number
+// nextSequence returns the sequence number of the request to send. A lost request is resent under its own number
 // while a grant that the owner may have made for it has enough time left to be spent.
 func (a *Allowance) nextSequence(now time.Time, want int64) uint64 {
 	p := &a.pending
@@ -269,8 +269,8 @@
 	return found
 }
 
-func (a *Allowance) holdings(sequence uint64) []holding.Holding {
-	var l []holding.Holding
+func (a *Allowance) balances(sequence uint64) []grantbalance.Balance {
+	var l []grantbalance.Balance
 	for i := range a.grants {
 		g := &a.grants[i]
 		if g.term != a.term {
@@ -279,7 +279,7 @@
 		if g.left == 0 && g.reportedIn == 0 {
 			g.reportedIn = sequence
 		}
-		l = append(l, holding.Holding{Grant: g.number, Left: g.left, Returned: g.returned})
+		l = append(l, grantbalance.Balance{Grant: g.number, Left: g.left, Returned: g.returned})
 	}
 	return l
 }
@@ -295,7 +295,7 @@
 	return n
 }
 
-// dropReported drops the grants that the answered ask, or an earlier one, reported as spent.
+// dropReported drops the grants that the answered request, or an earlier one, reported as spent.
 func (a *Allowance) dropReported(sequence uint64) {
 	k := a.grants[:0]
 	for _, g := range a.grants {
--- a/internal/limits/allowance/allowance_test.go
+++ b/internal/limits/allowance/allowance_test.go
@@ -7,15 +7,15 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/limits/allowance"
-	"siskinrun/internal/limits/award"
+	"siskinrun/internal/limits/grantreply"
 )
 
 var start = time.Unix(1000, 0)
 
-// refill sends an ask at one time and delivers its award at another.
+// refill sends a request at one time and delivers its reply at another.
 func refill(a *allowance.Allowance, sent, arrived time.Time, term uint64, units int64) {
-	a.Ask(sent, 1000, 1)
-	a.Award(arrived, award.Award{
+	a.NextRequest(sent, 1000, 1)
+	a.ApplyReply(arrived, grantreply.Reply{
 		Sequence: a.Sequence, Term: term, Grant: a.Sequence, Units: units, TTL: time.Second, Burst: 1000,
 	})
 }
@@ -40,7 +40,7 @@
 	is.Equal(a.Balance(start), int64(3))
 }
 
-func TestAwardsCountOnceAndNotAfterAFence(t *testing.T) {
+func TestRepliesCountOnceAndNotAfterAFence(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		fence uint64
@@ -48,18 +48,18 @@
 		times int
 		want  int64
 	}{
-		{"duplicate award", 0, 1, 2, 10},
-		{"award of an earlier term", 2, 1, 1, 0},
-		{"award for an ask before the fence", 2, 2, 1, 0},
+		{"duplicate reply", 0, 1, 2, 10},
+		{"reply of an earlier term", 2, 1, 1, 0},
+		{"reply for a request before the fence", 2, 2, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a := &allowance.Allowance{}
-			a.Ask(start, 10, 1)
+			a.NextRequest(start, 10, 1)
 			if c.fence > 0 {
 				a.Fence(start, c.fence)
 			}
 			for range c.times {
-				a.Award(start, award.Award{Sequence: a.Sequence, Term: c.term, Grant: 1, Units: 10, TTL: time.Second})
+				a.ApplyReply(start, grantreply.Reply{Sequence: a.Sequence, Term: c.term, Grant: 1, Units: 10, TTL: time.Second})
 			}
 			is.New(t).Equal(a.Balance(start), c.want)
 		})
@@ -73,29 +73,29 @@
 	is.Equal(a.Fence(start, 2), int64(7))
 	refill(a, start, start, 1, 10)
 	is.Equal(a.Balance(start), int64(7))
-	_, due := a.Ask(start, 10, 1)
+	_, due := a.NextRequest(start, 10, 1)
 	is.True(!due)
-	a.Award(start, award.Award{Sequence: a.Sequence, Term: 2, Grant: 1, Units: 5, TTL: time.Second})
+	a.ApplyReply(start, grantreply.Reply{Sequence: a.Sequence, Term: 2, Grant: 1, Units: 5, TTL: time.Second})
 	is.Equal(a.Balance(start), int64(12))
-	q, ok := a.Ask(start, 20, 1)
+	q, ok := a.NextRequest(start, 20, 1)
 	is.True(ok)
 	is.Equal(q.Earlier, int64(7))
-	is.Equal(len(q.Holdings), 1)
+	is.Equal(len(q.Balances), 1)
 }
 
 func TestLostAskIsResentWithItsSequence(t *testing.T) {
 	is := is.New(t)
 	a := &allowance.Allowance{}
-	first, ok := a.Ask(start, 10, 1)
+	first, ok := a.NextRequest(start, 10, 1)
 	is.True(ok)
-	_, ok = a.Ask(start, 10, 1)
+	_, ok = a.NextRequest(start, 10, 1)
 	is.True(!ok)
 	is.True(a.MarkLost(first.Sequence))
-	again, ok := a.Ask(start.Add(100*time.Millisecond), 10, 1)
+	again, ok := a.NextRequest(start.Add(100*time.Millisecond), 10, 1)
 	is.True(ok)
 	is.Equal(again.Sequence, first.Sequence)
 	a.MarkLost(first.Sequence)
-	later, ok := a.Ask(start.Add(time.Second), 10, 1)
+	later, ok := a.NextRequest(start.Add(time.Second), 10, 1)
 	is.True(ok)
 	is.True(later.Sequence > first.Sequence)
 }
@@ -106,12 +106,12 @@
 	a.RecordDemand(start, 1)
 	refill(a, start, start, 1, 100)
 	now := start.Add(100 * time.Millisecond)
-	q, ok := a.Ask(now, 0, 0)
+	q, ok := a.NextRequest(now, 0, 0)
 	is.True(ok)
-	is.Equal(len(q.Holdings), 1)
-	is.Equal(q.Holdings[0].Left+q.Holdings[0].Returned, int64(100))
-	is.True(q.Holdings[0].Returned > 80)
-	is.Equal(a.Balance(now), q.Holdings[0].Left)
+	is.Equal(len(q.Balances), 1)
+	is.Equal(q.Balances[0].Left+q.Balances[0].Returned, int64(100))
+	is.True(q.Balances[0].Returned > 80)
+	is.Equal(a.Balance(now), q.Balances[0].Left)
 }
 
 func TestUnitsArePrefetchedForExpectedDemand(t *testing.T) {
@@ -121,8 +121,8 @@
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
 		a.RecordDemand(now, 10)
-		if q, ok := a.Ask(now, 0, 0); ok {
-			a.Award(now, award.Award{Sequence: q.Sequence, Term: 1, Grant: q.Sequence, Units: q.Want, TTL: 2 * time.Second})
+		if q, ok := a.NextRequest(now, 0, 0); ok {
+			a.ApplyReply(now, grantreply.Reply{Sequence: q.Sequence, Term: 1, Grant: q.Sequence, Units: q.Want, TTL: 2 * time.Second})
 		}
 		a.Spend(now, 10)
 	}
--- a/internal/limits/ask/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package ask defines a host's request for rate units of a team; refill.Ask is its wire form.
-package ask
--- a/internal/limits/grant/fleet_test.go
+++ b/internal/limits/grant/fleet_test.go
@@ -54,18 +54,18 @@
 }
 
 type fakeHost struct {
-	name        string
-	names       []string
-	drift       int64
-	epoch       time.Time
-	timer       *timer.Service
-	limiter     *Limiter
-	lead        leadership1.Status
-	config      *configuration.Configuration
-	partition   int
-	dead        bool
-	pendingAsks int
-	waiting     []*waitingRequest
+	name            string
+	names           []string
+	drift           int64
+	epoch           time.Time
+	timer           *timer.Service
+	limiter         *Limiter
+	lead            leadership1.Status
+	config          *configuration.Configuration
+	partition       int
+	dead            bool
+	pendingRequests int
+	waiting         []*waitingRequest
 }
 
 type waitingRequest struct {
@@ -112,7 +112,7 @@
 	f.limit(rate, burst, 0)
 	f.elect(0)
 	for _, h := range f.hosts {
-		f.after(time.Duration(f.random.Int64N(int64(askInterval))), func() { f.tick(h) })
+		f.after(time.Duration(f.random.Int64N(int64(requestInterval))), func() { f.tick(h) })
 	}
 	return f
 }
@@ -256,8 +256,8 @@
 		f.poll(h)
 	})
 	f.poll(h)
-	if h.pendingAsks == 0 {
-		f.ask(h)
+	if h.pendingRequests == 0 {
+		f.requestUnits(h)
 	}
 }
 
@@ -290,27 +290,27 @@
 	if h.dead {
 		return
 	}
-	f.after(askInterval, func() { f.tick(h) })
+	f.after(requestInterval, func() { f.tick(h) })
 	f.sync(h)
 	h.limiter.refreshGroup(1)
-	if h.pendingAsks == 0 {
-		f.ask(h)
+	if h.pendingRequests == 0 {
+		f.requestUnits(h)
 	}
 }
 
-// ask sends the asks that are due to the leader in the host's partition.
-func (f *fleet) ask(h *fakeHost) {
+// requestUnits sends the requests that are due to the leader in the host's partition.
+func (f *fleet) requestUnits(h *fakeHost) {
 	f.sync(h)
-	q, l := h.limiter.collectAsks(1)
-	if len(q.Asks) == 0 {
+	q, l := h.limiter.collectRequests(1)
+	if len(q.Requests) == 0 {
 		return
 	}
-	h.pendingAsks++
+	h.pendingRequests++
 	finished := false
 	finish := func() {
 		if !finished {
 			finished = true
-			h.pendingAsks--
+			h.pendingRequests--
 			f.sync(h)
 			h.limiter.markLost(q, l)
 		}
@@ -328,7 +328,7 @@
 	}
 	f.sync(t)
 	b, _ := proto.Marshal(q)
-	b, err := t.limiter.handleAsks(context.Background(), h.name, b)
+	b, err := t.limiter.handleRequests(context.Background(), h.name, b)
 	if err != nil {
 		f.after(f.delay(), finish)
 		return
--- a/internal/limits/grant/limiter.go
+++ b/internal/limits/grant/limiter.go
@@ -20,20 +20,20 @@
 )
 
 const (
-	// TTL is how long a host may spend a grant, counted from the sending of the ask.
+	// TTL is how long a host may spend a grant, counted from the sending of the request.
 	TTL = 2 * time.Second
 
 	// ShortTTL is how long a host may spend a grant that takes it over its share of the burst (rate.HostShare).
 	ShortTTL = 250 * time.Millisecond
 
-	askInterval = 50 * time.Millisecond
-	callTimeout = 300 * time.Millisecond
-	maxWaiters  = 256
+	requestInterval = 50 * time.Millisecond
+	callTimeout     = 300 * time.Millisecond
+	maxWaiters      = 256
 	// overrunShare is the fraction of the allowed overrun that is added to the burst of a bucket.
 	overrunShare = 0.7
 	// idleGroupTicks is the number of ticks between checks of a group of which this host limits no team.
 	idleGroupTicks = 2
-	methodAsk      = "grant/ask"
+	methodRequest  = "grant/ask"
 	methodFence    = "grant/fence"
 )
 
@@ -65,7 +65,7 @@
 	Configuration configurationSource
 	// Log receives changes of ownership and violations of limits.
 	Log zerolog.Logger
-	// Metrics counts asks, lost asks and violations of limits.
+	// Metrics counts requests, lost requests and violations of limits.
 	Metrics metrics.Registry
 
 	once    sync.Once
@@ -76,7 +76,7 @@
 	byGroup []map[*teamLimiter]struct{}
 	// terms holds the highest known term of each group.
 	terms []uint64
-	// lastSequence is the highest sequence number of an ask of a forgotten team limiter.
+	// lastSequence is the highest sequence number of a request of a forgotten team limiter.
 	lastSequence uint64
 	ticks        int
 	owners       []*owner
@@ -110,10 +110,10 @@
 	return 1 + xxhash.Sum64String(team)%uint64(max(groups, 1))
 }
 
-// Register registers the handlers of asks and fences and must be called before the link runs.
+// Register registers the handlers of requests and fences and must be called before the link runs.
 func (g *Limiter) Register() {
 	g.init()
-	g.Link.Handle(methodAsk, g.handleAsks)
+	g.Link.Handle(methodRequest, g.handleRequests)
 	g.Link.Handle(methodFence, g.handleFence)
 }
 
@@ -121,7 +121,7 @@
 func (g *Limiter) Run(ctx context.Context) error {
 	g.init()
 	r := group.NewGroup(ctx)
-	stop := g.Timer.Every(askInterval, func(time.Time) { g.tick() })
+	stop := g.Timer.Every(requestInterval, func(time.Time) { g.tick() })
 	defer stop()
 	for i := range g.wakes {
 		r.Go("ask", func(ctx context.Context) error { return g.runGroup(ctx, i) })
@@ -165,7 +165,7 @@
 		for _, t := range g.groupTeams(uint64(i) + 1) {
 			t.drain()
 		}
-		g.sendAsks(ctx, uint64(i)+1)
+		g.sendRequests(ctx, uint64(i)+1)
 	}
 }
 
@@ -237,7 +237,7 @@
 	return len(g.byGroup[i]) > 0
 }
 
-// runGroup refreshes a group and sends the asks that are due to its owner each time it is woken.
+// runGroup refreshes a group and sends the requests that are due to its owner each time it is woken.
 func (g *Limiter) runGroup(ctx context.Context, i int) error {
 	for {
 		select {
@@ -246,7 +246,7 @@
 		case <-g.wakes[i]:
 		}
 		g.refreshGroup(uint64(i) + 1)
-		g.sendAsks(ctx, uint64(i)+1)
+		g.sendRequests(ctx, uint64(i)+1)
 	}
 }
 
--- a/internal/limits/grant/limiter_test.go
+++ b/internal/limits/grant/limiter_test.go
@@ -17,8 +17,8 @@
 	"siskinrun/internal/data/configuration"
 	"siskinrun/internal/data/team"
 	"siskinrun/internal/limits/allowance"
-	"siskinrun/internal/limits/ask"
-	"siskinrun/internal/limits/award"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 	"siskinrun/internal/limits/refill"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
@@ -194,14 +194,14 @@
 			}
 			o.open(now, 1)
 			o.configure(now, &configuration.Configuration{Teams: map[string]team.Team{"kea": {Rate: 1000, Burst: 1000}}}, &Limiter{Groups: 1})
-			q := ask.Ask{Team: "kea", Host: "h3", Sequence: 1, Need: 1}
+			q := grantrequest.Request{Team: "kea", Host: "h3", Sequence: 1, Need: 1}
 			if c.wait > 0 {
-				is.Equal(o.handleAsk(now.Add(c.wait), q).Units, int64(0))
+				is.Equal(o.handleRequest(now.Add(c.wait), q).Units, int64(0))
 			}
 			q.Sequence++
 			q.Need = 400
 			now = now.Add(c.wait + 402*time.Millisecond)
-			is.Equal(o.handleAsk(now, q).Units, c.units)
+			is.Equal(o.handleRequest(now, q).Units, c.units)
 		})
 	}
 }
@@ -209,25 +209,25 @@
 func TestHostsAuditTheirOwnAdmissions(t *testing.T) {
 	for _, c := range []struct {
 		name         string
-		first, later award.Award
+		first, later grantreply.Reply
 		ok           bool
 	}{
-		{"within limits", award.Award{Rate: 10, Burst: 20}, award.Award{Rate: 10, Burst: 20, Units: 20}, true},
-		{"over limits", award.Award{Rate: 10, Burst: 20}, award.Award{Rate: 10, Burst: 20, Units: 21}, false},
-		{"within raised limits", award.Award{Rate: 10, Burst: 20}, award.Award{Rate: 10, Burst: 90, Units: 90}, true},
-		{"over raised limits", award.Award{Rate: 10, Burst: 20}, award.Award{Rate: 10, Burst: 90, Units: 91}, false},
-		{"within limits before they were lowered", award.Award{Rate: 10, Burst: 90}, award.Award{Rate: 10, Burst: 20, Units: 90}, true},
+		{"within limits", grantreply.Reply{Rate: 10, Burst: 20}, grantreply.Reply{Rate: 10, Burst: 20, Units: 20}, true},
+		{"over limits", grantreply.Reply{Rate: 10, Burst: 20}, grantreply.Reply{Rate: 10, Burst: 20, Units: 21}, false},
+		{"within raised limits", grantreply.Reply{Rate: 10, Burst: 20}, grantreply.Reply{Rate: 10, Burst: 90, Units: 90}, true},
+		{"over raised limits", grantreply.Reply{Rate: 10, Burst: 20}, grantreply.Reply{Rate: 10, Burst: 90, Units: 91}, false},
+		{"within limits before they were lowered", grantreply.Reply{Rate: 10, Burst: 90}, grantreply.Reply{Rate: 10, Burst: 20, Units: 90}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
 			w := newTeamLimiter(allowance.Allowance{Team: "kea"}, 1)
-			for _, a := range []award.Award{c.first, c.later} {
+			for _, a := range []grantreply.Reply{c.first, c.later} {
 				w.waitingCost = 100
-				q, ok := w.ask(now)
+				q, ok := w.nextRequest(now)
 				is.True(ok)
 				a.Sequence, a.Grant, a.TTL = q.Sequence, q.Sequence, TTL
-				w.award(now, a)
+				w.applyReply(now, a)
 			}
 			for range c.later.Units {
 				is.True(w.spendAudited(now, 1))
@@ -244,9 +244,9 @@
 }
 
 func FuzzAnswer(f *testing.F) {
-	b, _ := proto.Marshal(&refill.Request{Group: 1, Host: "h0", Boot: 1, Asks: []*refill.Ask{
+	b, _ := proto.Marshal(&refill.Request{Group: 1, Host: "h0", Boot: 1, Requests: []*refill.GrantRequest{
 		{Team: "kea", Sequence: 1, Term: 1, Need: 5, Want: 9, Demand: 3},
-		{Team: "kea", Sequence: 2, Term: 1, Holdings: []*refill.Holding{{Grant: 1, Left: 2, Returned: 1}}},
+		{Team: "kea", Sequence: 2, Term: 1, Balances: []*refill.GrantBalance{{Grant: 1, Left: 2, Returned: 1}}},
 	}})
 	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -262,7 +262,7 @@
 		g.owners[0].open(m.Now(), 1)
 		m.Advance(time.Second)
 		for range 2 {
-			_, _ = g.handleAsks(context.Background(), "h0", b)
+			_, _ = g.handleRequests(context.Background(), "h0", b)
 			_, _ = g.handleFence(context.Background(), "h0", b)
 		}
 		if k := g.owners[0].buckets["kea"]; k != nil {
@@ -285,8 +285,8 @@
 		t := fmt.Sprint("team-", i)
 		names = append(names, t)
 		w := g.limiterFor(t)
-		w.allowance.Ask(n, 1, 1)
-		w.allowance.Award(n, newAward(w.allowance.Sequence))
+		w.allowance.NextRequest(n, 1, 1)
+		w.allowance.ApplyReply(n, newReply(w.allowance.Sequence))
 	}
 	for i := 0; b.Loop(); i++ {
 		if !g.Spend(names[i%teams], 1) {
@@ -295,20 +295,20 @@
 	}
 }
 
-// newAward returns an award that a benchmark cannot use up.
-func newAward(sequence uint64) award.Award {
-	return award.Award{Sequence: sequence, Term: 1, Grant: 1, Units: 1 << 40, TTL: time.Hour, Rate: 1e9, Burst: 4e9}
+// newReply returns a reply that a benchmark cannot use up.
+func newReply(sequence uint64) grantreply.Reply {
+	return grantreply.Reply{Sequence: sequence, Term: 1, Grant: 1, Units: 1 << 40, TTL: time.Hour, Rate: 1e9, Burst: 4e9}
 }
 
-// TestRefusalBeforeTheFirstAwardNamesTheOwner guards against telling a caller that its team has spent its rate when the
+// TestRefusalBeforeTheFirstReplyNamesTheOwner guards against telling a caller that its team has spent its rate when the
 // owner of the rate has not answered this host yet.
-func TestRefusalBeforeTheFirstAwardNamesTheOwner(t *testing.T) {
+func TestRefusalBeforeTheFirstReplyNamesTheOwner(t *testing.T) {
 	is := is.New(t)
 	l := newTeamLimiter(allowance.Allowance{Team: "t", Host: "h", Boot: 1}, 1)
 	now := time.Unix(1_800_000_000, 0)
 	is.Equal(refusal.Of(l.refusal(now)).Code, "rate-owner-unreachable")
-	w := newAward(1)
+	w := newReply(1)
 	w.Burst = 5
-	l.award(now, w)
+	l.applyReply(now, w)
 	is.Equal(refusal.Of(l.refusal(now)).Code, "rate-exceeded")
 }
--- a/internal/limits/grant/limits_test.go
+++ b/internal/limits/grant/limits_test.go
@@ -8,7 +8,7 @@
 
 	"siskinrun/internal/data/configuration"
 	"siskinrun/internal/data/team"
-	"siskinrun/internal/limits/ask"
+	"siskinrun/internal/limits/grantrequest"
 	"siskinrun/internal/limits/refill"
 )
 
@@ -38,10 +38,10 @@
 	o.open(now, 1)
 	c := &configuration.Configuration{Teams: map[string]team.Team{"kea": {Rate: 1000, Burst: 800}}}
 	o.configure(now, c, &Limiter{Groups: 1})
-	q := ask.Ask{Team: "kea", Host: "h1", Sequence: 1, Need: 800}
-	got := o.handleAsk(now.Add(time.Second), q).Units
+	q := grantrequest.Request{Team: "kea", Host: "h1", Sequence: 1, Need: 800}
+	got := o.handleRequest(now.Add(time.Second), q).Units
 	is.True(got > 0)
 	is.True(got <= 100) // hosts that are not known may still hold all but one eighth
 	q.Sequence++
-	is.True(o.handleAsk(now.Add(4*time.Second), q).Units > 100)
+	is.True(o.handleRequest(now.Add(4*time.Second), q).Units > 100)
 }
--- a/internal/limits/grant/owner.go
+++ b/internal/limits/grant/owner.go
@@ -11,8 +11,8 @@
 
 	leadership1 "siskinrun/internal/base/leadership"
 	"siskinrun/internal/data/configuration"
-	"siskinrun/internal/limits/ask"
-	"siskinrun/internal/limits/award"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 	"siskinrun/internal/limits/rate"
 	"siskinrun/internal/limits/refill"
 	"siskinrun/pkg/refusal"
@@ -76,14 +76,14 @@
 	}
 }
 
-// handleAsks answers the asks of a host to a group that this host leads.
-func (g *Limiter) handleAsks(_ context.Context, from string, body []byte) ([]byte, error) {
+// handleRequests answers the requests of a host to a group that this host leads.
+func (g *Limiter) handleRequests(_ context.Context, from string, body []byte) ([]byte, error) {
 	q := &refill.Request{}
 	if err := proto.Unmarshal(body, q); err != nil {
 		return nil, refusal.NewNotRun(400, "malformed-ask", err.Error())
 	}
 	if q.Group < 1 || q.Group > uint64(len(g.owners)) || q.Host != from {
-		return nil, refusal.NewNotRun(400, "malformed-ask", "the ask names an unknown group or another host")
+		return nil, refusal.NewNotRun(400, "malformed-ask", "the request names an unknown group or another host")
 	}
 	o := g.owners[q.Group-1]
 	if g.Hosts == nil && !slices.Contains(o.hosts, from) {
@@ -96,14 +96,14 @@
 		return nil, refusal.NewNotRun(503, "not-leader", l.Leader)
 	}
 	p := &refill.Reply{Term: o.term}
-	for _, a := range q.Asks {
-		p.Awards = append(p.Awards, encodeAward(o.handleAsk(now, decodeAsk(q, a))))
+	for _, a := range q.Requests {
+		p.Replies = append(p.Replies, encodeReply(o.handleRequest(now, decodeRequest(q, a))))
 	}
-	metrics.GetOrRegisterMeter("rate-asks", g.Metrics).Mark(int64(len(q.Asks)))
+	metrics.GetOrRegisterMeter("rate-asks", g.Metrics).Mark(int64(len(q.Requests)))
 	return proto.Marshal(p)
 }
 
-// refreshGroup applies changes of leadership and configuration between asks.
+// refreshGroup applies changes of leadership and configuration between requests.
 func (g *Limiter) refreshGroup(group uint64) {
 	o := g.owners[group-1]
 	o.mu.Lock()
@@ -163,7 +163,7 @@
 	}
 }
 
-// prune checks the buckets and removes hosts that no longer ask and buckets of teams that were deleted.
+// prune checks the buckets and removes hosts that no longer send requests and buckets of teams that were deleted.
 func (o *owner) prune(now time.Time) error {
 	o.lastPruned = now
 	for n, b := range o.buckets {
@@ -178,13 +178,13 @@
 	return nil
 }
 
-func (o *owner) handleAsk(now time.Time, a ask.Ask) award.Award {
+func (o *owner) handleRequest(now time.Time, a grantrequest.Request) grantreply.Reply {
 	if !o.opened {
-		return award.Award{Team: a.Team, Sequence: a.Sequence, Term: o.term, RetryAfter: askInterval, Settling: true}
+		return grantreply.Reply{Team: a.Team, Sequence: a.Sequence, Term: o.term, RetryAfter: requestInterval, Settling: true}
 	}
 	b := o.buckets[a.Team]
 	if b == nil {
-		return award.Award{Team: a.Team, Sequence: a.Sequence, Term: o.term}
+		return grantreply.Reply{Team: a.Team, Sequence: a.Sequence, Term: o.term}
 	}
 	return b.Handle(now, a)
 }
--- a/internal/limits/grant/takeover.go
+++ b/internal/limits/grant/takeover.go
@@ -63,7 +63,7 @@
 	return g.Hosts != nil && g.Timer.Now().Sub(g.started) < TTL
 }
 
-// handleFence rejects awards of earlier terms from now on and reports to the new owner of a group what this host
+// handleFence rejects replies of earlier terms from now on and reports to the new owner of a group what this host
 // may still spend of them.
 func (g *Limiter) handleFence(_ context.Context, _ string, body []byte) ([]byte, error) {
 	q := &refill.Fence{}
--- a/internal/limits/grant/team_limiter.go
+++ b/internal/limits/grant/team_limiter.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/limits/allowance"
-	"siskinrun/internal/limits/ask"
 	"siskinrun/internal/limits/audit"
-	"siskinrun/internal/limits/award"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 	"siskinrun/internal/limits/rate"
 	"siskinrun/pkg/refusal"
 )
@@ -24,8 +24,8 @@
 	waiters     []*waiter
 	waitingCost int64
 	unreachable bool
-	// awarded is set once the owner has answered, so that a refusal can tell that the rate is spent.
-	awarded   bool
+	// replied is set once the owner has answered, so that a refusal can tell that the rate is spent.
+	replied   bool
 	forgotten bool
 	auditor   audit.Auditor
 	rate      int64
@@ -131,45 +131,45 @@
 	t.admitWaiting(now)
 }
 
-// ask returns the next ask for the owner, if one is due.
-func (t *teamLimiter) ask(now time.Time) (ask.Ask, bool) {
+// nextRequest returns the next request for the owner, if one is due.
+func (t *teamLimiter) nextRequest(now time.Time) (grantrequest.Request, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var least int64
 	if len(t.waiters) > 0 {
 		least = t.waiters[0].cost
 	}
-	return t.allowance.Ask(now, t.waitingCost, least)
+	return t.allowance.NextRequest(now, t.waitingCost, least)
 }
 
-// award applies an award and admits the waiting requests that it covers.
-func (t *teamLimiter) award(now time.Time, a award.Award) {
+// applyReply applies a reply and admits the waiting requests that it covers.
+func (t *teamLimiter) applyReply(now time.Time, a grantreply.Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.unreachable = false
-	t.awarded = true
-	t.allowance.Award(now, a)
+	t.replied = true
+	t.allowance.ApplyReply(now, a)
 	if a.Burst > 0 {
 		t.setLimits(now, a.Rate, a.Burst)
 	}
 	t.admitWaiting(now)
 }
 
-// fence rejects awards of earlier terms and returns the units that may still be spent of those terms.
+// fence rejects replies of earlier terms and returns the units that may still be spent of those terms.
 func (t *teamLimiter) fence(now time.Time, term uint64) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.allowance.Fence(now, term)
 }
 
-// drain makes the next ask return all units.
+// drain makes the next request return all units.
 func (t *teamLimiter) drain() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.allowance.Drain()
 }
 
-// markLost records that the owner did not answer an ask, if it is still pending.
+// markLost records that the owner did not answer a request, if it is still pending.
 func (t *teamLimiter) markLost(sequence uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,7 +185,7 @@
 	return len(t.waiters) == 0 && t.allowance.Idle(now)
 }
 
-// forget marks an idle team limiter as forgotten. It returns the sequence number of its last ask and whether it
+// forget marks an idle team limiter as forgotten. It returns the sequence number of its last request and whether it
 // was idle.
 func (t *teamLimiter) forget(now time.Time) (uint64, bool) {
 	t.mu.Lock()
@@ -213,7 +213,7 @@
 
 func (t *teamLimiter) refusal(now time.Time) error {
 	d, settling := t.allowance.RetryAfter(now)
-	if t.unreachable || settling || !t.awarded {
+	if t.unreachable || settling || !t.replied {
 		return errUnreachable.WithRetryAfter(max(d, minUnreachableRetry)).WithJitter()
 	}
 	return errExceeded.WithRetryAfter(max(d, minExceededRetry))
--- a/internal/limits/grant/wire.go
+++ b/internal/limits/grant/wire.go
@@ -9,20 +9,20 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
-	"siskinrun/internal/limits/ask"
-	"siskinrun/internal/limits/award"
-	"siskinrun/internal/limits/holding"
+	"siskinrun/internal/limits/grantbalance"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 	"siskinrun/internal/limits/rate"
 	"siskinrun/internal/limits/refill"
 )
 
-// maxAsks is the largest number of asks in a message.
-const maxAsks = 4096
+// maxRequests is the largest number of requests in a message.
+const maxRequests = 4096
 
-// sendAsks sends the asks that are due to the owner of a group and applies its reply.
-func (g *Limiter) sendAsks(ctx context.Context, group uint64) {
-	q, l := g.collectAsks(group)
-	if len(q.Asks) == 0 {
+// sendRequests sends the requests that are due to the owner of a group and applies its reply.
+func (g *Limiter) sendRequests(ctx context.Context, group uint64) {
+	q, l := g.collectRequests(group)
+	if len(q.Requests) == 0 {
 		return
 	}
 	b, err := proto.Marshal(q)
@@ -32,13 +32,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	b, err = g.Client.CallLeader(ctx, group, methodAsk, b)
+	b, err = g.Client.CallLeader(ctx, group, methodRequest, b)
 	p := &refill.Reply{}
 	if err == nil {
 		err = proto.Unmarshal(b, p)
 	}
 	if err != nil {
-		metrics.GetOrRegisterMeter("rate-asks-lost", g.Metrics).Mark(int64(len(q.Asks)))
+		metrics.GetOrRegisterMeter("rate-asks-lost", g.Metrics).Mark(int64(len(q.Requests)))
 		g.markLost(q, l)
 		return
 	}
@@ -46,22 +46,22 @@
 	g.markLost(q, l)
 }
 
-// collectAsks collects the asks of a group that are due, reports violations of limits and forgets idle teams.
-func (g *Limiter) collectAsks(group uint64) (*refill.Request, []*teamLimiter) {
+// collectRequests collects the requests of a group that are due, reports violations of limits and forgets idle teams.
+func (g *Limiter) collectRequests(group uint64) (*refill.Request, []*teamLimiter) {
 	q := &refill.Request{Group: group, Host: g.Name, Boot: g.Boot}
 	var l []*teamLimiter
 	n := g.Timer.Now()
 	for _, t := range g.groupTeams(group) {
-		if len(q.Asks) == maxAsks {
+		if len(q.Requests) == maxRequests {
 			break
 		}
 		if err := t.takeViolation(); err != nil {
 			metrics.GetOrRegisterCounter("rate-bound-broken", g.Metrics).Inc(1)
 			g.Log.Error().Err(err).Str("team", t.team).Msg("team admitted more than rate and burst allow")
 		}
-		a, ok := t.ask(n)
+		a, ok := t.nextRequest(n)
 		if ok {
-			q.Asks = append(q.Asks, encodeAsk(a))
+			q.Requests = append(q.Requests, encodeRequest(a))
 			l = append(l, t)
 			continue
 		}
@@ -83,18 +83,18 @@
 	return l
 }
 
-// applyReply applies the awards of a reply unless a later term is known.
+// applyReply applies the replies of a reply unless a later term is known.
 func (g *Limiter) applyReply(group uint64, p *refill.Reply) {
 	n := g.Timer.Now()
 	if !g.advanceTerm(group, p.Term) {
 		return
 	}
-	for _, a := range p.Awards {
+	for _, a := range p.Replies {
 		g.mu.RLock()
 		t := g.teams[a.Team]
 		g.mu.RUnlock()
 		if t != nil {
-			t.award(n, decodeAward(p.Term, a))
+			t.applyReply(n, decodeReply(p.Term, a))
 		}
 	}
 }
@@ -108,15 +108,15 @@
 	return *t == term
 }
 
-// markLost marks the asks that are still pending as lost.
+// markLost marks the requests that are still pending as lost.
 func (g *Limiter) markLost(q *refill.Request, l []*teamLimiter) {
-	for i, a := range q.Asks {
+	for i, a := range q.Requests {
 		l[i].markLost(a.Sequence)
 	}
 }
 
-func encodeAsk(a ask.Ask) *refill.Ask {
-	m := &refill.Ask{
+func encodeRequest(a grantrequest.Request) *refill.GrantRequest {
+	m := &refill.GrantRequest{
 		Team:     a.Team,
 		Sequence: a.Sequence,
 		Term:     a.Term,
@@ -126,14 +126,14 @@
 		Demand:   a.Demand,
 		Earlier:  a.Earlier,
 	}
-	for _, h := range a.Holdings {
-		m.Holdings = append(m.Holdings, &refill.Holding{Grant: h.Grant, Left: h.Left, Returned: h.Returned})
+	for _, h := range a.Balances {
+		m.Balances = append(m.Balances, &refill.GrantBalance{Grant: h.Grant, Left: h.Left, Returned: h.Returned})
 	}
 	return m
 }
 
-func decodeAsk(q *refill.Request, m *refill.Ask) ask.Ask {
-	a := ask.Ask{
+func decodeRequest(q *refill.Request, m *refill.GrantRequest) grantrequest.Request {
+	a := grantrequest.Request{
 		Team:     m.Team,
 		Host:     q.Host,
 		Boot:     q.Boot,
@@ -145,14 +145,14 @@
 		Earlier:  max(m.Earlier, 0),
 		Demand:   min(max(m.Demand, 0), rate.MaxRate),
 	}
-	for _, h := range m.Holdings {
-		a.Holdings = append(a.Holdings, holding.Holding{Grant: h.Grant, Left: h.Left, Returned: h.Returned})
+	for _, h := range m.Balances {
+		a.Balances = append(a.Balances, grantbalance.Balance{Grant: h.Grant, Left: h.Left, Returned: h.Returned})
 	}
 	return a
 }
 
-func encodeAward(a award.Award) *refill.Award {
-	return &refill.Award{
+func encodeReply(a grantreply.Reply) *refill.GrantReply {
+	return &refill.GrantReply{
 		Team:                  a.Team,
 		Sequence:              a.Sequence,
 		Grant:                 a.Grant,
@@ -165,8 +165,8 @@
 	}
 }
 
-func decodeAward(term uint64, m *refill.Award) award.Award {
-	return award.Award{
+func decodeReply(term uint64, m *refill.GrantReply) grantreply.Reply {
+	return grantreply.Reply{
 		Team:       m.Team,
 		Sequence:   m.Sequence,
 		Term:       term,
--- a/internal/limits/holding/holding.go
+++ b/internal/limits/grantbalance/grantbalance.go
@@ -1,7 +1,7 @@
-package holding
+package grantbalance
 
-// Holding is the state of one grant as the host that holds it reports it to the owner.
-type Holding struct {
+// Balance is the state of one grant as the host that holds it reports it to the owner.
+type Balance struct {
 	// Grant is the grant's number.
 	Grant uint64
 	// Left is the number of units that the host can still spend.
--- a/internal/limits/award/award.go
+++ b/internal/limits/grantreply/grantreply.go
@@ -1,12 +1,12 @@
-package award
+package grantreply
 
 import "time"
 
-// Award is the answer of the owner of a team's bucket to one ask.
-type Award struct {
+// Reply is the answer of the owner of a team's bucket to one request.
+type Reply struct {
 	// Team is the name of the team.
 	Team string
-	// Sequence is the sequence number of the ask.
+	// Sequence is the sequence number of the request.
 	Sequence uint64
 	// Term is the term of the owner.
 	Term uint64
@@ -14,9 +14,9 @@
 	Grant uint64
 	// Units is the number of units granted, or zero if there is no grant.
 	Units int64
-	// TTL is how long the grant may be spent, counted from the sending of the ask.
+	// TTL is how long the grant may be spent, counted from the sending of the request.
 	TTL time.Duration
-	// RetryAfter is the time until the ask's smallest useful grant can be made, or zero if its need is met or
+	// RetryAfter is the time until the request's smallest useful grant can be made, or zero if its need is met or
 	// never can be.
 	RetryAfter time.Duration
 	// Settling reports that the owner is new and still has to account for grants of earlier terms.
--- /dev/null
+++ b/internal/limits/grantrequest/doc.go
@@ -0,0 +1,2 @@
+// Package grantrequest defines a host's request for rate units of a team; refill.GrantRequest is its wire form.
+package grantrequest
--- a/internal/limits/ask/ask.go
+++ b/internal/limits/grantrequest/grantrequest.go
@@ -1,18 +1,18 @@
-package ask
+package grantrequest
 
-import "siskinrun/internal/limits/holding"
+import "siskinrun/internal/limits/grantbalance"
 
-// Ask is a request of a host to the owner of a team's bucket. It also reports what became of earlier grants.
-type Ask struct {
+// Request is a request of a host to the owner of a team's bucket. It also reports what became of earlier grants.
+type Request struct {
 	// Team is the name of the team.
 	Team string
 	// Host is the name of the asking host.
 	Host string
 	// Boot identifies the run of the asking host; later runs have greater values.
 	Boot uint64
-	// Sequence increases with each new ask of a host's run for a team; a resent ask keeps it.
+	// Sequence increases with each new request of a host's run for a team; a resent request keeps it.
 	Sequence uint64
-	// Term is the owner's term in which Holdings were granted.
+	// Term is the owner's term in which Balances were granted.
 	Term uint64
 	// Least is the smallest useful grant, or zero if no request waits.
 	Least int64
@@ -24,6 +24,6 @@
 	Demand int64
 	// Earlier is the number of units that the host can still spend from grants of earlier terms.
 	Earlier int64
-	// Holdings are the states of the host's grants of Term.
-	Holdings []holding.Holding
+	// Balances are the states of the host's grants of Term.
+	Balances []grantbalance.Balance
 }
--- a/internal/limits/rate/bucket.go
+++ b/internal/limits/rate/bucket.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"siskinrun/internal/limits/ask"
-	"siskinrun/internal/limits/award"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 )
 
 const (
@@ -103,12 +103,12 @@
 	b.capAvailable()
 }
 
-// Handle applies the holdings that an ask reports and grants what it asks for, as far as the bucket allows.
-func (b *Bucket) Handle(now time.Time, a ask.Ask) award.Award {
+// Handle applies the balances that a request reports and grants what it asks for, as far as the bucket allows.
+func (b *Bucket) Handle(now time.Time, a grantrequest.Request) grantreply.Reply {
 	b.advance(now)
 	h := b.holder(a)
 	if h == nil {
-		return award.Award{Team: a.Team, Sequence: a.Sequence, Term: b.Term}
+		return grantreply.Reply{Team: a.Team, Sequence: a.Sequence, Term: b.Term}
 	}
 	b.reconcile(h, a)
 	if a.Sequence <= h.sequence {
@@ -118,7 +118,7 @@
 	h.lastAsk = now
 	b.demand += a.Demand - h.demand
 	h.demand = a.Demand
-	w := award.Award{
+	w := grantreply.Reply{
 		Team:     a.Team,
 		Sequence: a.Sequence,
 		Term:     b.Term,
@@ -134,11 +134,11 @@
 		w.RetryAfter = b.retryAfter(now, max(a.Least, 1))
 		w.Settling = b.accruedUntil.After(now)
 	}
-	h.lastAward = w
+	h.lastReply = w
 	return w
 }
 
-// Prune removes hosts that no longer ask and reports whether any units are still outstanding.
+// Prune removes hosts that no longer send requests and reports whether any units are still outstanding.
 func (b *Bucket) Prune(now time.Time) bool {
 	b.advance(now)
 	for n, h := range b.holders {
@@ -169,8 +169,8 @@
 	return nil
 }
 
-// allocate returns how many units the ask gets: its need first, then units to prefetch in proportion to demand.
-func (b *Bucket) allocate(h *holder, a ask.Ask) int64 {
+// allocate returns how many units the request gets: its need first, then units to prefetch in proportion to demand.
+func (b *Bucket) allocate(h *holder, a grantrequest.Request) int64 {
 	n := b.available / nanosPerUnit
 	if n < a.Least || n <= 0 {
 		return 0
--- a/internal/limits/rate/bucket_test.go
+++ b/internal/limits/rate/bucket_test.go
@@ -7,10 +7,10 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/limits/allowance"
-	"siskinrun/internal/limits/ask"
 	"siskinrun/internal/limits/audit"
-	"siskinrun/internal/limits/award"
-	"siskinrun/internal/limits/holding"
+	"siskinrun/internal/limits/grantbalance"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 	"siskinrun/internal/limits/rate"
 )
 
@@ -23,14 +23,14 @@
 	return b
 }
 
-func newAsk(host string, sequence uint64, units int64, l ...holding.Holding) ask.Ask {
-	return ask.Ask{Host: host, Boot: 1, Sequence: sequence, Term: 1, Need: units, Want: units, Holdings: l}
+func newRequest(host string, sequence uint64, units int64, l ...grantbalance.Balance) grantrequest.Request {
+	return grantrequest.Request{Host: host, Boot: 1, Sequence: sequence, Term: 1, Need: units, Want: units, Balances: l}
 }
 
-// newHost returns the allowance of a host that sent its first ask at the given time.
+// newHost returns the allowance of a host that sent its first request at the given time.
 func newHost(sent time.Time) *allowance.Allowance {
 	a := &allowance.Allowance{Host: "a", Boot: 1}
-	a.Ask(sent, 250, 250)
+	a.NextRequest(sent, 250, 250)
 	return a
 }
 
@@ -39,7 +39,7 @@
 func spendTogether(b *rate.Bucket, a *allowance.Allowance, at time.Time) error {
 	c := &audit.Auditor{}
 	c.SetLimits(start, 1000, 1000, 0)
-	w := b.Handle(at, newAsk("b", 1, 1000))
+	w := b.Handle(at, newRequest("b", 1, 1000))
 	if err := c.Admit(at, w.Units); err != nil {
 		return err
 	}
@@ -60,28 +60,28 @@
 	}{
 		{"ttl-from-arrival", func(wrong bool) error {
 			b, a := newBucket(1, start), newHost(full)
-			w := b.Handle(full, newAsk("a", 1, 250))
+			w := b.Handle(full, newRequest("a", 1, 250))
 			late := 500 * time.Millisecond
 			if wrong {
 				w.TTL += late
 			}
-			a.Award(full.Add(late), w)
+			a.ApplyReply(full.Add(late), w)
 			return spendTogether(b, a, full.Add(1300*time.Millisecond))
 		}},
 		{"return-twice", func(wrong bool) error {
 			b, a := newBucket(1, start), newHost(full)
-			a.Award(full, b.Handle(full, newAsk("a", 1, 250)))
-			h := holding.Holding{Grant: 1, Left: 250, Returned: 0}
+			a.ApplyReply(full, b.Handle(full, newRequest("a", 1, 250)))
+			h := grantbalance.Balance{Grant: 1, Left: 250, Returned: 0}
 			if wrong {
-				h = holding.Holding{Grant: 1, Left: 0, Returned: 250}
+				h = grantbalance.Balance{Grant: 1, Left: 0, Returned: 250}
 			}
-			b.Handle(full, newAsk("a", 2, 0, h))
-			b.Handle(full, newAsk("a", 2, 0, h))
+			b.Handle(full, newRequest("a", 2, 0, h))
+			b.Handle(full, newRequest("a", 2, 0, h))
 			return spendTogether(b, a, full)
 		}},
 		{"forget-outstanding", func(wrong bool) error {
 			a := newHost(full)
-			a.Award(full, newBucket(1, start).Handle(full, newAsk("a", 1, 250)))
+			a.ApplyReply(full, newBucket(1, start).Handle(full, newRequest("a", 1, 250)))
 			b := newBucket(2, start)
 			if !wrong {
 				b.AddOutstanding("a", 250, rate.ExpiredEverywhere(full, time.Second))
@@ -91,10 +91,10 @@
 		{"unfenced-old-owner", func(wrong bool) error {
 			a := newHost(full)
 			if wrong {
-				a.Award(full, newBucket(1, start).Handle(full, newAsk("a", 1, 250)))
+				a.ApplyReply(full, newBucket(1, start).Handle(full, newRequest("a", 1, 250)))
 			} else {
 				a.Fence(full, 2)
-				a.Award(full, newBucket(1, start).Handle(full, newAsk("a", 1, 250)))
+				a.ApplyReply(full, newBucket(1, start).Handle(full, newRequest("a", 1, 250)))
 			}
 			return spendTogether(newBucket(2, start), a, full)
 		}},
@@ -111,10 +111,10 @@
 	is := is.New(t)
 	b := newBucket(1, start)
 	now := start.Add(2 * time.Second)
-	first := b.Handle(now, newAsk("a", 1, 100))
+	first := b.Handle(now, newRequest("a", 1, 100))
 	is.Equal(first.Units, int64(100))
-	is.Equal(b.Handle(now, newAsk("a", 1, 100)), first)
-	is.Equal(b.Handle(now, newAsk("b", 1, 1000)).Units, int64(900))
+	is.Equal(b.Handle(now, newRequest("a", 1, 100)), first)
+	is.Equal(b.Handle(now, newRequest("b", 1, 1000)).Units, int64(900))
 	is.NoErr(b.Check())
 }
 
@@ -122,15 +122,15 @@
 	is := is.New(t)
 	b := newBucket(1, start)
 	now := start.Add(2 * time.Second)
-	g := b.Handle(now, newAsk("a", 1, 400)).Grant
-	later := newAsk("a", 3, 0, holding.Holding{Grant: g, Left: 100, Returned: 200})
+	g := b.Handle(now, newRequest("a", 1, 400)).Grant
+	later := newRequest("a", 3, 0, grantbalance.Balance{Grant: g, Left: 100, Returned: 200})
 	for range 3 {
 		b.Handle(now, later)
 	}
-	// An older ask that arrives late changes nothing.
-	b.Handle(now, newAsk("a", 2, 0, holding.Holding{Grant: g, Left: 300, Returned: 100}))
+	// An older request that arrives late changes nothing.
+	b.Handle(now, newRequest("a", 2, 0, grantbalance.Balance{Grant: g, Left: 300, Returned: 100}))
 	is.NoErr(b.Check())
-	is.Equal(b.Handle(now, newAsk("b", 1, 1000)).Units, int64(800))
+	is.Equal(b.Handle(now, newRequest("b", 1, 1000)).Units, int64(800))
 }
 
 func TestOutstandingUnitsOfEarlierTermsShrinkAsTheirHostSpendsThem(t *testing.T) {
@@ -138,13 +138,13 @@
 	b := newBucket(1, start)
 	now := start.Add(2 * time.Second)
 	b.AddOutstanding("a", 600, now.Add(time.Second))
-	is.Equal(b.Handle(now, newAsk("b", 1, 1000)).Units, int64(400))
-	q := newAsk("a", 1, 0)
+	is.Equal(b.Handle(now, newRequest("b", 1, 1000)).Units, int64(400))
+	q := newRequest("a", 1, 0)
 	q.Earlier = 100
 	b.Handle(now, q)
 	is.NoErr(b.Check())
 	now = now.Add(500 * time.Millisecond)
-	is.Equal(b.Handle(now, newAsk("c", 1, 1000)).Units, int64(499))
+	is.Equal(b.Handle(now, newRequest("c", 1, 1000)).Units, int64(499))
 	is.NoErr(b.Check())
 }
 
@@ -153,11 +153,11 @@
 	now := start.Add(2 * time.Second)
 	b := newBucket(1, start)
 	is.Equal(rate.HostShare(1000), int64(250))
-	is.Equal(b.Handle(now, newAsk("a", 1, 250)).TTL, b.TTL)
-	is.Equal(b.Handle(now, newAsk("a", 2, 1)).TTL, b.ShortTTL)
-	is.Equal(b.Handle(now, newAsk("b", 1, 251)).TTL, b.ShortTTL)
+	is.Equal(b.Handle(now, newRequest("a", 1, 250)).TTL, b.TTL)
+	is.Equal(b.Handle(now, newRequest("a", 2, 1)).TTL, b.ShortTTL)
+	is.Equal(b.Handle(now, newRequest("b", 1, 251)).TTL, b.ShortTTL)
 	b.AddOutstanding("c", 200, now.Add(time.Second))
-	is.Equal(b.Handle(now, ask.Ask{Host: "c", Sequence: 1, Need: 51}).TTL, b.ShortTTL)
+	is.Equal(b.Handle(now, grantrequest.Request{Host: "c", Sequence: 1, Need: 51}).TTL, b.ShortTTL)
 }
 
 // Guards against a grant that expires at the owner while the host may still spend it: the host's clock is
@@ -170,7 +170,7 @@
 	is.True(owner > host)
 	b := newBucket(1, start)
 	now := start.Add(2 * time.Second)
-	b.Handle(now, newAsk("a", 1, 250))
+	b.Handle(now, newRequest("a", 1, 250))
 	is.True(b.Prune(now.Add(ttl + ttl*2*rate.MaxDriftPPM/1_000_000)))
 	is.True(!b.Prune(rate.ExpiredEverywhere(now, ttl)))
 }
@@ -192,7 +192,7 @@
 			b := newBucket(1, start)
 			now := start.Add(2 * time.Second)
 			b.SetLimits(now, c.rate, c.burst)
-			w := b.Handle(now.Add(c.after), newAsk("a", 1, 100_000))
+			w := b.Handle(now.Add(c.after), newRequest("a", 1, 100_000))
 			is.Equal(w.Units, c.units)
 		})
 	}
@@ -202,9 +202,9 @@
 	is := is.New(t)
 	b := newBucket(1, start)
 	now := start.Add(2 * time.Second)
-	is.Equal(b.Handle(now, newAsk("a", 1, 1000)).Units, int64(1000))
+	is.Equal(b.Handle(now, newRequest("a", 1, 1000)).Units, int64(1000))
 	end := now.Add(time.Second)
-	q := newAsk("a", 2, 300, holding.Holding{Grant: 1})
+	q := newRequest("a", 2, 300, grantbalance.Balance{Grant: 1})
 	q.Least = 300
 	w := b.Handle(now, q)
 	is.Equal(w.Units, int64(0))
@@ -217,9 +217,9 @@
 func BenchmarkTake(b *testing.B) {
 	k := newBucket(1, start)
 	now := start
-	var w award.Award
+	var w grantreply.Reply
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(time.Millisecond)
-		w = k.Handle(now, newAsk("a", uint64(i+1), 1, holding.Holding{Grant: w.Grant}))
+		w = k.Handle(now, newRequest("a", uint64(i+1), 1, grantbalance.Balance{Grant: w.Grant}))
 	}
 }
--- a/internal/limits/rate/holder.go
+++ b/internal/limits/rate/holder.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"siskinrun/internal/limits/ask"
-	"siskinrun/internal/limits/award"
-	"siskinrun/internal/limits/holding"
+	"siskinrun/internal/limits/grantbalance"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 )
 
 // holder is the state of one run of a host that holds grants or has asked for them.
@@ -15,7 +15,7 @@
 	sequence  uint64
 	demand    int64
 	lastAsk   time.Time
-	lastAward award.Award
+	lastReply grantreply.Reply
 	grants    []*grant
 }
 
@@ -35,8 +35,8 @@
 	return n
 }
 
-// holder returns the state of the host's run that asks, or nil if a later run has asked already.
-func (b *Bucket) holder(a ask.Ask) *holder {
+// holder returns the state of the run of the requesting host, or nil if a later run has sent requests already.
+func (b *Bucket) holder(a grantrequest.Request) *holder {
 	h := b.holders[a.Host]
 	if h == nil {
 		h = &holder{boot: a.Boot}
@@ -49,30 +49,30 @@
 		// Grants of the earlier run stay outstanding until they expire.
 		h.boot = a.Boot
 		h.sequence = 0
-		h.lastAward = award.Award{}
+		h.lastReply = grantreply.Reply{}
 	}
 	return h
 }
 
-// reconcile applies the spent and returned units that an ask reports. Repeated reports change nothing.
-func (b *Bucket) reconcile(h *holder, a ask.Ask) {
+// reconcile applies the spent and returned units that a request reports. Repeated reports change nothing.
+func (b *Bucket) reconcile(h *holder, a grantrequest.Request) {
 	if a.Term != b.Term {
 		return
 	}
 	for _, g := range h.grants {
 		if g.number == inheritedGrant {
-			b.applyHolding(g, holding.Holding{Left: a.Earlier})
+			b.applyBalance(g, grantbalance.Balance{Left: a.Earlier})
 		}
 	}
-	for _, s := range a.Holdings {
+	for _, s := range a.Balances {
 		if g := h.find(s.Grant); g != nil && s.Grant != inheritedGrant {
-			b.applyHolding(g, s)
+			b.applyBalance(g, s)
 		}
 	}
 	h.grants = slices.DeleteFunc(h.grants, func(g *grant) bool { return g.left == 0 })
 }
 
-func (b *Bucket) applyHolding(g *grant, s holding.Holding) {
+func (b *Bucket) applyBalance(g *grant, s grantbalance.Balance) {
 	newlyReturned := s.Returned - g.returned
 	left := max(min(g.left, s.Left), 0)
 	if newlyReturned > g.left-left {
@@ -96,12 +96,12 @@
 	return nil
 }
 
-// replay answers an ask that was handled before: the last one with the same award, an older one without a grant.
-func (b *Bucket) replay(h *holder, a ask.Ask) award.Award {
-	if a.Sequence == h.lastAward.Sequence {
-		return h.lastAward
+// replay answers a request that was handled before: the last one with the same reply, an older one without a grant.
+func (b *Bucket) replay(h *holder, a grantrequest.Request) grantreply.Reply {
+	if a.Sequence == h.lastReply.Sequence {
+		return h.lastReply
 	}
-	return award.Award{Team: a.Team, Sequence: a.Sequence, Term: b.Term, Rate: b.rate, Burst: b.burst}
+	return grantreply.Reply{Team: a.Team, Sequence: a.Sequence, Term: b.Term, Rate: b.rate, Burst: b.burst}
 }
 
 func (b *Bucket) issue(now time.Time, h *holder, units int64, ttl time.Duration) uint64 {
--- a/internal/measure/costprobe/online.go
+++ b/internal/measure/costprobe/online.go
@@ -13,7 +13,7 @@
 	"siskinrun/internal/data/route"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/limits/allowance"
-	"siskinrun/internal/limits/award"
+	"siskinrun/internal/limits/grantreply"
 	"siskinrun/internal/limits/wfq"
 	"siskinrun/internal/measure/burnrate"
 	"siskinrun/internal/measure/decisionlog"
@@ -94,11 +94,11 @@
 		m := map[string]*allowance.Allowance{}
 		for _, t := range names {
 			a := &allowance.Allowance{Team: t, Host: "h", Boot: 1}
-			q, ok := a.Ask(p.now, 1, 1)
+			q, ok := a.NextRequest(p.now, 1, 1)
 			if !ok {
 				return errors.New("admission: the allowance requested no grant")
 			}
-			a.Award(p.now, award.Award{Sequence: q.Sequence, Term: 1, Grant: 1, Units: grantUnits, TTL: grantTTL, Rate: 1, Burst: grantUnits})
+			a.ApplyReply(p.now, grantreply.Reply{Sequence: q.Sequence, Term: 1, Grant: 1, Units: grantUnits, TTL: grantTTL, Rate: 1, Burst: grantUnits})
 			m[t] = a
 		}
 		stateBytes.Add(float64(n), heapBytes()-before)
--- a/internal/product/simulation/calls_test.go
+++ b/internal/product/simulation/calls_test.go
@@ -62,7 +62,7 @@
 	}
 	h.waiting = append(h.waiting, c)
 	h.after(waitLimit, h.refuseExpired)
-	h.ask(c.team)
+	h.request(c.team)
 }
 
 // authenticate returns the team of a key, or "" if the configuration is not fresh or does not hold the key.
--- a/internal/product/simulation/host_test.go
+++ b/internal/product/simulation/host_test.go
@@ -82,7 +82,7 @@
 	h.worker = newWorker(h)
 	w.hosts[i] = h
 	w.logEvent("fleet", "%s starts, run %d", h.name, h.boot)
-	h.every(askInterval, h.requestRates)
+	h.every(requestInterval, h.requestRates)
 	h.every(pushInterval, h.pushGossip)
 	h.every(pullInterval, h.pullGossip)
 	h.every(200*time.Millisecond, h.refreshConfiguration)
--- a/internal/product/simulation/rates_test.go
+++ b/internal/product/simulation/rates_test.go
@@ -6,16 +6,16 @@
 	"time"
 
 	"siskinrun/internal/limits/allowance"
-	"siskinrun/internal/limits/ask"
-	"siskinrun/internal/limits/award"
 	"siskinrun/internal/limits/grant"
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
 	"siskinrun/internal/limits/rate"
 )
 
 const (
-	askInterval = 40 * time.Millisecond
-	askTimeout  = 300 * time.Millisecond
-	auditGrace  = 5 * time.Second
+	requestInterval = 40 * time.Millisecond
+	askTimeout      = 300 * time.Millisecond
+	auditGrace      = 5 * time.Second
 	// waitLimit is how long a call waits for rate units before it is refused.
 	waitLimit = 150 * time.Millisecond
 )
@@ -90,7 +90,7 @@
 	h.after(askTimeout, o.open)
 }
 
-// fenceHost makes a host reject awards of earlier terms, and learns how many of their units it may still spend.
+// fenceHost makes a host reject replies of earlier terms, and learns how many of their units it may still spend.
 func (o *owner) fenceHost(t *host) {
 	w := o.host.w
 	if !t.canReach(o.host) || w.lost() || t.term > o.term || o.opened {
@@ -145,18 +145,18 @@
 	}
 }
 
-func (o *owner) handle(a ask.Ask) (award.Award, bool) {
+func (o *owner) handle(a grantrequest.Request) (grantreply.Reply, bool) {
 	n := o.host.now()
 	if !n.Before(o.until) && o.host.w.injected != keepLeadership {
-		return award.Award{}, false
+		return grantreply.Reply{}, false
 	}
 	if !o.opened {
-		return award.Award{Team: a.Team, Sequence: a.Sequence, Term: o.term, RetryAfter: askInterval, Settling: true}, true
+		return grantreply.Reply{Team: a.Team, Sequence: a.Sequence, Term: o.term, RetryAfter: requestInterval, Settling: true}, true
 	}
 	o.configureBuckets()
 	b := o.buckets[a.Team]
 	if b == nil {
-		return award.Award{Team: a.Team, Sequence: a.Sequence, Term: o.term}, true
+		return grantreply.Reply{Team: a.Team, Sequence: a.Sequence, Term: o.term}, true
 	}
 	return b.Handle(n, a), true
 }
@@ -183,11 +183,11 @@
 func (h *host) requestRates() {
 	h.refuseExpired()
 	for _, t := range teams {
-		h.ask(t)
+		h.request(t)
 	}
 }
 
-func (h *host) ask(team string) {
+func (h *host) request(team string) {
 	if h.asking[team] {
 		return
 	}
@@ -202,7 +202,7 @@
 		}
 	}
 	a := h.allowance(team)
-	q, ok := a.Ask(h.now(), need, least)
+	q, ok := a.NextRequest(h.now(), need, least)
 	if !ok {
 		return
 	}
@@ -221,8 +221,8 @@
 	}
 }
 
-// deliver sends an ask to the leader on this side of the partition, and the award back.
-func (h *host) deliver(a *allowance.Allowance, q ask.Ask) {
+// deliver sends a request to the leader on this side of the partition, and the reply back.
+func (h *host) deliver(a *allowance.Allowance, q grantrequest.Request) {
 	w := h.w
 	for _, t := range w.hosts {
 		if t.owner == nil || !h.canReach(t) || w.lost() {
@@ -233,7 +233,7 @@
 			continue
 		}
 		h.after(w.delay(), func() {
-			a.Award(h.now(), g)
+			a.ApplyReply(h.now(), g)
 			h.asking[q.Team] = false
 			h.admitWaiting()
 		})
