--- a/internal/state/replica/check_test.go
+++ b/internal/state/replica/check_test.go
@@ -1,19 +1,29 @@
 package replica_test
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/state/effect"
+	"siskinrun/internal/state/replica"
 )
 
 // checker checks the invariants that span all hosts.
 type checker struct {
 	sim         *simulation
 	leaders     map[uint64]string
+	terms       map[uint64]leadership
 	stateHashes map[uint64]uint64
 	acked       uint64
 }
 
+// leadership is a time in which a host leads, which a restart or a step down ends.
+type leadership struct {
+	replica *replica.Replica
+	since   time.Time
+}
+
 // stateHash checks that every host has the same state after the entry at index.
 func (c *checker) stateHash(n *node, index uint64) error {
 	s, ok := c.stateHashes[index]
@@ -34,7 +44,7 @@
 	return nil
 }
 
-// node checks that a term has one leader and the lease has one holder.
+// node checks that a term has one leader, which leads it once, and that the lease has one holder.
 func (c *checker) node(n *node) error {
 	if !n.up || n.replica.Leader() != n.self {
 		return nil
@@ -45,8 +55,12 @@
 	}
 	if c.leaders[t] == "" {
 		c.leaders[t] = n.self.String()
+		c.terms[t] = leadership{n.replica, n.replica.LeaderSince()}
 		c.sim.maybeCrashNewLeader(n)
 	}
+	if c.terms[t] != (leadership{n.replica, n.replica.LeaderSince()}) {
+		return errors.Newf("%s leads term %d a second time", n.self, t)
+	}
 	return c.lease()
 }
 
--- a/internal/state/replica/simulation_test.go
+++ b/internal/state/replica/simulation_test.go
@@ -67,7 +67,7 @@
 func newSimulation(seed uint64, fault string) *simulation {
 	w := &simulation{random: rand.New(rand.NewPCG(seed, 1)), fault: fault, pendingReads: map[uint64]uint64{}}
 	w.batch = 1 + w.random.IntN(2)*w.random.IntN(100)
-	w.checker = &checker{sim: w, leaders: map[uint64]string{}, stateHashes: map[uint64]uint64{}}
+	w.checker = &checker{sim: w, leaders: map[uint64]string{}, terms: map[uint64]leadership{}, stateHashes: map[uint64]uint64{}}
 	for i := range nodes {
 		n := w.newNode(i)
 		w.nodes = append(w.nodes, n)
