Count late votes only while a campaign lasts

Cause: a review of the elections on slow disks found that a host counted votes of its term also where it campaigned no longer: after a restart, a step down, or another leader of the term, as long as its vote was its own. Repeated votes could make it lead a term twice, with a log that lacks entries of that term.

Change: the votes are kept from the start of a campaign to its end (another term, a leader, leading) and in memory only; without them no vote counts.

--- a/internal/state/replica/election.go
+++ b/internal/state/replica/election.go
@@ -104,10 +104,9 @@
 	return len(votes) >= r.members.current().Majority()
 }
 
-// countVote counts a vote for this member in the current term, which may come while it already asks for the next term.
+// countVote counts a vote of the current term while this member asks for votes, also while it already asks for the next term.
 func (r *Replica) countVote(now time.Time, from identity.Identity) {
-	campaigning := r.role == roleCandidate || r.role == rolePreCandidate && r.ballot.Vote == r.Self
-	if campaigning && r.recordVote(r.votes, from) {
+	if r.votes != nil && r.recordVote(r.votes, from) {
 		r.becomeLeader(now)
 	}
 }
--- a/internal/state/replica/leader.go
+++ b/internal/state/replica/leader.go
@@ -38,6 +38,7 @@
 func (r *Replica) becomeLeader(now time.Time) {
 	r.role = roleLeader
 	r.leader = r.Self
+	r.votes = nil
 	r.leaderState = leaderState{peers: map[identity.Identity]*peer{}, leaderSince: now, roundStarts: []time.Time{now}}
 	r.termStart = r.add(logentry.NoOp, nil)
 	r.startHeartbeatRound(now)
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -68,7 +68,7 @@
 	lastLeaderContact time.Time
 	electionDeadline  time.Time
 	preVotes          map[identity.Identity]bool
-	votes             map[identity.Identity]bool
+	votes             map[identity.Identity]bool // nil unless this member asks for votes of its term
 	incoming          *incomingSnapshot
 	electionsDeferred bool
 	leaderState
@@ -113,7 +113,6 @@
 		commitIndex:       r.Base,
 		lastLeaderContact: now,
 		maxEntries:        maxBatchEntries,
-		votes:             map[identity.Identity]bool{},
 		snapshot:          position{r.Base, r.BaseTerm, r.Members},
 	}
 	p.members = newMemberHistory(p.snapshot, r.Entries)
@@ -189,9 +188,7 @@
 // onBallotDurable starts the wait for votes, because requests and grants leave only once their term is durable.
 func (r *Replica) onBallotDurable(now time.Time) {
 	r.resetElectionTimer(now)
-	if r.ballot.Vote == r.Self {
-		r.countVote(now, r.Self)
-	}
+	r.countVote(now, r.Self)
 }
 
 // dropPendingAfter forgets the entries after index that are durable, being written or about to be written.
@@ -233,7 +230,7 @@
 		r.resetElectionTimer(now)
 	}
 	r.role = roleFollower
-	r.votes = map[identity.Identity]bool{}
+	r.votes = nil
 	if !leader.IsZero() {
 		r.leader = leader
 	}
