Count the runs before a stream broke

Cause: a stream that broke and found no place on its own upstream went on in a new delivery, which counted its failed runs from nought. With max_attempts 2 a request reached a third upstream: the first broke off, the second was lost before its answer, and the delivery still saw one run only.

Change: the delivery starts with the runs that the stream has had.

--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -117,10 +117,11 @@
 	if c.Record.Events > 0 && !c.Start.Known() {
 		return nil, err
 	}
-	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, s.runs()) {
+	n := s.runs()
+	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, n) {
 		return nil, err
 	}
-	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
+	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun, runs: n}
 	q.demand.Tried = []string{u.Name}
 	a, t, err := q.run(ctx)
 	if err != nil {
