Let workers of the soaks outlive their faults

Cause: TestVersionSoak and TestLimitSoak restart a worker with the context of the group of faults, which ends when the last fault does. The workers that had crashed in a soak so ended before its calm phase, in which the sends of deadly requests and the limits are judged.

Change: a stand-in worker serves until it crashes or its fleet ends, whatever started it. Both soaks log how many workers serve at the end of the calm phase and how many requests they began in it; TestLimitSoak asks for all of them to serve, TestVersionSoak for all but maxLateSends, which deadly requests may have ended. No check is dropped.

--- a/cmd/siskinrun/limit_soak_test.go
+++ b/cmd/siskinrun/limit_soak_test.go
@@ -79,7 +79,9 @@
 	g := group.NewGroup(traffic)
 	g.Go("traffic", s.send)
 	s.injectFaults(ctx)
+	calmFrom := s.timer.Now()
 	is.NoErr(s.timer.Sleep(ctx, calm))
+	serving, runs := atWork(s.workers, calmFrom)
 	stop()
 	_ = g.Wait()
 	over := 0
@@ -88,11 +90,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("seed %d: statuses %v, %d faults of hosts, %d spans over a limit, %d of %d refused requests ran",
-		seed, s.statuses, len(s.faults), over, s.untrue(), len(s.refused))
+	t.Logf("seed %d: statuses %v, %d faults of hosts, %d spans over a limit, %d of %d refused requests ran; %d workers serve, %d runs while calm",
+		seed, s.statuses, len(s.faults), over, s.untrue(), len(s.refused), serving, runs)
 	is.Equal(over, 0)
 	is.Equal(s.untrue(), 0)
 	is.True(s.statuses[http.StatusOK] > 0)
+	is.Equal(serving, limitSoakWorkers)
+	is.True(runs > 0)
 }
 
 // schedule gives a worker limits that begin, change and end.
--- a/cmd/siskinrun/plain_worker_test.go
+++ b/cmd/siskinrun/plain_worker_test.go
@@ -68,7 +68,7 @@
 	f.mu.Lock()
 	f.workers[slot] = w
 	f.mu.Unlock()
-	w.start(ctx)
+	w.start()
 	for n := 1; w.beat(ctx, n) != nil && f.timer.Sleep(ctx, pollInterval) == nil; {
 		n = 1
 	}
--- a/cmd/siskinrun/platform_soak_test.go
+++ b/cmd/siskinrun/platform_soak_test.go
@@ -90,19 +90,24 @@
 	g.Go("whole", whole.run)
 	s.injectFaults(ctx)
 	is.NoErr(s.timer.Sleep(ctx, calm))
-	before, wholeBefore := s.crashes.sent(), s.whole.sent()
+	before, wholeBefore, calmFrom := s.crashes.sent(), s.whole.sent(), s.timer.Now()
 	is.NoErr(s.timer.Sleep(ctx, calm))
+	serving, runs := atWork(s.workers, calmFrom)
 	late, wholeLate := s.crashes.sent()-before, s.whole.sent()-wholeBefore
 	stop()
 	_ = g.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.Logf("seed %d: %d streams opened, %d begun, %d taken up, %d went on, %d mixed; %d crashes, %d sends while calm; "+
-		"a deadly request was sent %d times, %d while calm, answers %v; refused streams %v",
-		seed, s.opened, s.begun, s.takenUp, s.wentOn, s.mixed, s.crashes.count(), late, s.whole.sent(), wholeLate, whole.statuses, s.refused)
+		"a deadly request was sent %d times, %d while calm, answers %v; refused streams %v; "+
+		"%d workers serve, %d runs while calm",
+		seed, s.opened, s.begun, s.takenUp, s.wentOn, s.mixed, s.crashes.count(), late, s.whole.sent(), wholeLate, whole.statuses, s.refused,
+		serving, runs)
 	is.True(s.mixed <= maxMixedStreams)
 	is.True(late <= maxLateSends)
 	is.Equal(wholeLate, 0)
+	is.True(serving >= soakWorkers-maxLateSends)
+	is.True(runs > 0)
 	is.True(s.takenUp < minTakeUps || 2*s.wentOn*s.opened >= s.begun*s.takenUp)
 }
 
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -89,15 +89,15 @@
 // run starts a worker and returns once the control host knows it.
 func (f *platformFleet) run(ctx context.Context, w *platformWorker) {
 	f.t.Helper()
-	w.start(ctx)
+	w.start()
 	f.await(ctx, "heartbeat", func() error { return w.beat(ctx, 1) })
 }
 
-// start makes the worker serve and send heartbeats until it crashes.
-func (w *platformWorker) start(ctx context.Context) {
+// start makes the worker serve and send heartbeats until it crashes or the fleet ends, also after the end of what started it.
+func (w *platformWorker) start() {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(w.fleet.t).NoErr(err)
-	ctx, stop := context.WithCancel(ctx)
+	ctx, stop := context.WithCancel(w.fleet.group.Context())
 	w.mu.Lock()
 	if !w.alive {
 		w.mu.Unlock()
@@ -169,7 +169,7 @@
 	w.born++
 	w.version = version
 	w.mu.Unlock()
-	w.start(ctx)
+	w.start()
 	_ = w.beat(ctx, 1)
 }
 
