Ask again at once on news that comes during a round of questions

An answer that was sent before the news could also make the host that told it the last one to be asked.

Change: news that comes during a round makes the next one follow at once where a lost path has no gateway, and a host that said within a second that it has links again is asked first.

Measured: TestNewsThatComesDuringARoundOfQuestionsIsAskedAboutNext fails before (no question for 50 ms) and passes now.

--- a/internal/routing/reachability/gateways.go
+++ b/internal/routing/reachability/gateways.go
@@ -14,6 +14,8 @@
 	// busy is the number of calls and tunnels that the host said it has in flight, and opened that of this host's tunnels since.
 	busy, opened int
 	avoidUntil   time.Time
+	// newsAt is when the host last said that it has links again.
+	newsAt time.Time
 }
 
 // Answered records what a host that was asked said. One that reaches any of the upstreams in question is taken to reach all
@@ -177,3 +179,8 @@
 	}
 	return g
 }
+
+// told reports whether a host said moments ago that it has links again. An answer that comes after may be older.
+func (g *gateway) told(now time.Time) bool {
+	return !g.newsAt.IsZero() && now.Sub(g.newsAt) < avoidTime
+}
--- /dev/null
+++ b/internal/routing/reachability/news_test.go
@@ -0,0 +1,56 @@
+package reachability_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/data/pathanswer"
+	"siskinrun/internal/routing/reachability"
+)
+
+// askInVain lets a table that has lost some paths ask until it asks as seldom as it may, and returns when it last did.
+func askInVain(x *reachability.Table, names ...string) time.Time {
+	for _, n := range names {
+		x.Failed(n, start)
+	}
+	at := start
+	for range 5 {
+		at = at.Add(time.Second)
+		x.Asked(x.Questions(at), at)
+	}
+	return at
+}
+
+// TestNewsThatComesDuringARoundOfQuestionsIsAskedAboutNext guards against a host that is told of links while it waits for
+// answers, and asks again only as late as if it had not been told.
+func TestNewsThatComesDuringARoundOfQuestionsIsAskedAboutNext(t *testing.T) {
+	is := is.New(t)
+	x := newTable()
+	at := askInVain(x, "u1").Add(time.Second)
+	l := x.Questions(at)
+	is.Equal(l, []string{"u1"})
+	x.Regained("a2", at.Add(10*time.Millisecond))
+	x.Answered("a2", pathanswer.Answer{Asked: l, Lost: l}, at.Add(20*time.Millisecond)) // sent before the news
+	x.Avoid("a3", at.Add(20*time.Millisecond))
+	x.Asked(l, at.Add(30*time.Millisecond))
+	soon := at.Add(50 * time.Millisecond)
+	is.Equal(x.Questions(soon), l)
+	is.Equal(x.Candidates(1, nil, nil, soon), []string{"a2"})
+	x.Asked(l, soon)
+	is.Equal(len(x.Questions(soon.Add(200*time.Millisecond))), 0) // old news makes no second round
+}
+
+// TestNewsIsNoMatterWhereAllLostPathsHaveGateways guards against rounds of questions one after the other while many hosts get
+// their links back, though the host that asks needs none of them.
+func TestNewsIsNoMatterWhereAllLostPathsHaveGateways(t *testing.T) {
+	is := is.New(t)
+	x := newTable()
+	x.Failed("u1", start)
+	l := x.Questions(start)
+	x.Regained("a3", start.Add(time.Millisecond))
+	x.Answered("a2", reaches(0), start.Add(2*time.Millisecond))
+	x.Asked(l, start.Add(3*time.Millisecond))
+	is.Equal(len(x.Questions(start.Add(50*time.Millisecond))), 0)
+}
--- a/internal/routing/reachability/questions.go
+++ b/internal/routing/reachability/questions.go
@@ -32,13 +32,14 @@
 	if !due {
 		return nil
 	}
+	t.news = false
 	l := append(slices.Collect(maps.Keys(t.lost)), doubted...)
 	slices.Sort(l)
 	return l
 }
 
 // Asked records that other hosts were asked about upstreams. While none is known that reaches any, they are asked again later and
-// later.
+// later, and at once if one has had links again meanwhile.
 func (t *Table) Asked(names []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -51,6 +52,10 @@
 			known = known || len(p.gateways) > 0
 		}
 	}
+	if t.news && t.forsaken() {
+		t.askedAt, t.askAt = time.Time{}, now
+		return
+	}
 	if known {
 		t.askAt, t.askDelay = now.Add(refreshDelay), minAskDelay
 		return
@@ -74,8 +79,23 @@
 func (t *Table) Regained(host string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gateway(host).avoidUntil = time.Time{}
+	g := t.gateway(host)
+	g.avoidUntil, g.newsAt = time.Time{}, now
 	t.askAt = now
+	t.news = true
+	if t.forsaken() {
+		t.askedAt = time.Time{}
+	}
+}
+
+// forsaken reports whether a path is lost to which no gateway is known.
+func (t *Table) forsaken() bool {
+	for _, p := range t.lost {
+		if len(p.gateways) == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Open reports whether it is an open question which other hosts reach an upstream that this one does not.
@@ -86,8 +106,8 @@
 	return p != nil && !p.asked
 }
 
-// Candidates returns up to n hosts to ask for paths, without those that were asked: known gateways, then half of the others
-// from the own failure domain. Hosts that were of no use lately come last.
+// Candidates returns up to n hosts to ask for paths, without those that were asked: known gateways and hosts that have links
+// again, then half of the others from the own failure domain. Hosts that were of no use lately come last.
 func (t *Table) Candidates(n int, referred, asked []string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -96,6 +116,8 @@
 	for h, d := range t.domains {
 		switch {
 		case slices.Contains(asked, h):
+		case t.gateway(h).told(now):
+			known = append(known, h)
 		case now.Before(t.gateway(h).avoidUntil):
 			avoided = append(avoided, h)
 		case serving[h] || slices.Contains(referred, h):
