Ask soon again while lost paths come back one by one

Cause, from the same traces: a host that has links again tells the others at its first connection, and is asked while the connections to its other upstreams are still under way.

Change: the delay of a refresh holds only where all lost paths have gateways. A round that finds more of them than the one before is followed by the next after the least spacing; one that finds no more, but leaves some, by later and later ones, as where none is known.

Measured: TestPathsThatComeBackOneByOneAreAskedAboutSoon fails before and passes now; tests of internal/routing/reachability and internal/wire/connector pass, the storm of questions and the cut-off fleets among them.

--- a/internal/routing/reachability/news_test.go
+++ b/internal/routing/reachability/news_test.go
@@ -54,3 +54,25 @@
 	x.Asked(l, start.Add(3*time.Millisecond))
 	is.Equal(len(x.Questions(start.Add(50*time.Millisecond))), 0)
 }
+
+// TestPathsThatComeBackOneByOneAreAskedAboutSoon guards against a host that is told of the first paths that are back, and asks
+// about those that follow only when it would refresh what it knows.
+func TestPathsThatComeBackOneByOneAreAskedAboutSoon(t *testing.T) {
+	is := is.New(t)
+	x := newTable()
+	at := askInVain(x, "u1", "u2", "u3").Add(time.Second)
+	l := x.Questions(at)
+	x.Answered("a2", pathanswer.Answer{Asked: l, Reached: l[:1], Lost: l[1:], Linked: true}, at)
+	x.Asked(l, at)
+	soon := at.Add(100 * time.Millisecond)
+	is.Equal(x.Questions(soon), l)
+	x.Answered("a2", pathanswer.Answer{Asked: l, Reached: l[:1], Lost: l[1:], Linked: true}, soon)
+	x.Asked(l, soon) // nothing has come back since
+	is.Equal(len(x.Questions(soon.Add(200*time.Millisecond))), 0)
+	next := soon.Add(300 * time.Millisecond)
+	is.Equal(x.Questions(next), l)
+	x.Answered("a2", pathanswer.Answer{Asked: l, Reached: l, Linked: true}, next)
+	x.Asked(l, next)
+	is.Equal(len(x.Questions(next.Add(900*time.Millisecond))), 0) // all have gateways
+	is.Equal(x.Questions(next.Add(time.Second)), l)
+}
--- a/internal/routing/reachability/path.go
+++ b/internal/routing/reachability/path.go
@@ -36,7 +36,7 @@
 	delete(t.lost, name)
 	delete(t.doubtful, name)
 	if len(t.lost) == 0 {
-		t.askDelay, t.searchedAt = minAskDelay, time.Time{}
+		t.askDelay, t.searchedAt, t.found = minAskDelay, time.Time{}, 0
 	}
 	t.updateTroubled()
 	clear(p.gateways)
--- a/internal/routing/reachability/questions.go
+++ b/internal/routing/reachability/questions.go
@@ -38,30 +38,45 @@
 	return l
 }
 
-// Asked records that other hosts were asked about upstreams. While none is known that reaches any, they are asked again later and
-// later, and at once if one has had links again meanwhile.
+// Asked records that other hosts were asked about upstreams. They are asked again at once if one has had links again meanwhile,
+// soon if they reach more of the lost ones than before, and else, where they do not reach all of them, later and later.
 func (t *Table) Asked(names []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.askedAt = now
-	known := false
-	for _, n := range names {
-		if p := t.lost[n]; p != nil {
-			p.expire(now)
-			p.asked = true
-			known = known || len(p.gateways) > 0
-		}
-	}
-	if t.news && t.forsaken() {
+	found, missing := t.noteAsked(names, now)
+	more := found > t.found
+	t.found = found
+	switch {
+	case missing > 0 && t.news:
 		t.askedAt, t.askAt = time.Time{}, now
-		return
-	}
-	if known {
+	case missing > 0 && more:
+		t.askAt, t.askDelay = now.Add(askSpacing), minAskDelay
+	case missing > 0 || found == 0:
+		t.askAt = now.Add(t.askDelay)
+		t.askDelay = min(2*t.askDelay, refreshDelay)
+	default:
 		t.askAt, t.askDelay = now.Add(refreshDelay), minAskDelay
-		return
 	}
-	t.askAt = now.Add(t.askDelay)
-	t.askDelay = min(2*t.askDelay, refreshDelay)
+}
+
+// noteAsked marks the lost paths to some upstreams as asked about, and returns to how many of them a gateway is known and to how
+// many none is.
+func (t *Table) noteAsked(names []string, now time.Time) (found, missing int) {
+	for _, n := range names {
+		p := t.lost[n]
+		if p == nil {
+			continue
+		}
+		p.expire(now)
+		p.asked = true
+		if len(p.gateways) > 0 {
+			found++
+		} else {
+			missing++
+		}
+	}
+	return found, missing
 }
 
 // Search reports whether many hosts may be asked now, which is so once in a while.
--- a/internal/routing/reachability/table.go
+++ b/internal/routing/reachability/table.go
@@ -62,6 +62,8 @@
 	// askedAt is when other hosts were last asked, askAt when they are asked again, and askDelay the time from then to the next.
 	askedAt, askAt time.Time
 	askDelay       time.Duration
+	// found is the number of lost paths to which gateways were known after the last round of questions.
+	found int
 	// news says that a host has had links again since the last round of questions began.
 	news bool
 	// searchedAt is when many hosts were last asked.
