Try lost paths at each check

Cause: a check tried the lost paths only if 300 ms had passed since the last try, and the timer that wakes it comes each 300 ms, a little early or late. Each check that came a little early left the paths for the next one.

Change: the timer itself says that a try is due.

Tests of internal/wire/connector pass.

--- a/internal/wire/connector/check.go
+++ b/internal/wire/connector/check.go
@@ -20,7 +20,10 @@
 
 // Run tries lost paths and asks other hosts about them until ctx ends.
 func (c *Connector) Run(ctx context.Context) error {
-	cancel := c.Timer.Every(checkInterval, func(time.Time) { c.wake.Set() })
+	cancel := c.Timer.Every(checkInterval, func(time.Time) {
+		c.due.Store(true)
+		c.wake.Set()
+	})
 	defer cancel()
 	for {
 		select {
@@ -43,8 +46,7 @@
 	c.mu.Unlock()
 	n := c.Timer.Now()
 	lost := c.Table.Lost()
-	if n.Sub(c.probedAt) >= checkInterval {
-		c.probedAt = n
+	if c.due.Swap(false) {
 		c.probe(lost, maxProbes)
 	}
 	doubted := c.Table.Doubted(n)
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -97,8 +98,8 @@
 	referred []string
 	// askers holds when each host last asked this one.
 	askers map[string]time.Time
-	// probedAt is when the lost paths were last tried.
-	probedAt time.Time
+	// due says that the lost paths are to be tried in the next check.
+	due atomic.Bool
 	// probing are the upstreams to which a connection is tried without a call.
 	probing map[string]bool
 }
