Ask at the time that is due instead of the next check

Cause: the next round of questions was due 0 or 100 ms after one that found a part of the lost paths, but only a check each 300 ms looked.

Change: the table says when the next round is due soon, and a timer wakes the check then.

--- a/internal/routing/reachability/questions.go
+++ b/internal/routing/reachability/questions.go
@@ -39,8 +39,9 @@
 }
 
 // Asked records that other hosts were asked about upstreams. They are asked again at once if one has had links again meanwhile,
-// soon if they reach more of the lost ones than before, and else, where they do not reach all of them, later and later.
-func (t *Table) Asked(names []string, now time.Time) {
+// soon if they reach more of the lost ones than before, and else, where they do not reach all of them, later and later. It returns
+// the time until then, if it is short.
+func (t *Table) Asked(names []string, now time.Time) (soon time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.askedAt = now
@@ -50,14 +51,17 @@
 	switch {
 	case missing > 0 && t.news:
 		t.askedAt, t.askAt = time.Time{}, now
+		return 0, true
 	case missing > 0 && more:
 		t.askAt, t.askDelay = now.Add(askSpacing), minAskDelay
+		return askSpacing, true
 	case missing > 0 || found == 0:
 		t.askAt = now.Add(t.askDelay)
 		t.askDelay = min(2*t.askDelay, refreshDelay)
 	default:
 		t.askAt, t.askDelay = now.Add(refreshDelay), minAskDelay
 	}
+	return 0, false
 }
 
 // noteAsked marks the lost paths to some upstreams as asked about, and returns to how many of them a gateway is known and to how
--- a/internal/wire/connector/ask.go
+++ b/internal/wire/connector/ask.go
@@ -83,7 +83,9 @@
 			break
 		}
 	}
-	c.Table.Asked(names, c.Timer.Now())
+	if d, ok := c.Table.Asked(names, c.Timer.Now()); ok {
+		c.Timer.After(d, func(time.Time) { c.wake.Set() })
+	}
 }
 
 // takeReferred returns the hosts that others have named as gateways since the last call.
--- a/internal/wire/connector/back_test.go
+++ b/internal/wire/connector/back_test.go
@@ -51,3 +51,31 @@
 		is.True(p.marked.Load() > marked)
 	}
 }
+
+// TestPathsThatComeBackOneByOneAreUsedSoon guards against a host that hears of the first paths of another one that are back, and
+// asks about the others at its next check only.
+func TestPathsThatComeBackOneByOneAreUsedSoon(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, 2)
+	for _, p := range f.peers {
+		p.setCut("refuse")
+	}
+	for _, p := range f.peers {
+		for _, u := range f.upstreams {
+			_, _, err := p.try(t, u)
+			is.True(err != nil)
+		}
+	}
+	is.NoErr(f.timer.Sleep(t.Context(), 3*time.Second)) // both ask seldom
+	p, g := f.peers["h0"], f.peers["h1"]
+	g.setCut("refuse", "u1")
+	for end := f.timer.Now().Add(time.Second); len(p.Table.Gateways("u0", f.timer.Now())) == 0 && f.timer.Now().Before(end); {
+		is.NoErr(f.timer.Sleep(t.Context(), time.Millisecond))
+	}
+	g.setCut("")
+	c, err := g.Dial(t.Context(), f.upstreams[1])
+	is.NoErr(err)
+	_ = c.Close()
+	is.NoErr(f.timer.Sleep(t.Context(), checkInterval/2))
+	is.Equal(p.Table.Gateways("u1", f.timer.Now()), []string{"h1"})
+}
