--- a/internal/routing/reachability/gateways.go
+++ b/internal/routing/reachability/gateways.go
@@ -14,6 +14,10 @@
 	// busy is the number of calls and tunnels that the host said it has in flight, and opened that of this host's tunnels since.
 	busy, opened int
 	avoidUntil   time.Time
+	// newsAt is when the host last said that it has links again.
+	newsAt time.Time
+	// candidateAt is when the host was last chosen to be asked.
+	candidateAt time.Time
 }
 
 // Answered records what a host that was asked said. One that reaches any of the upstreams in question is taken to reach all
@@ -48,12 +52,12 @@
 	}
 }
 
-// Alone reports whether this host has lost the path to an upstream and another one has connected to it since.
+// Alone reports whether this host has certainly lost the path to an upstream and another one has connected to it since.
 func (t *Table) Alone(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.lost[name]
-	return p != nil && p.proven
+	return p != nil && p.proven && p.certain
 }
 
 // Avoid records that a host is of no use as a gateway for now.
@@ -177,3 +181,8 @@
 	}
 	return g
 }
+
+// told reports whether a host said moments ago that it has links again. An answer that comes after may be older.
+func (g *gateway) told(now time.Time) bool {
+	return !g.newsAt.IsZero() && now.Sub(g.newsAt) < avoidTime
+}
--- a/internal/routing/reachability/questions.go
+++ b/internal/routing/reachability/questions.go
@@ -32,31 +32,55 @@
 	if !due {
 		return nil
 	}
+	t.news = false
 	l := append(slices.Collect(maps.Keys(t.lost)), doubted...)
 	slices.Sort(l)
 	return l
 }
 
-// Asked records that other hosts were asked about upstreams. While none is known that reaches any, they are asked again later and
-// later.
-func (t *Table) Asked(names []string, now time.Time) {
+// Asked records that other hosts were asked about upstreams. They are asked again at once if one has had links again meanwhile,
+// soon if they reach more of the lost ones than before, and else, where they do not reach all of them, later and later. It returns
+// the time until then, if it is short.
+func (t *Table) Asked(names []string, now time.Time) (soon time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.askedAt = now
-	known := false
+	found, missing := t.noteAsked(names, now)
+	more := found > t.found
+	t.found = found
+	switch {
+	case missing > 0 && t.news:
+		t.askedAt, t.askAt = time.Time{}, now
+		return 0, true
+	case missing > 0 && more:
+		t.askAt, t.askDelay = now.Add(askSpacing), minAskDelay
+		return askSpacing, true
+	case missing > 0 || found == 0:
+		t.askAt = now.Add(t.askDelay)
+		t.askDelay = min(2*t.askDelay, refreshDelay)
+	default:
+		t.askAt, t.askDelay = now.Add(refreshDelay), minAskDelay
+	}
+	return 0, false
+}
+
+// noteAsked marks the lost paths to some upstreams as asked about, and returns to how many of them a gateway is known and to how
+// many none is.
+func (t *Table) noteAsked(names []string, now time.Time) (found, missing int) {
 	for _, n := range names {
-		if p := t.lost[n]; p != nil {
-			p.expire(now)
-			p.asked = true
-			known = known || len(p.gateways) > 0
+		p := t.lost[n]
+		if p == nil {
+			continue
+		}
+		p.expire(now)
+		p.asked = true
+		if len(p.gateways) > 0 {
+			found++
+		} else {
+			missing++
 		}
 	}
-	if known {
-		t.askAt, t.askDelay = now.Add(refreshDelay), minAskDelay
-		return
-	}
-	t.askAt = now.Add(t.askDelay)
-	t.askDelay = min(2*t.askDelay, refreshDelay)
+	return found, missing
 }
 
 // Search reports whether many hosts may be asked now, which is so once in a while.
@@ -74,8 +98,23 @@
 func (t *Table) Regained(host string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gateway(host).avoidUntil = time.Time{}
+	g := t.gateway(host)
+	g.avoidUntil, g.newsAt = time.Time{}, now
 	t.askAt = now
+	t.news = true
+	if t.forsaken() {
+		t.askedAt = time.Time{}
+	}
+}
+
+// forsaken reports whether a path is lost to which no gateway is known.
+func (t *Table) forsaken() bool {
+	for _, p := range t.lost {
+		if len(p.gateways) == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Open reports whether it is an open question which other hosts reach an upstream that this one does not.
@@ -86,8 +125,9 @@
 	return p != nil && !p.asked
 }
 
-// Candidates returns up to n hosts to ask for paths, without those that were asked: known gateways, then half of the others
-// from the own failure domain. Hosts that were of no use lately come last.
+// Candidates returns up to n hosts to ask for paths, without those that were asked: known gateways and hosts that have links
+// again, then half of the others from the own failure domain. Hosts that were of no use lately come last, and of equal ones those
+// that were candidates last.
 func (t *Table) Candidates(n int, referred, asked []string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -96,6 +136,8 @@
 	for h, d := range t.domains {
 		switch {
 		case slices.Contains(asked, h):
+		case t.gateway(h).told(now):
+			known = append(known, h)
 		case now.Before(t.gateway(h).avoidUntil):
 			avoided = append(avoided, h)
 		case serving[h] || slices.Contains(referred, h):
@@ -107,8 +149,7 @@
 		}
 	}
 	for _, l := range [][]string{known, local, remote, avoided} {
-		slices.Sort(l)
-		t.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+		t.orderByTurn(l)
 	}
 	l := known[:min(len(known), n)]
 	half := (n - len(l) + 1) / 2
@@ -116,5 +157,16 @@
 	l = append(l, remote[:min(len(remote), n-len(l))]...)
 	rest := local[min(len(local), half):]
 	l = append(l, rest[:min(len(rest), n-len(l))]...)
-	return append(l, avoided[:min(len(avoided), n-len(l))]...)
+	l = append(l, avoided[:min(len(avoided), n-len(l))]...)
+	for _, h := range l {
+		t.gateway(h).candidateAt = now
+	}
+	return l
+}
+
+// orderByTurn orders hosts by when they were last candidates, so that each is asked in turn, and at random where that is equal.
+func (t *Table) orderByTurn(l []string) {
+	slices.Sort(l)
+	t.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	slices.SortStableFunc(l, func(a, b string) int { return t.gateway(a).candidateAt.Compare(t.gateway(b).candidateAt) })
 }
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -97,8 +98,8 @@
 	referred []string
 	// askers holds when each host last asked this one.
 	askers map[string]time.Time
-	// probedAt is when the lost paths were last tried.
-	probedAt time.Time
+	// due says that the lost paths are to be tried in the next check.
+	due atomic.Bool
 	// probing are the upstreams to which a connection is tried without a call.
 	probing map[string]bool
 }
@@ -127,7 +128,19 @@
 	if c.Direct(u.Name) {
 		return c.connectAnyway(ctx, u)
 	}
-	return c.connectThrough(ctx, u)
+	return c.connectLost(ctx, u)
+}
+
+// connectLost connects through a gateway, or directly if no gateway is known and the path has come back meanwhile.
+func (c *Connector) connectLost(ctx context.Context, u upstream.Upstream) (net.Conn, string, error) {
+	if !c.Direct(u.Name) {
+		k, g, err := c.connectThrough(ctx, u)
+		if err == nil || ctx.Err() != nil || !c.Direct(u.Name) {
+			return k, g, err
+		}
+	}
+	k, err := c.Dial(ctx, u)
+	return k, "", err
 }
 
 // connectAnyway connects directly, and through a gateway as well if that fails or takes long; the first connection holds.
@@ -152,8 +165,8 @@
 	}
 	o.start(ctx)
 	k, g, err := o.wait(ctx)
-	if err != nil && ctx.Err() == nil && !c.Table.Direct(u.Name) {
-		return c.connectThrough(ctx, u) // a gateway may have become known since
+	if err != nil && ctx.Err() == nil {
+		return c.connectLost(ctx, u) // a gateway may have become known, or the path come back, since
 	}
 	return k, g, err
 }
@@ -169,15 +182,32 @@
 
 // Dial connects to an upstream by this host itself, and notes whether that worked.
 func (c *Connector) Dial(ctx context.Context, u upstream.Upstream) (net.Conn, error) {
+	began := c.Timer.Now()
 	k, err := c.dial(ctx, u.Address)
 	switch {
 	case err == nil:
 		c.worked(u.Name)
-	case ctx.Err() == nil && c.Table.Failed(u.Name, c.Timer.Now()):
+	case ctx.Err() == nil:
+		c.failed(u, began, err)
+	}
+	return k, err
+}
+
+// failed notes that a connection that began at a time failed.
+func (c *Connector) failed(u upstream.Upstream, began time.Time, err error) {
+	n := c.Timer.Now()
+	lost, certain := false, false
+	if late(err) {
+		lost, certain = c.Table.TimedOut(u.Name, began, n, c.ConnectTimeout)
+	} else {
+		lost = c.Table.Failed(u.Name, n)
+	}
+	if lost {
 		c.Log.Warn().Str("upstream", u.Name).Str("service", u.Service).Msg("upstream out of reach")
+	}
+	if lost || certain {
 		c.wake.Set()
 	}
-	return k, err
 }
 
 // DialForPeer connects to an upstream for another host, which tells nothing of the calls of this one.
@@ -201,6 +231,7 @@
 		return
 	}
 	c.Log.Info().Str("upstream", name).Msg("upstream reached again")
+	c.wake.Set() // the picker is told
 	if !linked {
 		c.tellAskers()
 	}
