Ask the hosts of a fleet in turn for paths

Change: of hosts that are equal otherwise, those that were asked longest ago are asked first, so that in a fleet of nine each is asked in two rounds.

Measured: TestAllHostsOfASmallFleetAreAskedInTurn fails before (two of three hosts in two rounds of two) and passes now; tests of internal/routing/reachability and internal/wire/connector pass.

--- a/internal/routing/reachability/gateways.go
+++ b/internal/routing/reachability/gateways.go
@@ -16,6 +16,8 @@
 	avoidUntil   time.Time
 	// newsAt is when the host last said that it has links again.
 	newsAt time.Time
+	// candidateAt is when the host was last chosen to be asked.
+	candidateAt time.Time
 }
 
 // Answered records what a host that was asked said. One that reaches any of the upstreams in question is taken to reach all
--- a/internal/routing/reachability/news_test.go
+++ b/internal/routing/reachability/news_test.go
@@ -76,3 +76,21 @@
 	is.Equal(len(x.Questions(next.Add(900*time.Millisecond))), 0) // all have gateways
 	is.Equal(x.Questions(next.Add(time.Second)), l)
 }
+
+// TestAllHostsOfASmallFleetAreAskedInTurn guards against a host that leaves another out of several rounds of questions, which then
+// does not tell it that it has links again.
+func TestAllHostsOfASmallFleetAreAskedInTurn(t *testing.T) {
+	is := is.New(t)
+	x := newTable()
+	at := start
+	for range 20 {
+		asked := map[string]bool{}
+		for range 2 {
+			at = at.Add(2 * time.Second)
+			for _, h := range x.Candidates(2, nil, nil, at) {
+				asked[h] = true
+			}
+		}
+		is.Equal(len(asked), 3)
+	}
+}
--- a/internal/routing/reachability/questions.go
+++ b/internal/routing/reachability/questions.go
@@ -126,7 +126,8 @@
 }
 
 // Candidates returns up to n hosts to ask for paths, without those that were asked: known gateways and hosts that have links
-// again, then half of the others from the own failure domain. Hosts that were of no use lately come last.
+// again, then half of the others from the own failure domain. Hosts that were of no use lately come last, and of equal ones those
+// that were candidates last.
 func (t *Table) Candidates(n int, referred, asked []string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -148,8 +149,7 @@
 		}
 	}
 	for _, l := range [][]string{known, local, remote, avoided} {
-		slices.Sort(l)
-		t.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+		t.orderByTurn(l)
 	}
 	l := known[:min(len(known), n)]
 	half := (n - len(l) + 1) / 2
@@ -157,5 +157,16 @@
 	l = append(l, remote[:min(len(remote), n-len(l))]...)
 	rest := local[min(len(local), half):]
 	l = append(l, rest[:min(len(rest), n-len(l))]...)
-	return append(l, avoided[:min(len(avoided), n-len(l))]...)
+	l = append(l, avoided[:min(len(avoided), n-len(l))]...)
+	for _, h := range l {
+		t.gateway(h).candidateAt = now
+	}
+	return l
+}
+
+// orderByTurn orders hosts by when they were last candidates, so that each is asked in turn, and at random where that is equal.
+func (t *Table) orderByTurn(l []string) {
+	slices.Sort(l)
+	t.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	slices.SortStableFunc(l, func(a, b string) int { return t.gateway(a).candidateAt.Compare(t.gateway(b).candidateAt) })
 }
