Keep silent streams where a connection timed out once

Hypotheses: (1) a connection whose time ends while the host stands still is taken for a lost path, and the connection of another host for the proof that this one is cut off; (2) the silence of streams counts the pause. Cause by the tests without a network: (1). Connections that timed out once, and the answers of hosts that reached the upstream, were enough to end each connection that was silent for half a second. (2) holds as well, but the bytes that have come meanwhile are read before a second connection can time out.

Change: a path that is lost by time goes through gateways at once, as before, but ends silent connections only once a second connection that began after the loss timed out too. It is tried as soon as another host has connected. A connection that took over 1.5 times its limit says that the host stood still and does not count as the second. A refused or reset one counts at once.

--- a/internal/routing/reachability/gateways.go
+++ b/internal/routing/reachability/gateways.go
@@ -52,12 +52,12 @@
 	}
 }
 
-// Alone reports whether this host has lost the path to an upstream and another one has connected to it since.
+// Alone reports whether this host has certainly lost the path to an upstream and another one has connected to it since.
 func (t *Table) Alone(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.lost[name]
-	return p != nil && p.proven
+	return p != nil && p.proven && p.certain
 }
 
 // Avoid records that a host is of no use as a gateway for now.
--- a/internal/routing/reachability/path.go
+++ b/internal/routing/reachability/path.go
@@ -20,6 +20,9 @@
 	doubtedAt time.Time
 	// asked says that other hosts were asked since the path was lost, and proven that one of them has connected to the upstream.
 	asked, proven bool
+	// lostAt is when the path was lost, and certain says that it was not for a pause of this host.
+	lostAt  time.Time
+	certain bool
 }
 
 // Worked records a connection of this host to an upstream, and reports whether the path was lost before.
@@ -31,7 +34,7 @@
 		return false
 	}
 	regained = p.lost
-	p.lost, p.asked, p.proven = false, false, false
+	p.lost, p.asked, p.proven, p.certain = false, false, false, false
 	p.workedAt, t.linkedAt = now, now
 	delete(t.lost, name)
 	delete(t.doubtful, name)
@@ -51,6 +54,13 @@
 	if p == nil {
 		return false
 	}
+	lost = t.lose(name, p, now)
+	p.certain = true
+	return lost
+}
+
+// lose records that a path is lost, and reports whether it was not before. The caller holds the lock.
+func (t *Table) lose(name string, p *path, now time.Time) bool {
 	p.failedAt = now
 	if p.lost {
 		return false
@@ -60,7 +70,8 @@
 	delete(t.doubtful, name)
 	t.updateTroubled()
 	t.troubledAt = now
-	p.asked, p.proven = false, false
+	p.lostAt = now
+	p.asked, p.proven, p.certain = false, false, false
 	return true
 }
 
--- a/internal/wire/connector/check.go
+++ b/internal/wire/connector/check.go
@@ -58,6 +58,7 @@
 		waiting = c.answer(waiting, false)
 	})
 	c.answer(waiting, true)
+	c.probe(c.Table.Uncertain(), maxProbes)
 	if len(lost)+len(doubted) > 0 && c.Table.Fresh(c.Timer.Now()) {
 		c.probeOthers(lost)
 	}
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
@@ -170,15 +171,38 @@
 
 // Dial connects to an upstream by this host itself, and notes whether that worked.
 func (c *Connector) Dial(ctx context.Context, u upstream.Upstream) (net.Conn, error) {
+	began := c.Timer.Now()
 	k, err := c.dial(ctx, u.Address)
 	switch {
 	case err == nil:
 		c.worked(u.Name)
-	case ctx.Err() == nil && c.Table.Failed(u.Name, c.Timer.Now()):
+	case ctx.Err() == nil:
+		c.failed(u, began, err)
+	}
+	return k, err
+}
+
+// failed notes that a connection that began at a time failed.
+func (c *Connector) failed(u upstream.Upstream, began time.Time, err error) {
+	n := c.Timer.Now()
+	lost, certain := false, false
+	if late(err) {
+		lost, certain = c.Table.TimedOut(u.Name, began, n, c.ConnectTimeout)
+	} else {
+		lost = c.Table.Failed(u.Name, n)
+	}
+	if lost {
 		c.Log.Warn().Str("upstream", u.Name).Str("service", u.Service).Msg("upstream out of reach")
+	}
+	if lost || certain {
 		c.wake.Set()
 	}
-	return k, err
+}
+
+// late reports whether a connection failed since it took too long.
+func late(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
 }
 
 // DialForPeer connects to an upstream for another host, which tells nothing of the calls of this one.
--- a/internal/wire/connector/fleet_test.go
+++ b/internal/wire/connector/fleet_test.go
@@ -155,6 +155,9 @@
 	case "hang":
 		<-ctx.Done()
 		return nil, ctx.Err()
+	case "stall": // the host itself stands still for longer than a connection may take
+		_ = p.fleet.timer.Sleep(p.fleet.group.Context(), 3*connectTimeout)
+		return nil, context.DeadlineExceeded
 	case "refuse":
 		return nil, syscall.ECONNREFUSED
 	}
