Lose no path by a connection older than the last that came about

Cause: of several connections that a pause of the host let time out, those that were noted after the path had been tried anew with success lost it once more, and calls were refused for want of a gateway.

Change: a connection that timed out and began before the last one that came about says nothing of the path.

Measured: TestPathIsNotLostByAConnectionThatBeganBeforeTheLastThatCameAbout fails before and passes now.

--- a/internal/routing/reachability/timeout.go
+++ b/internal/routing/reachability/timeout.go
@@ -10,12 +10,13 @@
 
 // TimedOut records that a connection of this host to an upstream, begun at a time, took longer than its limit, and reports
 // whether the path was not lost before, and whether it is certainly lost only now. That is so where a second connection, which
-// began after the loss, took too long as well: the host may have stood still over the end of one.
+// began after the loss, took too long as well: the host may have stood still over the end of one. A connection that began before
+// the last one that came about says nothing.
 func (t *Table) TimedOut(name string, began, now time.Time, limit time.Duration) (lost, certain bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.paths[name]
-	if p == nil {
+	if p == nil || p.workedAt.After(began) {
 		return false, false
 	}
 	lost = t.lose(name, p, now)
--- a/internal/routing/reachability/timeout_test.go
+++ b/internal/routing/reachability/timeout_test.go
@@ -69,3 +69,12 @@
 	is.True(!x.Failed("u1", at))
 	is.True(x.Alone("u1"))
 }
+
+func TestPathIsNotLostByAConnectionThatBeganBeforeTheLastThatCameAbout(t *testing.T) {
+	is := is.New(t)
+	x := newTable()
+	x.Worked("u1", start.Add(limit/2))
+	lost, _ := x.TimedOut("u1", start, start.Add(limit), limit)
+	is.True(!lost)
+	is.True(x.Direct("u1"))
+}
