Connect directly where the path comes back while a call waits

Cause: a call that waits for a gateway was refused as no-path when the path of its own host came back meanwhile, since a path that is back forgets its gateways. Seen in the test of pauses; by reading it may happen at the end of each loss.

Change: where no gateway is known and the path is back, the call connects directly.

--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
@@ -129,7 +128,19 @@
 	if c.Direct(u.Name) {
 		return c.connectAnyway(ctx, u)
 	}
-	return c.connectThrough(ctx, u)
+	return c.connectLost(ctx, u)
+}
+
+// connectLost connects through a gateway, or directly if no gateway is known and the path has come back meanwhile.
+func (c *Connector) connectLost(ctx context.Context, u upstream.Upstream) (net.Conn, string, error) {
+	if !c.Direct(u.Name) {
+		k, g, err := c.connectThrough(ctx, u)
+		if err == nil || ctx.Err() != nil || !c.Direct(u.Name) {
+			return k, g, err
+		}
+	}
+	k, err := c.Dial(ctx, u)
+	return k, "", err
 }
 
 // connectAnyway connects directly, and through a gateway as well if that fails or takes long; the first connection holds.
@@ -154,8 +165,8 @@
 	}
 	o.start(ctx)
 	k, g, err := o.wait(ctx)
-	if err != nil && ctx.Err() == nil && !c.Table.Direct(u.Name) {
-		return c.connectThrough(ctx, u) // a gateway may have become known since
+	if err != nil && ctx.Err() == nil {
+		return c.connectLost(ctx, u) // a gateway may have become known, or the path come back, since
 	}
 	return k, g, err
 }
@@ -199,12 +210,6 @@
 	}
 }
 
-// late reports whether a connection failed since it took too long.
-func late(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
 // DialForPeer connects to an upstream for another host, which tells nothing of the calls of this one.
 func (c *Connector) DialForPeer(ctx context.Context, u upstream.Upstream) (net.Conn, error) {
 	if !c.Table.Direct(u.Name) {
--- a/internal/wire/connector/paused_test.go
+++ b/internal/wire/connector/paused_test.go
@@ -49,6 +49,22 @@
 	is.True(p.Direct(f.upstreams[0].Name))
 }
 
+// TestCallsOfOnePauseAreServed guards against calls that are refused for want of a gateway since their path came back while they
+// waited for one.
+func TestCallsOfOnePauseAreServed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 9, 4)
+	f.reachEach(t)
+	p := f.peers["h0"]
+	for range 5 {
+		p.setCut("hang")
+		cancel := f.timer.After(connectTimeout*9/10, func(time.Time) { p.setCut("") })
+		is.NoErr(f.callAtOnce(t, p))
+		cancel()
+		is.NoErr(f.timer.Sleep(t.Context(), settleTime))
+	}
+}
+
 // TestHostThatStandsStillAgainAndAgainEndsNoStreams guards against the same on a host that never gets enough processor time.
 func TestHostThatStandsStillAgainAndAgainEndsNoStreams(t *testing.T) {
 	is := is.New(t)
