Let pings of sessions that were opened before Run wait for it

Cause: a call may open a session before the endpoint runs, and its ping took the group of Run without the lock: a race with Run, and a nil pointer where the ping was due first. By the test; hosts start their endpoint first, and no host was seen to end by it.

Change: the ping takes the group under the lock, and waits where there is none.

--- a/internal/base/rpc/ping.go
+++ b/internal/base/rpc/ping.go
@@ -47,11 +47,19 @@
 	if w.stopped {
 		return
 	}
-	w.cancel = w.endpoint.Timer.After(pingInterval, func(time.Time) {
-		w.endpoint.group.Go("ping", func(context.Context) error {
-			w.ping()
-			return nil
-		})
+	w.cancel = w.endpoint.Timer.After(pingInterval, func(time.Time) { w.start() })
+}
+
+// start pings the session beside the timer, or later if the endpoint does not run yet.
+func (w *pinger) start() {
+	g := w.endpoint.running()
+	if g == nil {
+		w.arm()
+		return
+	}
+	g.Go("ping", func(context.Context) error {
+		w.ping()
+		return nil
 	})
 }
 
