Ping sessions only once their endpoint runs

Cause: go test -race found that a ping reads the group of its endpoint without the lock under which Run sets it (internal/wire/tunnel, four reports). A call that waits longer than until the first ping on an endpoint that does not run yet ended the process: a nil group in the goroutine of the timer.

Change: the group is read under its lock; before Run a ping is put off by its interval.

Measured: TestCallBeforeRunIsAnswered ended with a nil dereference before, and is answered now. With -race internal/base/rpc and internal/wire/tunnel passed three times each at a load of 9 to 12, internal/base/rpc once without.

--- a/internal/base/rpc/endpoint.go
+++ b/internal/base/rpc/endpoint.go
@@ -108,6 +108,13 @@
 	return g.Wait()
 }
 
+// running returns the group of Run, nil before it runs.
+func (l *Endpoint) running() *group.Group {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.group
+}
+
 // Call calls a method of a peer and waits for its answer.
 //
 // The error is a refusal whose verdict says whether the peer may have run the call.
--- a/internal/base/rpc/ping.go
+++ b/internal/base/rpc/ping.go
@@ -47,11 +47,19 @@
 	if w.stopped {
 		return
 	}
-	w.cancel = w.endpoint.Timer.After(pingInterval, func(time.Time) {
-		w.endpoint.group.Go("ping", func(context.Context) error {
-			w.ping()
-			return nil
-		})
+	w.cancel = w.endpoint.Timer.After(pingInterval, func(time.Time) { w.start() })
+}
+
+// start pings beside the timer; before Run it only schedules the next ping.
+func (w *pinger) start() {
+	g := w.endpoint.running()
+	if g == nil {
+		w.arm()
+		return
+	}
+	g.Go("ping", func(context.Context) error {
+		w.ping()
+		return nil
 	})
 }
 
