Keep items that bursts broke off at their host until they may go on

A burst of calls lasts longer than the 2 s that a broken off item waits at its host. The item then goes back to the ledger, behind younger jobs of its team and the turns of other teams: 14 to 30 items of younger jobs began during one such wait.

Change: an item that has been begun waits up to 6 s, as long as its host has an upstream for it; others wait 2 s as before.

--- a/internal/jobs/executor/scheduler.go
+++ b/internal/jobs/executor/scheduler.go
@@ -12,6 +12,9 @@
 const (
 	// pendingTimeout is how long a leased item may wait for a slot before its lease is returned.
 	pendingTimeout = 2 * time.Second
+	// begunTimeout replaces pendingTimeout for an item that has been begun, on a host with an upstream for it. It is longer
+	// than a burst of online requests, and than the span in which one uses up the permits of an upstream.
+	begunTimeout = 6 * time.Second
 	// preemptionBackoff is how long a preempted item waits before it runs again, so that it does not stop and
 	// start in quick succession.
 	preemptionBackoff = 250 * time.Millisecond
@@ -90,6 +93,11 @@
 	return c.started + c.unrecorded
 }
 
+// serves reports whether a task may run on the upstream once it has a free slot.
+func (c *claimedUpstream) serves(now time.Time, t *task) bool {
+	return now.Before(c.claimExpires) && slices.Contains(c.targets, t.item.Target)
+}
+
 // setLimits reads the limits of the upstream.
 func (c *claimedUpstream) setLimits(w windows) {
 	c.window = w.Window(c.name)
@@ -254,7 +262,7 @@
 	}
 	var best *claimedUpstream
 	for _, c := range p.upstreams {
-		if c.usedSlots() >= c.window || !now.Before(c.claimExpires) || !slices.Contains(c.targets, t.item.Target) {
+		if c.usedSlots() >= c.window || !c.serves(now, t) {
 			continue
 		}
 		if best == nil || hasMoreFreeSlots(c, best) {
--- a/internal/jobs/executor/stop.go
+++ b/internal/jobs/executor/stop.go
@@ -62,7 +62,7 @@
 func (p *scheduler) returnStale(now time.Time) {
 	keep := p.pending[:0]
 	for _, t := range p.pending {
-		if !p.draining && now.Sub(t.pendingSince) < pendingTimeout && now.Before(p.groups[t.group].sessionExpires) && !t.stopping {
+		if !p.draining && now.Sub(t.pendingSince) < p.patience(now, t) && now.Before(p.groups[t.group].sessionExpires) && !t.stopping {
 			keep = append(keep, t)
 			continue
 		}
@@ -72,6 +72,20 @@
 	p.pending = keep
 }
 
+// patience returns how long a pending task waits for a slot. One that has been begun waits longer, since others would begin
+// before it goes on if its lease were returned.
+func (p *scheduler) patience(now time.Time, t *task) time.Duration {
+	if t.item.NextEvent == 0 {
+		return pendingTimeout
+	}
+	for _, c := range p.upstreams {
+		if c.serves(now, t) {
+			return begunTimeout
+		}
+	}
+	return pendingTimeout
+}
+
 // applyRenewal applies the answer to a heartbeat and returns the started tasks to stop.
 func (p *scheduler) applyRenewal(now time.Time, g uint32, session uint64, a *entry.Renewed, until time.Time) []*task {
 	s := p.groups[g]
