Let the timer of a host outlive its other components

Cause: the timer ran in the group of the components. When one of them failed, the group ended the timer as well, and the drain of callers, which outlives the group's context, waited for a time that never came: the host neither ended nor closed its listeners. Found by the dump of a host that hung in a test under lost links.

Change: the timer is started before the components and ended after them.

Measured: TestHostEndsWhenAComponentFails (the listener for peers is closed under a host with callers) is not over after 20 s before, and ends with the component's error within 6.5 s in all now.

--- a/internal/product/server/server.go
+++ b/internal/product/server/server.go
@@ -63,6 +63,7 @@
 	if m := s.Settings.Limits.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(m)
 	}
+	defer s.startTimer(base)()
 	defer s.startLog(base)()
 	g := group.NewGroup(base)
 	p, err := s.build(g)
@@ -80,6 +81,18 @@
 	return errors.Wrapf(err, "host %s", s.Name)
 }
 
+// startTimer starts the timer and returns the function that stops it, to be called when nothing waits for a time any more:
+// calls are drained also after a component has failed.
+func (s *Server) startTimer(ctx context.Context) (end func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	g := group.NewGroup(ctx)
+	g.Go("timer", s.timer.Run)
+	return func() {
+		cancel()
+		_ = g.Wait() // the timer returns the error of its context only
+	}
+}
+
 // startLog starts the log writer and returns the function that stops it, to be called after the last log line.
 func (s *Server) startLog(ctx context.Context) (end func()) {
 	if s.LogWriter == nil {
@@ -106,7 +119,6 @@
 
 // start runs the components that must outlive the last call.
 func (p *components) start(g *group.Group) {
-	g.Go("timer", p.server.timer.Run)
 	g.Go("link", p.link.Run)
 	if p.control != nil {
 		g.Go("control", p.control.Run)
