Look into broken connections before they count

Cause: a connection to an upstream that breaks under a call counted as the fault of the upstream, whichever side it came from.

Change: the host connects again, and asks six others to connect as well if it can't or that takes long; their older knowledge does not count, since an upstream that has just ended was reached a moment ago. If one connects and this host does not, the outcome is path-lost: no evidence, no part in the share of an outage, retried as the route allows. Else the upstream is to blame as before.

--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -101,6 +101,9 @@
 	probedAt time.Time
 	// probing are the upstreams to which a connection is tried without a call.
 	probing map[string]bool
+	// looks are the searches for the side on which connections broke, unsure those that are about to ask others.
+	looks  map[lookKey]*look
+	unsure []*look
 }
 
 // Register registers the handler of peers' questions and must be called before the link runs.
@@ -108,8 +111,10 @@
 	c.wake = signal.NewSignal()
 	c.probing = map[string]bool{}
 	c.askers = map[string]time.Time{}
+	c.looks = map[lookKey]*look{}
 	c.Link.Handle(methodAsk, c.handleAsk)
 	c.Link.Handle(methodRegained, c.handleRegained)
+	c.Link.Handle(methodAgain, c.handleAgain)
 }
 
 // Direct reports whether this host reaches an upstream by itself, as far as it knows.
@@ -173,13 +178,21 @@
 	switch {
 	case err == nil:
 		c.worked(u.Name)
-	case ctx.Err() == nil && c.Table.Failed(u.Name, c.Timer.Now()):
-		c.Log.Warn().Str("upstream", u.Name).Str("service", u.Service).Msg("upstream out of reach")
-		c.wake.Set()
+	case ctx.Err() == nil:
+		c.failed(u)
 	}
 	return k, err
 }
 
+// failed notes that this host does not reach an upstream by itself.
+func (c *Connector) failed(u upstream.Upstream) {
+	if !c.Table.Failed(u.Name, c.Timer.Now()) {
+		return
+	}
+	c.Log.Warn().Str("upstream", u.Name).Str("service", u.Service).Msg("upstream out of reach")
+	c.wake.Set()
+}
+
 // DialForPeer connects to an upstream for another host, which tells nothing of the calls of this one.
 func (c *Connector) DialForPeer(ctx context.Context, u upstream.Upstream) (net.Conn, error) {
 	if !c.Table.Direct(u.Name) {
