Refuse what a stopping host cannot finish

Cause: nothing compared the deadline of a call with the end of the host. Beside it: when stop-timeout passed, the host waited for the HTTP library, which waits for open connections without end, so that it was always killed.

Change: limits/drain keeps the durations of each route's last answers. A stopping host takes a call if its deadline, or the longest of these, ends before the host does, and refuses the others as not run with 503 and a short Retry-After. At stop-timeout it closes what is left, logs how many connections were busy, and ends.

--- /dev/null
+++ b/internal/limits/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain decides which calls a stopping host still takes.
+package drain
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -24,6 +24,7 @@
 	"siskinrun/internal/jobs/executor"
 	"siskinrun/internal/jobs/ledger"
 	"siskinrun/internal/limits/capacity"
+	"siskinrun/internal/limits/drain"
 	"siskinrun/internal/limits/grant"
 	"siskinrun/internal/limits/lane"
 	"siskinrun/internal/product/settings"
@@ -94,6 +95,7 @@
 	batchLimiter   *batchlimit.Limiter
 	capacity       *capacity.Controller
 	lane           *lane.Lane
+	drain          *drain.Drain
 	inflight       *inflight.Tracker
 	batch          *batch.Service
 	pipeline       *pipeline.Pipeline
@@ -116,6 +118,7 @@
 		return nil, unknownHost(s.Name)
 	}
 	p := &components{server: s, host: h, seed: newSeed(), started: s.timer.Now()}
+	p.drain = &drain.Drain{Limit: s.Settings.Fleet.StopTimeout.Duration()}
 	p.diskSpace = p.newDiskSpace(g.Context())
 	for _, f := range []func() error{p.buildLink, p.buildState, p.buildLimits, p.buildRouting, p.buildBatch} {
 		if err := f(); err != nil {
--- a/internal/product/server/server.go
+++ b/internal/product/server/server.go
@@ -155,6 +155,7 @@
 	w, cancel := context.WithCancel(base)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
+		p.drain.Begin(p.server.timer.Now())
 		p.gossip.AnnounceStopping()
 		cancel()
 	})
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -21,6 +21,7 @@
 	"siskinrun/internal/wire/orderclient"
 	"siskinrun/internal/wire/pipeline"
 	"siskinrun/internal/wire/transport"
+	"siskinrun/pkg/verdict"
 )
 
 // buildPipeline creates the pipeline of calls, the planner, and the executor that runs batch items through the pipeline.
@@ -42,10 +43,11 @@
 		Lane:           p.lane,
 		Deduplicator:   &dedup.Deduplicator{Store: p.batch},
 		Dispatcher:     p.newDispatcher(x, g),
-		Recorder:       &accounting.Recorder{Log: s.Log, Metrics: s.metrics, Sinks: []func(callrecord.Record){p.observations.add}},
+		Recorder:       &accounting.Recorder{Log: s.Log, Metrics: s.metrics, Sinks: []func(callrecord.Record){p.observations.add, p.observeDuration}},
 		Jobs:           p.batch,
 		Streams:        p.streams,
 		Guard:          p.guard,
+		Drain:          p.drain,
 		Upstreams:      p.picker,
 		Timer:          s.timer,
 		DefaultTimeout: callTimeout,
@@ -54,6 +56,13 @@
 	p.executor = p.newExecutor()
 }
 
+// observeDuration records how long a caller's call took that was answered whole.
+func (p *components) observeDuration(r callrecord.Record) {
+	if !r.Batch && r.Verdict == verdict.Ran && r.Code == "" {
+		p.drain.Observe(r.Route, r.Total)
+	}
+}
+
 // newTransport returns the transport to upstreams.
 func (p *components) newTransport() *transport.Transport {
 	s := p.server
--- a/internal/wire/ingress/ingress.go
+++ b/internal/wire/ingress/ingress.go
@@ -133,6 +133,9 @@
 		s.tracked.CloseIdle(idleGrace, requestGrace)
 		_ = s.Timer.Sleep(ctx, drainPollInterval)
 	}
+	if n := s.tracked.CloseAll(); n > 0 {
+		s.Log.Warn().Int("connections", n).Msg("calls cut at the end of a stop")
+	}
 }
 
 func (s *Server) handle(x *fasthttp.RequestCtx) {
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -111,6 +111,12 @@
 	})
 }
 
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy > 0
+}
+
 func (c *conn) addBusy(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -1,7 +1,9 @@
 package listener
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +106,21 @@
 	}
 }
 
+// CloseAll closes all connections without waiting for their calls, and returns how many were busy with one.
+func (l *Listener) CloseAll() (busy int) {
+	l.mu.Lock()
+	q := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, k := range q {
+		if k.isBusy() {
+			busy++
+		}
+		l.remove(k)
+		_ = k.Conn.Close()
+	}
+	return busy
+}
+
 // Watch calls onClose if the peer of c closes the connection before stop is called.
 func (l *Listener) Watch(c net.Conn, onClose func()) (stop func()) {
 	k, ok := c.(*conn)
--- a/internal/wire/pipeline/digest_test.go
+++ b/internal/wire/pipeline/digest_test.go
@@ -15,6 +15,7 @@
 	"siskinrun/internal/data/requestdigest"
 	"siskinrun/internal/data/route"
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/limits/drain"
 	"siskinrun/pkg/refusal"
 )
 
@@ -52,6 +53,7 @@
 		Admission:     refuseAll{},
 		Dispatcher:    refuseAll{},
 		Guard:         blockAll{},
+		Drain:         &drain.Drain{},
 		Recorder:      l,
 		Timer:         timer.NewService(),
 	}
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -85,6 +85,11 @@
 	Blocks(c *call.Call) bool
 }
 
+// drainPolicy refuses the calls that a stopping host could not finish.
+type drainPolicy interface {
+	Admit(now, deadline time.Time, route string) error
+}
+
 // recorder logs and counts finished calls.
 type recorder interface {
 	Record(r callrecord.Record)
@@ -118,6 +123,8 @@
 	Upstreams upstreams
 	// Guard tells which calls to refuse before they wait for a slot.
 	Guard guard
+	// Drain refuses the calls that the host could not finish, since it stops.
+	Drain drainPolicy
 	// Recorder receives the record of each finished call.
 	Recorder recorder
 	// Timer is the clock.
@@ -151,6 +158,9 @@
 	if err := p.identify(authorization, c, t); err != nil {
 		return nil, err
 	}
+	if err := p.Drain.Admit(p.Timer.Now(), c.Deadline, c.Route); err != nil {
+		return nil, err
+	}
 	if c.RouteConfig.Jobs {
 		return p.submit(ctx, c)
 	}
--- a/internal/wire/pipeline/prompt_test.go
+++ b/internal/wire/pipeline/prompt_test.go
@@ -11,6 +11,7 @@
 	"siskinrun/internal/data/callrecord"
 	"siskinrun/internal/data/configuration"
 	"siskinrun/internal/data/route"
+	"siskinrun/internal/limits/drain"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
@@ -35,6 +36,7 @@
 	p := &Pipeline{
 		Configuration: func() *configuration.Configuration { return c },
 		Guard:         blockAll{},
+		Drain:         &drain.Drain{},
 		Recorder:      l,
 		Timer:         timer.NewService(),
 	}
