Match a prefix with a slash only where it begins the path

Cause: the router cut the last slash off each prefix.

Change: a prefix that ends with a slash must begin the path.

--- a/internal/wire/router/router.go
+++ b/internal/wire/router/router.go
@@ -90,9 +90,8 @@
 	return l
 }
 
-// hasPathPrefix reports whether a path starts with a prefix that ends at a segment boundary.
+// hasPathPrefix reports whether a prefix begins a path. A prefix without a slash at its end must end at the end of a segment.
 func hasPathPrefix(path, prefix string) bool {
-	p := strings.TrimSuffix(prefix, "/")
-	rest, ok := strings.CutPrefix(path, p)
-	return ok && (rest == "" || rest[0] == '/')
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (strings.HasSuffix(prefix, "/") || rest == "" || rest[0] == '/')
 }
