Keep the records of streams at control hosts too

Reported by other operators: streams taken up again after a kill of all entry hosts were joined from two versions.

Cause: what began a stream was known to the memory of entry hosts only.

Change: each record goes to a control host as well (two in small fleets), with the message that exists, so that older control hosts keep it too. The control hosts are divided among the failure domains. Two records that contradict each other under one ID leave an unknown start.

--- a/internal/fleet/streamindex/index.go
+++ b/internal/fleet/streamindex/index.go
@@ -26,8 +26,11 @@
 	return &Index{young: map[string]streamstart.Start{}}
 }
 
-// Add adds an entry.
+// Add adds an entry. Two that differ under one ID leave an unknown start, since either stream may be asked for.
 func (i *Index) Add(now time.Time, call string, s streamstart.Start) {
+	if o, ok := i.Find(call); ok && o != s {
+		s = streamstart.Start{}
+	}
 	if len(i.young) >= maxEntries || now.Sub(i.rotated) >= Lifetime {
 		i.old, i.young, i.rotated = i.young, map[string]streamstart.Start{}, now
 	}
--- a/internal/fleet/streamregistry/registry.go
+++ b/internal/fleet/streamregistry/registry.go
@@ -22,8 +22,10 @@
 const (
 	// copies is the number of hosts that keep each record: one of the own failure domain and one of the next.
 	copies = 2
-	// smallFleet is the number of hosts up to which one host more keeps it.
+	// smallFleet is the number of hosts up to which one host more of each kind keeps it.
 	smallFleet = 24
+	// controlCopies is the number of control hosts that keep each record as well, which outlive a loss of all other hosts.
+	controlCopies = 1
 	// askedHosts is the number of hosts that are asked for a record, since nobody knows the failure domain that began a
 	// stream, and hosts come and go.
 	askedHosts = 16
@@ -31,6 +33,8 @@
 	rankingLifetime = 250 * time.Millisecond
 	// findTimeout bounds a search, which a caller waits for.
 	findTimeout = 250 * time.Millisecond
+	// contradictionTimeout is how long a search goes on after its first record, to hear of another one under the same ID.
+	contradictionTimeout = 30 * time.Millisecond
 
 	methodRecord = "streams/record"
 	methodFind   = "streams/find"
@@ -53,6 +57,8 @@
 	FailureDomain string
 	// Hosts returns the live hosts that keep records.
 	Hosts func() []host.Host
+	// ControlHosts returns the control hosts that are not among Hosts, and may be nil.
+	ControlHosts func() []host.Host
 	// Group runs the messages.
 	Group *group.Group
 	// Timer is the clock.
@@ -62,8 +68,9 @@
 
 	mu    sync.Mutex
 	index *streamindex.Index
-	// ranked is the ranking of the hosts as of rankedAt.
-	ranked   *rendezvous.Ranking
+	// entry and control are the rankings of the hosts as of rankedAt.
+	entry    *rendezvous.Ranking
+	control  *controlRanking
 	rankedAt time.Time
 }
 
@@ -118,7 +125,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	l := r.ranking().First(call, askedHosts)
+	entry, control := r.rankings()
+	l := append(entry.First(call, askedHosts), control.candidates(call)...)
 	found := make(chan streamstart.Start, len(l))
 	for _, h := range l {
 		r.Group.Go("find-stream", func(context.Context) error {
@@ -126,17 +134,31 @@
 			return nil
 		})
 	}
-	for range l {
+	return r.agreed(ctx, found, len(l))
+}
+
+// agreed returns the record of up to n answers, nothing if two of them contradict each other.
+func (r *Registry) agreed(ctx context.Context, found <-chan streamstart.Start, n int) (streamstart.Start, bool) {
+	var first streamstart.Start
+	over := make(chan struct{})
+	for range n {
 		select {
 		case s := <-found:
-			if s.Known() {
-				return s, true
+			if !s.Known() || s == first {
+				continue
 			}
+			if first.Known() {
+				return streamstart.Start{}, false
+			}
+			first = s
+			defer r.Timer.After(contradictionTimeout, func(time.Time) { close(over) })()
+		case <-over:
+			return first, true
 		case <-ctx.Done():
-			return streamstart.Start{}, false
+			return first, first.Known()
 		}
 	}
-	return streamstart.Start{}, false
+	return first, first.Known()
 }
 
 // askHost returns what one host knows, nothing if it does not answer.
@@ -170,25 +192,32 @@
 	return proto.Marshal(&streammessage.Record{Service: s.Service, Version: s.Version})
 }
 
-// ranking returns the ranking of the hosts, which is made anew from time to time.
-func (r *Registry) ranking() *rendezvous.Ranking {
+// rankings returns the rankings of the hosts and of the control hosts, which are made anew from time to time.
+func (r *Registry) rankings() (entry *rendezvous.Ranking, control *controlRanking) {
 	n := r.Timer.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ranked == nil || n.Sub(r.rankedAt) >= rankingLifetime {
-		r.ranked = rendezvous.NewRanking(r.Hosts(), r.FailureDomain)
+	if r.entry == nil || n.Sub(r.rankedAt) >= rankingLifetime {
+		var l []host.Host
+		if r.ControlHosts != nil {
+			l = r.ControlHosts()
+		}
+		hosts := r.Hosts()
+		r.entry = rendezvous.NewRanking(hosts, r.FailureDomain)
+		r.control = newControlRanking(l, hosts)
 		r.rankedAt = n
 	}
-	return r.ranked
+	return r.entry, r.control
 }
 
 // keepers returns the hosts that keep the record of a call.
 func (r *Registry) keepers(call string) []string {
-	k := r.ranking()
-	if k.Hosts() <= smallFleet {
-		return k.First(call, copies+1)
+	entry, control := r.rankings()
+	n, c := copies, controlCopies
+	if entry.Hosts() <= smallFleet {
+		n, c = n+1, c+1
 	}
-	return k.First(call, copies)
+	return append(entry.First(call, n), control.keepers(r.FailureDomain, call, c)...)
 }
 
 func (r *Registry) add(call string, s streamstart.Start) {
@@ -200,7 +229,8 @@
 func (r *Registry) known(call string) (streamstart.Start, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.index.Find(call)
+	s, ok := r.index.Find(call)
+	return s, ok && s.Known()
 }
 
 func (r *Registry) count(name string) {
--- a/internal/fleet/streamregistry/registry_test.go
+++ b/internal/fleet/streamregistry/registry_test.go
@@ -36,6 +36,8 @@
 	domain   string
 	registry *streamregistry.Registry
 	handlers map[string]rpc.Handler
+	// control hosts take no calls.
+	control bool
 	// silent hosts answer nothing.
 	silent   bool
 	received int
@@ -64,16 +66,37 @@
 			network: w, name: h.Name, domain: h.FailureDomain, peers: map[string]bool{}, callers: map[string]bool{},
 		}
 	}
+	var control []host.Host
+	for i := range controlHosts {
+		h := host.Host{Name: fmt.Sprint("c", i), FailureDomain: fmt.Sprint("d", i%domains)}
+		control = append(control, h)
+		w.hosts[h.Name] = &node{
+			network: w, name: h.Name, domain: h.FailureDomain, peers: map[string]bool{}, callers: map[string]bool{}, control: true,
+		}
+	}
 	for _, x := range w.hosts {
 		x.registry = &streamregistry.Registry{
 			Link: x, Name: x.name, FailureDomain: x.domain, Group: w.group, Timer: c, Metrics: metrics.NewRegistry(),
-			Hosts: func() []host.Host { return l },
+			Hosts:        func() []host.Host { return l },
+			ControlHosts: func() []host.Host { return control },
 		}
 		x.start()
 	}
 	return w
 }
 
+// controlHosts is the number of control hosts of a network, the most that the target sets aside.
+const controlHosts = 8
+
+// each calls f for the hosts that take calls, or for the control hosts.
+func (w *network) each(control bool, f func(x *node)) {
+	for _, x := range w.hosts {
+		if x.control == control {
+			f(x)
+		}
+	}
+}
+
 // start gives the host a new, empty run.
 func (x *node) start() {
 	x.handlers = map[string]rpc.Handler{}
@@ -153,6 +176,21 @@
 				w.hosts[n].start()
 			}
 		}, 1},
+		{"all hosts that take calls are killed", func(w *network) { w.each(false, (*node).start) }, 1},
+		{"they are killed, and a control host", func(w *network) {
+			w.each(false, (*node).start)
+			w.hosts["c0"].start()
+		}, 1},
+		{"they are killed, and half of the control hosts are silent", func(w *network) {
+			w.each(false, (*node).start)
+			for _, n := range []string{"c0", "c2", "c3"} {
+				w.hosts[n].silent = true
+			}
+		}, 0.5},
+		{"all hosts are killed", func(w *network) {
+			w.each(false, (*node).start)
+			w.each(true, (*node).start)
+		}, 0},
 		{"all hosts but one have the former build", func(w *network) {
 			for n, h := range w.hosts {
 				if n != "h5" {
@@ -174,6 +212,34 @@
 	}
 }
 
+// TestContradictingRecordsAreUnknown guards against a record under an ID that a client used again, which names the version of
+// the other stream.
+func TestContradictingRecordsAreUnknown(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		again string
+		fault func(w *network)
+	}{
+		{"at the same host", "h0", func(*network) {}},
+		{"at another host", "h4", func(*network) {}},
+		{"at another host, and all hosts that take calls are killed", "h4", func(w *network) { w.each(false, (*node).start) }},
+		{"while the first host is silent", "h4", func(w *network) { w.hosts["h0"].silent = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newNetwork(t, 9, 3)
+			sleep := func() { is.NoErr(w.hosts["h0"].registry.Timer.Sleep(t.Context(), 50*time.Millisecond)) }
+			w.hosts["h0"].registry.Record("call", streamstart.Start{Service: "lm", Version: "v1"})
+			sleep()
+			w.hosts[c.again].registry.Record("call", streamstart.Start{Service: "lm", Version: "v2"})
+			sleep()
+			c.fault(w)
+			_, ok := w.hosts["h5"].registry.Find(t.Context(), "call")
+			is.True(!ok)
+		})
+	}
+}
+
 func TestUnknownStreamIsToldSoon(t *testing.T) {
 	is := is.New(t)
 	w := newNetwork(t, 9, 3)
@@ -217,12 +283,18 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			total, most, sessions := 0, 0, 0
+			control := 0
 			for _, h := range w.hosts {
 				total += h.sent
-				most = max(most, h.sent+h.received)
 				sessions = max(sessions, len(h.peers)+len(h.callers))
+				if h.control {
+					control = max(control, h.received)
+					continue
+				}
+				most = max(most, h.sent+h.received)
 			}
-			t.Logf("%d hosts: %d bytes sent a second and host, %d sent and received by the busiest, %d sessions at most", n, total/n, most, sessions)
+			t.Logf("%d hosts: %d bytes sent a second and host, %d sent and received by the busiest, %d received by the busiest control host, %d sessions at most",
+				n, total/n, most, control, sessions)
 			is.True(most <= maxBytesPerHost)
 			is.True(sessions <= maxSessions)
 		})
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -125,6 +125,19 @@
 	return p.entryHosts(func(h gossipmessage.Host) bool { return !h.Dead })
 }
 
+// controlRecordHosts returns the control hosts that keep records of streams too, where others take the calls.
+func (p *components) controlRecordHosts() []host.Host {
+	var l []host.Host
+	entry := p.recordHosts()
+	for _, h := range p.gossip.Hosts() {
+		d := host.Host{Name: h.Name, FailureDomain: h.FailureDomain}
+		if !h.Dead && (h.Control || h.Ledgers) && !slices.Contains(entry, d) {
+			l = append(l, d)
+		}
+	}
+	return l
+}
+
 // entryHosts returns the hosts to keep that hold no replicated state, or all hosts to keep if there are none.
 func (p *components) entryHosts(keep func(gossipmessage.Host) bool) []host.Host {
 	var entry, all []host.Host
--- a/internal/product/server/limits.go
+++ b/internal/product/server/limits.go
@@ -38,9 +38,10 @@
 		Name:          s.Name,
 		FailureDomain: p.host.FailureDomain,
 
-		Hosts:   p.recordHosts,
-		Timer:   s.timer,
-		Metrics: p.childMetrics("streams"),
+		Hosts:        p.recordHosts,
+		ControlHosts: p.controlRecordHosts,
+		Timer:        s.timer,
+		Metrics:      p.childMetrics("streams"),
 	}
 	p.streams.Register()
 	p.guard = &promptguard.Guard{
