Let no host out of step join streams of two versions

Reported by other operators, and shown here: an upstream starts again under its ID and at its address with another version while an entry host hears nothing of the others. Streams that broke at that host went on there; streams that began there were recorded with the former version and went on at an upstream of that version elsewhere.

Cause: a version counted as certain until a connection to its upstream broke, whatever the age of what the host knew.

Change: a version is certain while the host exchanges news with others and the announcement is no older than six heartbeats. Streams are recorded once their version is certain. Texts of items go on under the same condition. The stand-in worker can keep its address over a restart.

--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -102,14 +102,7 @@
 func startPlatformFleet(t testing.TB, entries []string, keeps string) (*platformFleet, context.Context) {
 	t.Helper()
 	f, ctx := preparePlatformFleet(t, platformControl, entries, keeps)
-	f.program = buildProgram(t)
-	f.start(platformControl)
-	for _, h := range entries {
-		f.start(h)
-	}
-	f.await(ctx, "configuration", func() error {
-		return f.post(ctx, wire.PathConfigReplace, platformConfiguration)
-	})
+	f.startAll(ctx, platformConfiguration)
 	return f, ctx
 }
 
@@ -150,6 +143,28 @@
 	is.New(f.t).NoErr(os.WriteFile(filepath.Join(f.folder, host+".json"), []byte(s), 0o600))
 }
 
+// configure replaces a part of the settings of a host.
+func (f *platformFleet) configure(host, old, replacement string) {
+	f.t.Helper()
+	is := is.New(f.t)
+	p := filepath.Join(f.folder, host+".json")
+	b, err := os.ReadFile(p)
+	is.NoErr(err)
+	is.True(strings.Contains(string(b), old))
+	is.NoErr(os.WriteFile(p, []byte(strings.Replace(string(b), old, replacement, 1)), 0o600))
+}
+
+// startAll starts all hosts and installs a configuration.
+func (f *platformFleet) startAll(ctx context.Context, configuration string) {
+	f.t.Helper()
+	f.program = buildProgram(f.t)
+	f.start(f.control)
+	for _, h := range f.entries {
+		f.start(h)
+	}
+	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, configuration) })
+}
+
 func (f *platformFleet) start(host string) {
 	f.t.Helper()
 	c := exec.Command(f.program, "serve", "--base", filepath.Join(f.folder, host+".json"), "--host", host)
--- a/cmd/siskinrun/platform_worker_test.go
+++ b/cmd/siskinrun/platform_worker_test.go
@@ -54,6 +54,8 @@
 	limit func(at time.Time) string
 	// zone is the failure domain of the worker.
 	zone string
+	// stays means that the worker has the same address after a restart.
+	stays bool
 	// slots is the number of requests that the worker runs at once, zero for workerSlots.
 	slots int
 	// plain, if set, serves each connection in place of streams.
@@ -98,7 +100,11 @@
 
 // start makes the worker serve and send heartbeats until it crashes or the fleet ends, also after the end of what started it.
 func (w *platformWorker) start() {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at := "127.0.0.1:0"
+	if a := w.currentAddress(); w.stays && a != "" {
+		at = a
+	}
+	l, err := net.Listen("tcp", at)
 	is.New(w.fleet.t).NoErr(err)
 	ctx, stop := context.WithCancel(w.fleet.group.Context())
 	w.mu.Lock()
--- a/cmd/siskinrun/stopping_host_test.go
+++ b/cmd/siskinrun/stopping_host_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -81,17 +79,9 @@
 	is := is.New(t)
 	f, ctx := preparePlatformFleet(t, platformControl, platformHosts(2), `"keeps": ["configuration"],`)
 	for _, h := range f.entries {
-		p := filepath.Join(f.folder, h+".json")
-		b, err := os.ReadFile(p)
-		is.NoErr(err)
-		s := strings.Replace(string(b), `"drain": "500ms"`, fmt.Sprintf(`"drain": %q, "stop-timeout": %q`, stopDrain, stopLimit), 1)
-		is.NoErr(os.WriteFile(p, []byte(s), 0o600))
+		f.configure(h, `"drain": "500ms"`, fmt.Sprintf(`"drain": %q, "stop-timeout": %q`, stopDrain, stopLimit))
 	}
-	f.program = buildProgram(t)
-	for _, h := range append([]string{platformControl}, f.entries...) {
-		f.start(h)
-	}
-	f.await(ctx, "configuration", func() error { return f.post(ctx, wire.PathConfigReplace, stoppingConfiguration) })
+	f.startAll(ctx, stoppingConfiguration)
 	w := &platformWorker{fleet: f, id: "i-1", service: "lm", zone: "a", version: "v1", born: 1, alive: true}
 	w.pace = func(path string, _ int) time.Duration {
 		if path == briefPath {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
@@ -93,6 +94,14 @@
 	return ok
 }
 
+// HeardAt returns when the last exchange of news began that another host answered, the zero time if there was none.
+func (s *Service) HeardAt() time.Time {
+	if t := s.heardAt.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // sendDigest sends a digest to a peer, merges and returns the answer, and reports whether there was one.
 func (s *Service) sendDigest(ctx context.Context, peer string, q gossipmessage.Message) (gossipmessage.Message, bool) {
 	sent := s.Timer.Now()
@@ -111,6 +120,9 @@
 	s.mu.Lock()
 	s.membership.MarkAlive(peer)
 	s.membership.ApplyAnswer(s.Timer.Now(), sent, a)
+	if !a.Mismatch && sent.After(s.HeardAt()) {
+		s.heardAt.Store(&sent)
+	}
 	s.publishLoads()
 	s.unlock()
 	s.publishUpstreams(false)
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -79,6 +79,8 @@
 	publishMu   sync.Mutex
 	version     uint64
 	samples     sync.Map
+	// heardAt is when the last exchange began that a peer answered.
+	heardAt atomic.Pointer[time.Time]
 	// loadChanges counts the changes of loads and counts.
 	loadChanges atomic.Uint64
 	current     atomic.Pointer[[]upstream.Upstream]
--- a/internal/jobs/runner/comment_test.go
+++ b/internal/jobs/runner/comment_test.go
@@ -30,9 +30,10 @@
 func TestCommentsDoNotCutAnItem(t *testing.T) {
 	is := is.New(t)
 	r := &Runner{
-		Pipeline:  commentPipeline{},
-		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
-		Timer:     timer.NewService(),
+		VersionFresh: alwaysFresh,
+		Pipeline:     commentPipeline{},
+		Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+		Timer:        timer.NewService(),
 	}
 	l, err := json.Marshal(itemline.Line{CustomID: "i", Method: "POST", URL: "/", Inline: true})
 	is.NoErr(err)
--- a/internal/jobs/runner/confirm_test.go
+++ b/internal/jobs/runner/confirm_test.go
@@ -51,9 +51,10 @@
 			b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 			is.NoErr(err)
 			r := &Runner{
-				Pipeline:  &refusedPipeline{refusal: f},
-				Timer:     timer.NewService(),
-				Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+				VersionFresh: alwaysFresh,
+				Pipeline:     &refusedPipeline{refusal: f},
+				Timer:        timer.NewService(),
+				Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
 			}
 			a, err := r.Run(t.Context(), "u", item.Item{Line: b})
 			is.True(err != nil)
@@ -69,9 +70,10 @@
 	b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 	is.NoErr(err)
 	r := &Runner{
-		Pipeline:  emptyPipeline{},
-		Timer:     timer.NewService(),
-		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+		VersionFresh: alwaysFresh,
+		Pipeline:     emptyPipeline{},
+		Timer:        timer.NewService(),
+		Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
 	}
 	start := streamstart.Start{Service: "s", Version: "v"}
 	a, err := r.Run(t.Context(), "u", item.Item{Line: b, NextEvent: 3, Text: []byte("a\nb"), Start: start})
@@ -97,9 +99,10 @@
 	b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 	is.NoErr(err)
 	r := &Runner{
-		Pipeline:  charsetPipeline{},
-		Timer:     timer.NewService(),
-		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+		VersionFresh: alwaysFresh,
+		Pipeline:     charsetPipeline{},
+		Timer:        timer.NewService(),
+		Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
 	}
 	a, err := r.Run(t.Context(), "u", item.Item{Line: b})
 	is.NoErr(err)
@@ -129,9 +132,10 @@
 		b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 		is.NoErr(err)
 		r := &Runner{
-			Pipeline:  otherPipeline{status},
-			Timer:     timer.NewService(),
-			Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+			VersionFresh: alwaysFresh,
+			Pipeline:     otherPipeline{status},
+			Timer:        timer.NewService(),
+			Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
 		}
 		a, err := r.Run(t.Context(), "u", item.Item{Line: b, NextEvent: 3, Text: []byte("a\nb"), Start: streamstart.Start{Service: "s", Version: "v"}})
 		is.True(err != nil) // only an answer counts as a failed attempt
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -47,6 +47,8 @@
 	Pipeline pipeline
 	// Router finds the routes of items.
 	Router router
+	// VersionFresh reports whether an upstream has announced its version lately.
+	VersionFresh func(upstream string) bool
 	// Upstreams returns the upstreams that are known now.
 	Upstreams func() []upstream.Upstream
 	// Timer provides the clock and sleeps.
@@ -68,6 +70,9 @@
 		return itemanswer.Answer{}, refusal.NewNotRun(400, "bad-item", err.Error())
 	}
 	s := streamstart.Start{Service: u.Service, Version: u.Version}
+	if !r.VersionFresh(name) {
+		s = streamstart.Start{}
+	}
 	if !s.Known() || s != i.Start {
 		i.NextEvent, i.Text, i.Start = 0, nil, s
 	}
--- a/internal/jobs/runner/stalled_test.go
+++ b/internal/jobs/runner/stalled_test.go
@@ -48,10 +48,11 @@
 		m := timer.NewService()
 		g.Go("timer", m.Run)
 		r := &Runner{
-			Pipeline:  &tricklePipeline{group: g, timer: m, piece: piece},
-			Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
-			Timer:     m,
-			Silence:   200 * time.Millisecond,
+			VersionFresh: alwaysFresh,
+			Pipeline:     &tricklePipeline{group: g, timer: m, piece: piece},
+			Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+			Timer:        m,
+			Silence:      200 * time.Millisecond,
 		}
 		l, err := json.Marshal(itemline.Line{CustomID: "i", Method: "POST", URL: "/", Inline: true})
 		is.NoErr(err)
--- a/internal/jobs/runner/version_test.go
+++ b/internal/jobs/runner/version_test.go
@@ -70,8 +70,9 @@
 			b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 			is.NoErr(err)
 			r := &Runner{
-				Pipeline: &versionPipeline{cuts: c.cuts},
-				Timer:    timer.NewService(),
+				VersionFresh: alwaysFresh,
+				Pipeline:     &versionPipeline{cuts: c.cuts},
+				Timer:        timer.NewService(),
 				Upstreams: func() []upstream.Upstream {
 					return []upstream.Upstream{
 						{Name: "a1", Service: "s", Version: "v1"}, {Name: "b1", Service: "s", Version: "v1"},
@@ -103,9 +104,10 @@
 	b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 	is.NoErr(err)
 	r := &Runner{
-		Pipeline:  &versionPipeline{},
-		Timer:     timer.NewService(),
-		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "a", Service: "s", Version: "v1"}} },
+		VersionFresh: alwaysFresh,
+		Pipeline:     &versionPipeline{},
+		Timer:        timer.NewService(),
+		Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "a", Service: "s", Version: "v1"}} },
 	}
 	a, err := r.Run(t.Context(), "a", item.Item{Line: b, NextEvent: 4, Text: []byte("old"), Start: streamstart.Start{}})
 	is.NoErr(err)
@@ -127,9 +129,10 @@
 	b, err := json.Marshal(itemline.Line{CustomID: "i", Inline: true, Method: "POST", URL: "/x"})
 	is.NoErr(err)
 	r := &Runner{
-		Pipeline:  emptyPipeline{},
-		Timer:     timer.NewService(),
-		Upstreams: func() []upstream.Upstream { return []upstream.Upstream{{Name: "a", Service: "s", Version: "v1"}} },
+		VersionFresh: alwaysFresh,
+		Pipeline:     emptyPipeline{},
+		Timer:        timer.NewService(),
+		Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "a", Service: "s", Version: "v1"}} },
 	}
 	_, err = r.Run(t.Context(), "a", item.Item{Line: b})
 	is.True(err != nil)
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -10,6 +10,10 @@
 	"siskinrun/internal/routing/rollout"
 )
 
+// heartbeatsPerVersionTTL is the number of heartbeats of an upstream after which its version is no longer certain. News of it
+// is renewed at each second heartbeat and takes some exchanges between hosts.
+const heartbeatsPerVersionTTL = 6
+
 func (p *components) buildRouting() error {
 	s := p.server
 	p.rollout = rollout.NewRollout()
@@ -17,6 +21,8 @@
 	p.picker = picker.NewPicker(p.seed)
 	p.picker.LocalityWeight = s.Settings.Fleet.Weights.Locality
 	p.picker.Limits = p.permits
+	p.picker.VersionTTL = heartbeatsPerVersionTTL * s.Settings.Fleet.HeartbeatInterval.Duration()
+	p.picker.HeardAt = p.gossip.HeardAt
 	p.paths = reachability.NewTable(p.host.FailureDomain, p.seed)
 	p.picker.Paths = p.paths
 	p.batchLimiter = batchlimit.NewLimiter()
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -119,7 +119,14 @@
 
 func (p *components) newExecutor() *executor.Executor {
 	s := p.server
-	r := &runner.Runner{Pipeline: p.pipeline, Router: p.pipeline, Upstreams: p.gossip.Upstreams, Timer: s.timer, Silence: s.Settings.Limits.StreamIdleTimeout.Duration()}
+	r := &runner.Runner{
+		Pipeline:     p.pipeline,
+		Router:       p.pipeline,
+		VersionFresh: func(name string) bool { return p.picker.VersionFresh(name, s.timer.Now()) },
+		Upstreams:    p.gossip.Upstreams,
+		Timer:        s.timer,
+		Silence:      s.Settings.Limits.StreamIdleTimeout.Duration(),
+	}
 	return &executor.Executor{
 		Host:        s.Name,
 		Incarnation: hex.EncodeToString(binary.BigEndian.AppendUint64(nil, p.seed)),
--- a/internal/routing/picker/limits.go
+++ b/internal/routing/picker/limits.go
@@ -39,7 +39,7 @@
 // soonest returns the upstream that has its next permit first, of all or of those that are not overfilled.
 func (c *Picker) soonest(p *pool, d *demand.Demand, now time.Time, unfilled bool) (best *member, at time.Time) {
 	for _, m := range p.all {
-		if !c.eligible(m, d) || unfilled && c.overfilled(p, m, now) {
+		if !c.eligible(m, d, now) || unfilled && c.overfilled(p, m, now) {
 			continue
 		}
 		t, _ := c.Limits.Next(m.upstream.Name, m.upstream.Incarnation, now)
@@ -86,7 +86,7 @@
 func (c *Picker) sparing(p *pool, list []candidate, d *demand.Demand, now time.Time) []candidate {
 	spare := func(v candidate) bool {
 		m := v.member
-		return !c.named(m) && c.eligible(m, d) && m.load(now, c.ReportTTL)+1 <= spareShare*m.slots
+		return !c.named(m) && c.eligible(m, d, now) && m.load(now, c.ReportTTL)+1 <= spareShare*m.slots
 	}
 	if !p.limited || !slices.ContainsFunc(list, spare) {
 		return list
--- a/internal/routing/picker/load.go
+++ b/internal/routing/picker/load.go
@@ -50,6 +50,9 @@
 	if o == outcome.Broken || o == outcome.Unreachable {
 		m.brokenAt = at
 	}
+	if o == outcome.Unreachable {
+		m.refusedAt = at
+	}
 	if o == outcome.Succeeded && latency > 0 {
 		m.observeLatency(latency, at)
 	}
--- a/internal/routing/picker/member.go
+++ b/internal/routing/picker/member.go
@@ -35,7 +35,9 @@
 	// announcedAt is when the upstream last announced itself, brokenAt when a connection to it last broke or failed.
 	announcedAt time.Time
 	brokenAt    time.Time
-	warming     bool
+	// refusedAt is when a connection to it last failed to come about.
+	refusedAt time.Time
+	warming   bool
 
 	own   int
 	peers int
@@ -68,12 +70,6 @@
 	m.models = slices.Compact(m.models)
 }
 
-// versionCertain reports whether the upstream has announced itself since a connection to it last broke: it may have come
-// back under its name with another version.
-func (m *member) versionCertain() bool {
-	return m.brokenAt.IsZero() || m.announcedAt.After(m.brokenAt)
-}
-
 func (m *member) observeLatency(latency time.Duration, at time.Time) {
 	m.latencyAt = at
 	if m.latency == 0 {
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -125,12 +125,12 @@
 
 // allowed reports whether an upstream may get a request now.
 func (c *Picker) allowed(p *pool, m *member, d *demand.Demand, now time.Time) bool {
-	return c.eligible(m, d) && !c.closed(m, now) && !c.overfilled(p, m, now)
+	return c.eligible(m, d, now) && !c.closed(m, now) && !c.overfilled(p, m, now)
 }
 
 // eligible reports whether an upstream may get a request once it has a permit.
-func (c *Picker) eligible(m *member, d *demand.Demand) bool {
-	if d.Version != "" && !m.versionCertain() {
+func (c *Picker) eligible(m *member, d *demand.Demand, now time.Time) bool {
+	if d.Version != "" && !c.versionCertain(m, now) {
 		return false
 	}
 	return !slices.Contains(d.Tried, m.upstream.Name) && c.Ejection.Allowed(m.upstream.Name)
@@ -193,7 +193,7 @@
 func (c *Picker) probe(p *pool, d *demand.Demand, now time.Time) *member {
 	for range probeAttempts {
 		m := p.all[c.random.IntN(len(p.all))]
-		if d.Version != "" && !m.versionCertain() {
+		if d.Version != "" && !c.versionCertain(m, now) {
 			continue
 		}
 		if c.Ejection.Allowed(m.upstream.Name) || slices.Contains(d.Tried, m.upstream.Name) || c.closed(m, now) {
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -69,6 +69,10 @@
 	WarmUp time.Duration
 	// ReportTTL is the time after which a report is ignored.
 	ReportTTL time.Duration
+	// VersionTTL is the time from an upstream's announcement for which its version is certain, zero for no limit.
+	VersionTTL time.Duration
+	// HeardAt, if set, returns when this host last heard the news of another one, the zero time if there is none.
+	HeardAt func() time.Time
 	// Ejection ejects failing, silent and slow upstreams.
 	Ejection *ejection.Detector
 	// Affinity indexes which upstreams probably have which prefixes cached.
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -37,6 +37,7 @@
 	Soonest(now time.Time, d demand.Demand) (upstream.Upstream, time.Time, bool)
 	Started(name string)
 	Finished(name string, o outcome.Outcome, latency time.Duration, at time.Time)
+	VersionDuring(u upstream.Upstream, began time.Time) (version string, certain bool)
 }
 
 // retryBudget decides whether a call may be retried.
--- a/internal/wire/dispatch/dispatch_test.go
+++ b/internal/wire/dispatch/dispatch_test.go
@@ -52,6 +52,10 @@
 	return upstream.Upstream{}, false
 }
 
+func (f *firstPicker) VersionDuring(u upstream.Upstream, _ time.Time) (string, bool) {
+	return u.Version, true
+}
+
 func (f *firstPicker) Soonest(now time.Time, d demand.Demand) (upstream.Upstream, time.Time, bool) {
 	u, ok := f.Pick(now, d)
 	return u, now, ok
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -80,11 +80,15 @@
 	}
 }
 
-// recordStart binds the stream to the software that sent its first event, and keeps the record of it alive.
+// recordStart binds the stream to the software that sent its first event, as soon as its version is certain, and keeps the record
+// of it alive.
 func (s *stream) recordStart(now time.Time) {
 	c := s.call
-	if c.Record.Events == 1 && !c.Start.Known() {
-		c.Start = streamstart.Start{Service: s.attempt.upstream.Service, Version: s.attempt.upstream.Version}
+	if s.resumes == 0 && !c.Start.Known() {
+		u := s.attempt.upstream
+		if v, ok := s.dispatcher.Picker.VersionDuring(u, s.attempt.started); ok {
+			c.Start = streamstart.Start{Service: u.Service, Version: v}
+		}
 	}
 	if !c.RouteConfig.Repeatable || !c.Start.Known() || now.Sub(s.recordedAt) < recordRenewal {
 		return
