Take no odd entry for an upstream

Reported by other operators: one odd entry among those of the workers ended the hosts that read the list, or kept them from following it. Here an entry under an ID that is no text stopped all hosts: control hosts could encode no news any more.

Cause: the ID, which comes in the path, and the types of most fields were not checked, the numbers that decide between entries not bounded, and the news of other hosts not checked at all.

Tests of gossip announced upstreams without a port or slots, which are dropped now; theirs have both, and the checks are as they were.

--- a/internal/fleet/gossip/leave_test.go
+++ b/internal/fleet/gossip/leave_test.go
@@ -11,7 +11,7 @@
 )
 
 func leavingUpstream() upstream.Upstream {
-	return upstream.Upstream{Name: "u", Address: "x", Service: "s", Incarnation: 1}
+	return upstream.Upstream{Name: "u", Address: "x:80", Service: "s", Slots: 1, Incarnation: 1}
 }
 
 func TestAcknowledgedLeaveIsKnownToOtherHosts(t *testing.T) {
--- a/internal/fleet/gossip/service_test.go
+++ b/internal/fleet/gossip/service_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"reflect"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,7 +83,7 @@
 	l, stop := newServices(t, 3)
 	changes := make(chan int, 100)
 	l[2].Subscribe(func(u []upstream.Upstream) { changes <- len(u) })
-	is.True(l[0].Announce(upstream.Upstream{Name: "u", Address: "x", Service: "s", Incarnation: 1}))
+	is.True(l[0].Announce(upstream.Upstream{Name: "u", Address: "x:80", Service: "s", Slots: 1, Incarnation: 1}))
 	l[0].Report(loadreport.Report{Upstream: "u", Incarnation: 1, Running: 2})
 	l[0].Busy("u", 3)
 	l[1].Busy("u", 4)
@@ -109,7 +110,7 @@
 		From:  "a",
 		Hosts: []gossipmessage.Host{{Name: "a", FailureDomain: "d", Boot: 2, Refutation: 1, Dead: true, Sequence: 9}},
 		Announcements: []gossipmessage.Announcement{{Origin: o, Age: 5, Upstream: upstream.Upstream{
-			Name: "u", Address: "x", FailureDomain: "d", Kind: "engine", Service: "s", Models: []string{"m@1"},
+			Name: "u", Address: "x:80", FailureDomain: "d", Kind: "engine", Service: "s", Models: []string{"m@1"},
 			Role: "mixed", Slots: 8, Fencing: true, Incarnation: 7, Leaving: true,
 		}}},
 		Reports: []gossipmessage.Report{{Origin: o, Age: 6, Report: loadreport.Report{
@@ -119,6 +120,30 @@
 	}
 }
 
+// TestOddAnnouncementsOfPeersAreDropped guards against an entry that a host of an older build passed on and that names no
+// upstream to use; the others of the same news hold.
+func TestOddAnnouncementsOfPeersAreDropped(t *testing.T) {
+	is := is.New(t)
+	m := example()
+	sound := m.Announcements[0]
+	for _, c := range []func(u *upstream.Upstream){
+		func(u *upstream.Upstream) { u.Address = "10.0.0.1:99999" },
+		func(u *upstream.Upstream) { u.Slots = -1 },
+		func(u *upstream.Upstream) { u.FailureDomain = strings.Repeat("x", 100_000) },
+		func(u *upstream.Upstream) { u.Name = "" },
+	} {
+		odd := sound
+		odd.Upstream.Leaving = false
+		c(&odd.Upstream)
+		m.Announcements = append(m.Announcements, odd)
+	}
+	b, err := encode(m)
+	is.NoErr(err)
+	n, err := decode(b)
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(n, example()))
+}
+
 func TestNewsRoundTrip(t *testing.T) {
 	is := is.New(t)
 	b, err := encode(example())
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -69,7 +69,10 @@
 		})
 	}
 	for _, a := range m.Announcements {
-		n.Announcements = append(n.Announcements, decodeAnnouncement(a))
+		// A host of an older build may pass on what names no upstream to use.
+		if d := decodeAnnouncement(a); d.Upstream.Check() == nil {
+			n.Announcements = append(n.Announcements, d)
+		}
 	}
 	for _, r := range m.Reports {
 		n.Reports = append(n.Reports, decodeReport(r))
