Tell a removed member once its removal is committed

Cause: a change of members is in force at the leader as soon as it is in its log, and control/members named the members in force.

Change: the leader answers once the change is committed and refuses with members-changing before, which an operator reads as active.

--- a/internal/product/server/retire.go
+++ b/internal/product/server/retire.go
@@ -69,6 +69,9 @@
 			return false, err
 		}
 		b, err := p.client.CallLeader(ctx, g, control.MethodMembers, q)
+		if err != nil && refusal.Of(err).Code == control.CodeMembersChanging {
+			return false, nil
+		}
 		if err != nil {
 			return false, err
 		}
--- a/internal/state/control/members.go
+++ b/internal/state/control/members.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"siskinrun/internal/state/packet"
+	"siskinrun/pkg/refusal"
 )
 
 // MethodMembers is the call that asks the leader of a group for its members.
@@ -31,7 +32,13 @@
 	return l, nil
 }
 
-// onMembers answers with the members of a group that this host leads.
+// CodeMembersChanging is the code of the refusal to tell the members of a group while a change of them is not committed.
+const CodeMembersChanging = "members-changing"
+
+// errMembersChanging refuses to tell members that the other hosts may not know of, and that a loss of this host may undo.
+var errMembersChanging = refusal.NewNotRun(503, CodeMembersChanging, "a change of the group's members is not committed yet")
+
+// onMembers answers with the members of a group that this host leads, once they are committed.
 func (c *Service) onMembers(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	d, _, err := c.confirmLeader(ctx, body)
 	if err != nil {
@@ -39,6 +46,9 @@
 	}
 	f := &packet.Formation{}
 	err = d.do(ctx, func(time.Time) error {
+		if !d.replica.MembersCommitted() {
+			return errMembersChanging
+		}
 		for _, i := range d.replica.Members().All() {
 			f.Members = append(f.Members, encodeIdentity(i))
 		}
