Refuse no job as not run that may have been accepted

Cause: a submission is tried until its time is over. The last refusal kept its status, 503 or 429, though an earlier attempt had no answer.

--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -14,6 +14,7 @@
 	"siskinrun/internal/data/submission"
 	"siskinrun/internal/jobs/entry"
 	"siskinrun/pkg/refusal"
+	"siskinrun/pkg/verdict"
 )
 
 const (
@@ -123,14 +124,17 @@
 	return jobFromEntry(t.Job), nil
 }
 
-// acceptanceUnknown sets the code and message of a refusal after which the job may have been accepted.
+// acceptanceUnknown sets the code and message of a refusal after which the job may have been accepted, and its status where that
+// would say that no part of the job runs.
 func acceptanceUnknown(err error) error {
-	r := *refusal.Of(err)
-	if r.Verdict.String() == "may-have-run" {
-		r.Code = "acceptance-unknown"
-		r.Message = "the job may have been accepted; it is safe to send it again with the same key or contents"
-	}
-	return &r
+	f := refusal.Of(err)
+	if f.Verdict == verdict.NotRun {
+		return f
+	}
+	r := f.WithVerdict(f.Verdict)
+	r.Code = "acceptance-unknown"
+	r.Message = "the job may have been accepted; it is safe to send it again with the same key or contents"
+	return r
 }
 
 func refusalCode(err error) string {
--- a/internal/jobs/batch/leader.go
+++ b/internal/jobs/batch/leader.go
@@ -23,18 +23,20 @@
 	claimTimeout = time.Second
 )
 
-// Command sends a command to the leader of a group. The command must be idempotent, since it may be sent again.
+// Command sends a command to the leader of a group. The command must be idempotent, since it may be sent again. The error is a
+// refusal with the status of the last attempt and the worst verdict of all.
 func (b *Service) Command(ctx context.Context, group uint32, c *entry.Command) (*entry.Answer, error) {
 	m, err := proto.Marshal(&entry.Ask{Group: group, Command: c})
 	if err != nil {
 		return nil, refusal.NewNotRun(500, "internal-error", err.Error())
 	}
 	a := &entry.Answer{}
-	if err := b.callLeader(ctx, group, methodCommand, m, a); err != nil {
+	v, err := b.callLeader(ctx, group, methodCommand, m, a)
+	if err != nil {
 		return nil, err
 	}
 	if r := a.Refused; r != nil {
-		return nil, refusal.NewNotRun(int(r.Status), r.Code, r.Message)
+		return nil, &refusal.Refusal{Status: int(r.Status), Code: r.Code, Message: r.Message, Verdict: v}
 	}
 	return a, nil
 }
@@ -74,7 +76,7 @@
 		return nil, refusal.NewNotRun(500, "internal-error", err.Error())
 	}
 	f := &entry.Found{}
-	if err := b.callLeader(ctx, q.Group, methodQuery, m, f); err != nil {
+	if _, err := b.callLeader(ctx, q.Group, methodQuery, m, f); err != nil {
 		return nil, asNotRun(err)
 	}
 	return f, nil
@@ -94,21 +96,23 @@
 	return &r
 }
 
-// callLeader calls the leader of a group until it answers, and returns the worst verdict of all attempts.
-func (b *Service) callLeader(ctx context.Context, group uint32, method string, body []byte, answer proto.Message) error {
+// callLeader calls the leader of a group until it answers, and returns the worst verdict of the attempts that failed.
+func (b *Service) callLeader(
+	ctx context.Context, group uint32, method string, body []byte, answer proto.Message,
+) (verdict.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
 	v := verdict.NotRun
 	for {
 		m, err := b.Proposer.CallLeader(ctx, group, method, body)
 		if err == nil {
-			return decode(m, answer)
+			return v, decode(m, answer)
 		}
 		r := *refusal.Of(err)
 		r.Verdict = verdict.Worse(v, r.Verdict)
 		v = r.Verdict
 		if permanent(&r) || b.Timer.Sleep(ctx, leaderRetryInterval) != nil {
-			return &r
+			return v, &r
 		}
 	}
 }
