Match host names without port and case

Change: the router compares host names in lower case and without a port. The validation of configurations is as it was, since replicas of two builds must agree on it.

--- a/internal/wire/router/router.go
+++ b/internal/wire/router/router.go
@@ -28,7 +28,8 @@
 			m.models[r.Model] = entry{n, r}
 		}
 		if r.Prefix != "" {
-			m.prefixes[r.Host] = append(m.prefixes[r.Host], entry{n, r})
+			h := hostName(r.Host)
+			m.prefixes[h] = append(m.prefixes[h], entry{n, r})
 		}
 	}
 	for _, l := range m.prefixes {
@@ -58,13 +59,21 @@
 
 func (m *Router) match(host, path string, eligible func(route.Route) bool) (name string, r route.Route, ok bool) {
 	if host != "" {
-		if n, r, ok := longestPrefix(m.prefixes[host], path, eligible); ok {
+		if n, r, ok := longestPrefix(m.prefixes[hostName(host)], path, eligible); ok {
 			return n, r, true
 		}
 	}
 	return longestPrefix(m.prefixes[""], path, eligible)
 }
 
+// hostName returns the host name of a Host header without its port, in lower case.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
 func longestPrefix(l []entry, path string, eligible func(route.Route) bool) (name string, r route.Route, ok bool) {
 	for _, e := range l {
 		if eligible(e.route) && hasPathPrefix(path, e.route.Prefix) {
--- a/internal/wire/router/slash_test.go
+++ b/internal/wire/router/slash_test.go
@@ -20,6 +20,8 @@
 		"root":   {Host: "all.example", Prefix: "/"},
 		"within": {Host: "all.example", Prefix: "/p/"},
 		"plain":  {Prefix: "/plain"},
+		"mixed":  {Host: "Mixed.Example", Prefix: "/m/"},
+		"six":    {Host: "[::1]", Prefix: "/six/"},
 		"jobs":   {Host: "h.example", Prefix: "/jobs/", Jobs: true},
 	}})
 	for _, c := range []struct{ host, path, want string }{
@@ -46,6 +48,13 @@
 		{"h.example", "/plain/", "plain"},
 		{"h.example", "/plain/a", "plain"},
 		{"h.example", "/plainer", ""},
+		{"h.example:8405", "/p/2f", "app"},
+		{"H.Example", "/p/2f/", "audit"},
+		{"H.EXAMPLE:80", "/p/a", "app"},
+		{"h.example.", "/p/a", ""},
+		{"mixed.example", "/m/", "mixed"},
+		{"[::1]:80", "/six/", "six"},
+		{"[::1]", "/six/", "six"},
 	} {
 		t.Run(c.host+c.path, func(t *testing.T) {
 			is := is.New(t)
