Bind a stream to the upstream of its first event again

Change: the version is asked for while the attempt that brought the first event goes on. The control hosts that keep records are listed in one pass.

Before: TestStreamIsBoundToTheVersionOfItsFirstEvent, stream-lost after event 3. After: the stream goes on at the version of its first event.

--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -128,13 +128,19 @@
 // controlRecordHosts returns the control hosts that keep records of streams too, where others take the calls.
 func (p *components) controlRecordHosts() []host.Host {
 	var l []host.Host
-	entry := p.recordHosts()
+	others := false
 	for _, h := range p.gossip.Hosts() {
-		d := host.Host{Name: h.Name, FailureDomain: h.FailureDomain}
-		if !h.Dead && (h.Control || h.Ledgers) && !slices.Contains(entry, d) {
-			l = append(l, d)
+		switch {
+		case h.Dead:
+		case h.Control || h.Ledgers:
+			l = append(l, host.Host{Name: h.Name, FailureDomain: h.FailureDomain})
+		default:
+			others = true
 		}
 	}
+	if !others {
+		return nil
+	}
 	return l
 }
 
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -27,8 +27,10 @@
 	dispatcher *Dispatcher
 	call       *call.Call
 	attempt    *attempt
-	resumes    int
-	lastEvent  time.Time
+	// origin is the attempt that brought the first event, nil before it.
+	origin    *attempt
+	resumes   int
+	lastEvent time.Time
 	// refused lists the upstreams that had no permit, did not run the call or were lost when they were to confirm the end.
 	refused []string
 	// awaiting is the context of the attempt that is to confirm the end, while it has not gone on with the stream.
@@ -73,6 +75,9 @@
 	c.Record.Events++
 	s.attempt.begin()
 	s.attempt.events++
+	if c.Record.Events == 1 {
+		s.origin = s.attempt
+	}
 	s.recordStart(n)
 	if c.Record.Events > 1 {
 		c.Record.MaxEventGap = max(c.Record.MaxEventGap, g)
@@ -84,7 +89,7 @@
 // of it alive.
 func (s *stream) recordStart(now time.Time) {
 	c := s.call
-	if s.resumes == 0 && !c.Start.Known() {
+	if s.attempt == s.origin && !c.Start.Known() {
 		u := s.attempt.upstream
 		if v, ok := s.dispatcher.Picker.VersionDuring(u, s.attempt.started); ok {
 			c.Start = streamstart.Start{Service: u.Service, Version: v}
--- a/internal/wire/dispatch/version_test.go
+++ b/internal/wire/dispatch/version_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/standin/answertext"
 	"siskinrun/internal/standin/faultinjection"
 )
@@ -51,3 +52,23 @@
 	is.NoErr(err)
 	is.Equal(streamedText(t, a.Body), answertext.Answer("m", "p", tokens))
 }
+
+// TestStreamIsBoundToTheVersionOfItsFirstEvent guards against a stream that is bound to no version, and goes on nowhere, since an
+// upstream was lost between the headers and the first event.
+func TestStreamIsBoundToTheVersionOfItsFirstEvent(t *testing.T) {
+	is := is.New(t)
+	b := newFixture(t)
+	b.dispatcher.PlainStreams = true
+	first := startScripted(t, "x", script{text: unframedHeaders, reset: true})
+	second := startScripted(t, "y", script{text: unframedHeaders + events(1, 3) + "id: 4\nda", reset: true})
+	third := startScripted(t, "z", script{text: framed(events(4, 5))})
+	first.Version, second.Version, third.Version = "v1", "v2", "v2"
+	b.picker.upstreams = []upstream.Upstream{first, second, third}
+	q := b.streamed(true)
+	a, err := b.dispatcher.Serve(context.Background(), q)
+	is.NoErr(err)
+	text, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(string(text), events(1, 5))
+	is.Equal(q.Start.Version, "v2")
+}
