Hold no item that was leased to learn its route

Cause: since hosts without an upstream for a route lease one of its items now and then to learn where it goes. Where the route was that of the item's name they held it for 2 s, and it went from one to the next.

Change: an item that was leased for this goes back at once.

Before: TestProbedItemIsNotHeld failed.

--- a/internal/jobs/executor/routes.go
+++ b/internal/jobs/executor/routes.go
@@ -45,6 +45,8 @@
 	routelessSince time.Time
 	nextProbe      time.Time
 	interval       time.Duration
+	// probed says that the last request was for an item that no upstream of this host was known to serve.
+	probed bool
 }
 
 // add records that an item of the target has a route now.
@@ -91,6 +93,7 @@
 func (p *scheduler) wanted(now time.Time, r freeSlots, name string) int {
 	l := p.routesOf(now, name)
 	if n := r.reserve(l, maxItemsPerRequest); n > 0 {
+		p.target(name).probed = false
 		return n
 	}
 	if p.anyServes(now, l) {
@@ -132,15 +135,20 @@
 	}
 	t.interval = min(max(2*t.interval, minProbeInterval), maxProbeInterval)
 	t.nextProbe = now.Add(t.interval)
+	t.probed = true
 	return 1
 }
 
-// learn finds the route of a leased item, and reports whether the item stays: one that goes elsewhere than its target says is
-// left to the hosts with an upstream for it.
+// learn finds the route of a leased item, and reports whether the item stays: one that was leased to learn its route, or goes
+// elsewhere than its target says, is left to the hosts with an upstream for it.
 func (p *scheduler) learn(now time.Time, t *task) bool {
+	o := p.target(t.item.Target)
 	t.route = p.routeOf(t.item)
-	p.target(t.item.Target).add(now, t.route)
-	return t.route == t.item.Target || t.route == noRoute || p.anyServes(now, []string{t.route})
+	o.add(now, t.route)
+	if t.route == noRoute || p.anyServes(now, []string{t.route}) {
+		return true
+	}
+	return t.route == t.item.Target && !o.probed
 }
 
 // applyRevision finds the routes of the pending items anew under a changed configuration, and returns the leases of those that
--- a/internal/jobs/executor/routes_test.go
+++ b/internal/jobs/executor/routes_test.go
@@ -100,3 +100,15 @@
 	p.applyRevision(now, 2, now)
 	is.Equal(len(p.pending), 0) // it is left to the hosts with an upstream for it
 }
+
+// TestProbedItemIsNotHeld guards against an item whose route is that of its name, and that hosts without an upstream for it lease
+// in turn to learn that, and hold until they give up to wait for a slot.
+func TestProbedItemIsNotHeld(t *testing.T) {
+	is := is.New(t)
+	p, now, until := newRouted("former")
+	is.Equal(len(p.wants(now, 1)), 1)
+	p.addLeased(now, 1, formerItem(1), until)
+	is.Equal(len(p.pending), 0)
+	is.Equal(len(p.groups[1].outcomes), 1)
+	is.Equal(len(p.wants(now.Add(reconcileInterval), 1)), 0) // it asks again later
+}
