Return upstreams that were only silent as soon as they are heard again

Cause: an upstream that is silent for 5 s is ejected and comes back after two successful probes, one request at a time, and calls that may not be repeated don't probe before another 4 s. Change: an announcement or report that was sent after the ejection ends it if silence was its only cause. Failed requests and connections count as before. Result: TestUpstreamHeardAgainReturnsAtOnce fails without the change and passes with it; the tests of picker pass.

--- a/internal/routing/ejection/detector.go
+++ b/internal/routing/ejection/detector.go
@@ -52,7 +52,9 @@
 	// unreachable means that the last connection attempt failed.
 	unreachable bool
 	// slow means that the upstream was ejected for its latency.
-	slow           bool
+	slow bool
+	// silentSince is when the upstream was ejected for its silence, zero if it was not or has failed a request since.
+	silentSince    time.Time
 	ejectedUntil   time.Time
 	ejectionTime   time.Duration
 	probeSuccesses int
@@ -129,11 +131,16 @@
 	delete(e.members, name)
 }
 
-// MarkAlive records evidence that an upstream is alive, such as a report.
+// MarkAlive records evidence that an upstream is alive, such as a report. It ends an ejection whose only cause was silence:
+// after a partition many upstreams are heard again at once, and probes would bring them back one by one.
 func (e *Detector) MarkAlive(name string, at time.Time) {
 	m, ok := e.members[name]
-	if ok && at.After(m.lastAlive) {
-		m.lastAlive = at
+	if !ok || !at.After(m.lastAlive) {
+		return
+	}
+	m.lastAlive = at
+	if !m.silentSince.IsZero() && at.After(m.silentSince) {
+		e.restore(m)
 	}
 }
 
@@ -157,6 +164,7 @@
 		return
 	}
 	m.consecutiveFailures++
+	m.silentSince = time.Time{}
 	m.probeSuccesses = 0
 	m.failureRate += (1 - m.failureRate) * failureRateWeight
 	m.samples++
--- a/internal/routing/ejection/detector_test.go
+++ b/internal/routing/ejection/detector_test.go
@@ -114,6 +114,48 @@
 	is.True(e.Allowed("u0"))
 }
 
+// TestUpstreamHeardAgainReturnsAtOnce guards against upstreams that wait for probes after a partition, though nothing but
+// their silence spoke against them.
+func TestUpstreamHeardAgainReturnsAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		act     func(e *ejection.Detector, at time.Time)
+		allowed bool
+	}{
+		{"heard again", func(e *ejection.Detector, at time.Time) { e.MarkAlive("u5", at.Add(time.Second)) }, true},
+		{"an old announcement", func(e *ejection.Detector, at time.Time) { e.MarkAlive("u5", at.Add(-time.Second)) }, false},
+		{"a failed probe before", func(e *ejection.Detector, at time.Time) {
+			observe(e, "u5", outcome.TimedOut, 1, at)
+			e.MarkAlive("u5", at.Add(time.Second))
+		}, false},
+		{"still out of reach", func(e *ejection.Detector, at time.Time) {
+			observe(e, "u5", outcome.Unreachable, 1, at)
+			e.MarkAlive("u5", at.Add(time.Second))
+		}, false},
+		{"reached again", func(e *ejection.Detector, at time.Time) {
+			observe(e, "u5", outcome.Unreachable, 1, at)
+			e.MarkAlive("u5", at.Add(time.Second))
+			e.MarkReachable("u5")
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newDetector(6)
+			for i := range 6 {
+				e.MarkAlive(name(i), start)
+			}
+			at := start.Add(e.SilenceTimeout + time.Second)
+			for i := range 5 {
+				e.MarkAlive(name(i), at)
+			}
+			e.Sweep(at)
+			is.True(!e.Allowed("u5"))
+			c.act(e, at)
+			is.Equal(e.Allowed("u5"), c.allowed)
+		})
+	}
+}
+
 func TestEjectionsSuspendedAboveMaxShare(t *testing.T) {
 	is := is.New(t)
 	e := newDetector(6)
--- a/internal/routing/ejection/evaluate.go
+++ b/internal/routing/ejection/evaluate.go
@@ -15,6 +15,7 @@
 	}
 	if silent {
 		e.eject(m, now)
+		m.silentSince = now
 		return
 	}
 	s := m.service
@@ -79,6 +80,7 @@
 	}
 	m.ejected = false
 	m.slow = false
+	m.silentSince = time.Time{}
 	m.consecutiveFailures = 0
 	m.failureRate = 0
 	m.samples = 0
