Give test runs beside each other networks of their own

Cause: two test runs on one machine used the same loopback addresses. Change: a run reserves the first network that no other run holds, by a listener that it keeps until it ends.

--- a/cmd/siskinrun/joining_test.go
+++ b/cmd/siskinrun/joining_test.go
@@ -21,11 +21,12 @@
 	"siskinrun/internal/state/groupstatus"
 )
 
-// joiningNetwork is the prefix of the hosts' IP addresses in this test, which are also their names.
-const joiningNetwork = "127.0.14."
-
-// firstEntry is the first entry host.
-const firstEntry = joiningNetwork + "31"
+var (
+	// joiningNetwork is the prefix of the hosts' IP addresses in this test, which are also their names.
+	joiningNetwork = reserveNetwork(14)
+	// firstEntry is the first entry host.
+	firstEntry = joiningNetwork + "31"
+)
 
 // newJoiningFleet writes the settings of three hosts that store the configuration, three that store ledgers and two
 // entry hosts. The settings of each list only the host itself and the seeds.
--- a/cmd/siskinrun/link_fleet_test.go
+++ b/cmd/siskinrun/link_fleet_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -35,7 +33,7 @@
 )
 
 // linkNetwork is the prefix of the addresses of the hosts of a linkFleet.
-var linkNetwork = cmp.Or(os.Getenv("SISKINRUN_TEST_NETWORK"), "127.0.18.")
+var linkNetwork = reserveNetwork(18)
 
 const linkConfiguration = `{"version": 8, "routes": [
   {"name": "ask", "host": "` + streamHost + `", "path_prefix": "` + streamPath + `", "route_type": "streaming",
--- a/cmd/siskinrun/platform_fleet_test.go
+++ b/cmd/siskinrun/platform_fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,7 +34,7 @@
 // platformNetwork is the prefix of the addresses of the hosts of a platformFleet, so that several test runs may go on beside
 // each other.
 var (
-	platformNetwork = cmp.Or(os.Getenv("SISKINRUN_TEST_NETWORK"), "127.0.15.")
+	platformNetwork = reserveNetwork(15)
 	platformControl = platformNetwork + "11"
 )
 
