Choose upstreams by finish time where they report their pace

Cause: on some deployments X-Server-Load has a fourth figure, how long work takes at the upstream now. The parser took three figures only and dropped the whole report, so calls went to upstreams that were slow at that moment while others had slots.

Change: the report carries a bounded pace. In pools whose upstreams report a pace the picker takes the least expected finish time: load, slots, prompts and cached parts, times the lasting slowness and the present pace.

--- a/internal/data/gossipmessage/message.go
+++ b/internal/data/gossipmessage/message.go
@@ -97,6 +97,10 @@
 	InFlight int
 	// Batch is the number of batch requests in flight.
 	Batch int
+	// Pace is the latest pace of the upstream that the sender knows, zero if there is none.
+	Pace int
+	// PaceAge is the time since the pace was measured.
+	PaceAge time.Duration
 }
 
 // Occupancy is the number of requests of all hosts at one upstream.
@@ -109,4 +113,8 @@
 	Online int
 	// Batch is the number of batch requests.
 	Batch int
+	// Pace is the latest pace of the upstream that the sender knows, zero if there is none.
+	Pace int
+	// PaceAge is the time since the pace was measured.
+	PaceAge time.Duration
 }
--- a/internal/fleet/gossip/loads.go
+++ b/internal/fleet/gossip/loads.go
@@ -13,6 +13,8 @@
 	reported   bool
 	peers      int
 	peersBatch int
+	pace       int
+	paceAt     time.Time
 }
 
 // Report stores the load of an upstream.
@@ -30,6 +32,21 @@
 	return v.report, v.measured, v.reported
 }
 
+// SetPace records the pace of an upstream that came with its answer. It reaches the peers with the next count of this host.
+func (s *Service) SetPace(name string, pace int) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membership.SetPace(name, pace, s.Timer.Now())
+	s.publishLoads()
+}
+
+// Pace returns the newest known pace of an upstream and when it was measured, zero if there is none.
+func (s *Service) Pace(name string) (int, time.Time) {
+	v := s.sampleOf(name)
+	return v.pace, v.paceAt
+}
+
 // Busy sets the number of online requests that this host has in flight at an upstream, for peers to learn.
 func (s *Service) Busy(name string, n int) {
 	s.once.Do(s.init)
@@ -67,7 +84,7 @@
 	return *v.(*sample)
 }
 
-// LoadChanges returns a number that grows whenever what Load, Peers or PeersBatch returns has changed.
+// LoadChanges returns a number that grows whenever what Load, Pace, Peers or PeersBatch returns has changed.
 func (s *Service) LoadChanges() uint64 {
 	return s.loadChanges.Load()
 }
@@ -81,7 +98,8 @@
 	for _, n := range l {
 		v := &sample{peers: s.membership.PeersInFlight(n), peersBatch: s.membership.PeersBatch(n)}
 		v.report, v.measured, v.reported = s.membership.Load(n)
-		if !v.reported && v.peers+v.peersBatch == 0 {
+		v.pace, v.paceAt = s.membership.Pace(n)
+		if !v.reported && v.pace == 0 && v.peers+v.peersBatch == 0 {
 			s.samples.Delete(n)
 			continue
 		}
--- a/internal/fleet/gossip/relay.go
+++ b/internal/fleet/gossip/relay.go
@@ -98,6 +98,9 @@
 	}
 	for _, o := range r.received {
 		o.Age += now.Sub(o.at)
+		if o.Pace > 0 {
+			o.PaceAge += now.Sub(o.at)
+		}
 		if o.remote {
 			l.remote = append(l.remote, o.Occupancy)
 			continue
@@ -133,7 +136,7 @@
 func (s *Service) sendRelays(context.Context) {
 	q := s.relays.drain(s.Timer.Now())
 	s.mu.Lock()
-	local := append(q.local, s.membership.Occupancies(q.changed)...)
+	local := append(q.local, s.membership.Occupancies(s.Timer.Now(), q.changed)...)
 	domain := s.membership.DomainPeers()
 	s.mu.Unlock()
 	if h := s.relayHost(); h != s.Name {
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -38,6 +38,9 @@
 			Upstream:       c.Upstream,
 			InFlight:       int64(c.InFlight),
 			Batch:          int64(c.Batch),
+
+			Pace:               int64(c.Pace),
+			PaceAgeNanoseconds: int64(c.PaceAge),
 		})
 	}
 	for _, o := range n.Occupancies {
@@ -84,6 +87,8 @@
 			Upstream: c.Upstream,
 			InFlight: int(c.InFlight),
 			Batch:    int(c.Batch),
+			Pace:     int(c.Pace),
+			PaceAge:  time.Duration(c.PaceAgeNanoseconds),
 		})
 	}
 	for _, o := range m.Occupancies {
@@ -93,7 +98,15 @@
 }
 
 func encodeOccupancy(o gossipmessage.Occupancy) *gossipwire.Occupancy {
-	return &gossipwire.Occupancy{Upstream: o.Upstream, AgeNanoseconds: int64(o.Age), Online: int64(o.Online), Batch: int64(o.Batch)}
+	return &gossipwire.Occupancy{
+		Upstream:       o.Upstream,
+		AgeNanoseconds: int64(o.Age),
+		Online:         int64(o.Online),
+		Batch:          int64(o.Batch),
+
+		Pace:               int64(o.Pace),
+		PaceAgeNanoseconds: int64(o.PaceAge),
+	}
 }
 
 func decodeOccupancy(o *gossipwire.Occupancy) gossipmessage.Occupancy {
@@ -102,6 +115,8 @@
 		Age:      time.Duration(o.AgeNanoseconds),
 		Online:   int(o.Online),
 		Batch:    int(o.Batch),
+		Pace:     int(o.Pace),
+		PaceAge:  time.Duration(o.PaceAgeNanoseconds),
 	}
 }
 
--- a/internal/fleet/membership/counts.go
+++ b/internal/fleet/membership/counts.go
@@ -75,6 +75,7 @@
 	if n.Origin.Host == m.name || n.Age < 0 || n.InFlight < 0 || n.Batch < 0 {
 		return
 	}
+	m.applyPace(sent, n.Upstream, n.Pace, n.PaceAge)
 	l := m.counts[n.Upstream]
 	if l == nil {
 		l = map[string]*count{}
--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -98,7 +98,7 @@
 		}
 		delete(m.changedCounts, n)
 		if c := m.ownCounts[n]; c != nil {
-			u.Counts = append(u.Counts, c.news(now, n))
+			u.Counts = append(u.Counts, m.withPace(now, c.news(now, n)))
 		}
 	}
 	return u, len(u.Announcements)+len(u.Counts)+len(u.Hosts) > 0
@@ -113,6 +113,7 @@
 func (m *Membership) Prune(now time.Time) {
 	m.removeDead(now)
 	m.pruneOccupancies(now)
+	m.prunePaces(now)
 	for n, a := range m.announcements {
 		if now.Sub(a.createdAt) > TombstoneRetention {
 			delete(m.announcements, n)
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -62,6 +62,7 @@
 	counts        map[string]map[string]*count
 	peerTotals    map[string]total
 	occupancies   map[string]*occupancy
+	paces         map[string]pace
 	changedLoads  map[string]struct{}
 	ownCounts     map[string]*count
 	changedCounts map[string]struct{}
@@ -92,6 +93,7 @@
 		counts:        map[string]map[string]*count{},
 		peerTotals:    map[string]total{},
 		occupancies:   map[string]*occupancy{},
+		paces:         map[string]pace{},
 		changedLoads:  map[string]struct{}{},
 		ownCounts:     map[string]*count{},
 		changedCounts: map[string]struct{}{},
@@ -155,6 +157,7 @@
 	}
 	l.origin = m.nextOrigin()
 	m.reports[r.Upstream] = l
+	m.SetPace(r.Upstream, r.Pace, l.measuredAt)
 	m.changedLoads[r.Upstream] = struct{}{}
 }
 
--- a/internal/fleet/membership/occupancy.go
+++ b/internal/fleet/membership/occupancy.go
@@ -37,15 +37,17 @@
 }
 
 // Occupancies sums the requests known here at each of the named upstreams.
-func (m *Membership) Occupancies(names []string) []gossipmessage.Occupancy {
+func (m *Membership) Occupancies(now time.Time, names []string) []gossipmessage.Occupancy {
 	var l []gossipmessage.Occupancy
 	for _, n := range names {
 		own, peers := m.ownTotal(n), m.peerTotals[n]
-		l = append(l, gossipmessage.Occupancy{
+		o := gossipmessage.Occupancy{
 			Upstream: n,
 			Online:   own.online + peers.online,
 			Batch:    own.batch + peers.batch,
-		})
+		}
+		o.Pace, o.PaceAge = m.paceNews(now, n)
+		l = append(l, o)
 	}
 	return l
 }
@@ -69,6 +71,7 @@
 	if n.Age < 0 || n.Online < 0 || n.Batch < 0 {
 		return
 	}
+	m.applyPace(sent, n.Upstream, n.Pace, n.PaceAge)
 	o := &occupancy{total: total{n.Online, n.Batch}, takenAt: sent.Add(-n.Age)}
 	old := m.occupancies[n.Upstream]
 	if old == nil && len(m.occupancies) >= maxUpstreams || old != nil && old.takenAt.After(o.takenAt) {
--- a/internal/product/server/loads.go
+++ b/internal/product/server/loads.go
@@ -89,6 +89,9 @@
 
 // applyReport applies the newest load report of an upstream if it has not been applied yet.
 func (l *loadUpdater) applyReport(name string) {
+	if v, t := l.components.gossip.Pace(name); v > 0 {
+		l.components.picker.SetPace(name, v, t)
+	}
 	r, at, ok := l.components.gossip.Load(name)
 	if !ok || at.Equal(l.measured[name]) {
 		return
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -146,4 +146,7 @@
 func (p *components) applyReport(r loadreport.Report, at time.Time) {
 	p.picker.Report(r, at)
 	p.batchLimiter.Report(r, at)
+	if r.Pace > 0 {
+		p.gossip.SetPace(r.Upstream, r.Pace)
+	}
 }
--- /dev/null
+++ b/internal/routing/picker/finish.go
@@ -0,0 +1,85 @@
+package picker
+
+import (
+	"slices"
+	"time"
+
+	"siskinrun/internal/data/demand"
+)
+
+const (
+	// lastingWeight is the weight of one sample in the moving average of the lasting speed, which changes with the machine only.
+	lastingWeight = 0.05
+	// minLasting and maxLasting bound the lasting slowness relative to the median.
+	minLasting = 0.4
+	maxLasting = 4
+)
+
+// SetPace applies the pace that an upstream reported to any host; older and repeated ones are ignored.
+func (c *Picker) SetPace(name string, pace int, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := c.members[name]; ok {
+		m.pace.Observe(pace, at)
+	}
+}
+
+// observeWork records the time that an answer took, corrected by the pace of the upstream. An answer that waited for a slot
+// says nothing of the speed.
+func (m *member) observeWork(latency time.Duration, at time.Time) {
+	if !m.pace.Reports(at) || float64(m.knownRequests()) > m.slots {
+		return
+	}
+	v := float64(latency) / m.pace.At(at)
+	if m.work == 0 {
+		m.work = v
+		return
+	}
+	m.work += (v - m.work) * lastingWeight
+}
+
+// lasting returns how long work usually takes at the upstream relative to the median of its pool.
+func (m *member) lasting(median float64) float64 {
+	if m.work == 0 || median == 0 {
+		return 1
+	}
+	return min(max(m.work/median, minLasting), maxLasting)
+}
+
+// updatePaced notes whether an upstream of the pool reports its pace, and the median of the lasting speeds.
+func (p *pool) updatePaced(now time.Time) {
+	p.paced = slices.ContainsFunc(p.all, func(m *member) bool { return m.pace.Reports(now) })
+	p.medianWork = 0
+	if !p.paced {
+		return
+	}
+	p.latencies = p.latencies[:0]
+	for _, m := range p.all {
+		if m.work > 0 {
+			p.latencies = append(p.latencies, m.work)
+		}
+	}
+	if len(p.latencies) > 0 {
+		slices.Sort(p.latencies)
+		p.medianWork = p.latencies[len(p.latencies)/2]
+	}
+}
+
+// finishCost returns the expected time of a request's answer at an upstream, in usual answer times of the pool: the work itself,
+// beside what shares the machine, the wait for a slot, and the prompts and uncached parts to compute, all at the upstream's
+// lasting speed and present pace.
+func (c *Picker) finishCost(v candidate, d *demand.Demand, p *pool, now time.Time) float64 {
+	m := v.member
+	slots := m.effectiveSlots(now, c.WarmUp)
+	x := (m.load(now, c.ReportTTL) + 1) / slots
+	s := 1 + x
+	if x > 1 {
+		s += c.QueueWeight * (x - 1)
+	}
+	s += c.batchCost(x, float64(m.batch+m.peerBatch)/slots)
+	s += c.PromptWeight * m.pendingPromptsAt(now)
+	if len(d.PrefixHashes) > 0 {
+		s += c.PrefixWeight * uncachedShare(v, len(d.PrefixHashes))
+	}
+	return s * m.lasting(p.medianWork) * m.pace.At(now)
+}
--- a/internal/routing/picker/load.go
+++ b/internal/routing/picker/load.go
@@ -55,6 +55,7 @@
 	}
 	if o == outcome.Succeeded && latency > 0 {
 		m.observeLatency(latency, at)
+		m.observeWork(latency, at)
 	}
 }
 
--- a/internal/routing/picker/member.go
+++ b/internal/routing/picker/member.go
@@ -8,6 +8,7 @@
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/modelspec"
+	"siskinrun/internal/routing/paceestimate"
 	"siskinrun/internal/routing/peak"
 )
 
@@ -56,6 +57,10 @@
 
 	latency   float64
 	latencyAt time.Time
+
+	pace paceestimate.Estimate
+	// work is the moving average of the time that answers take at the usual pace, zero if no pace is reported.
+	work float64
 }
 
 // applyAnnouncement applies the upstream's announcement.
@@ -88,6 +93,7 @@
 		return
 	}
 	m.reportTaken = taken
+	m.pace.Observe(r.Pace, taken)
 	n := max(r.Running+r.Waiting-m.history.MaxAround(taken, now), 0)
 	if m.upstream.Kind == upstream.Engine {
 		n = min(n, r.Waiting)
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -102,7 +102,7 @@
 		if !c.allowed(p, v.member, d, now) {
 			continue
 		}
-		s := c.score(v, d, p.median, now)
+		s := c.score(v, d, p, now)
 		if best == nil || s < least {
 			best, least, ties = v.member, s, 1
 			prompts = v.uncachedPrompts(d)
@@ -137,8 +137,11 @@
 }
 
 // score returns the expected cost of one more request as a share of the upstream's slots.
-func (c *Picker) score(v candidate, d *demand.Demand, median float64, now time.Time) float64 {
+func (c *Picker) score(v candidate, d *demand.Demand, p *pool, now time.Time) float64 {
 	m := v.member
+	if p.paced {
+		return c.addPathCost(c.finishCost(v, d, p, now), m, d, now)
+	}
 	slots := m.effectiveSlots(now, c.WarmUp)
 	x := (m.load(now, c.ReportTTL) + 1) / slots
 	s := x
@@ -147,7 +150,16 @@
 	}
 	s += c.batchCost(x, float64(m.batch+m.peerBatch)/slots)
 	s += c.PromptWeight * m.pendingPromptsAt(now)
-	s *= m.latencyRatio(now, median)
+	s *= m.latencyRatio(now, p.median)
+	s = c.addPathCost(s, m, d, now)
+	if len(d.PrefixHashes) > 0 {
+		s += c.PrefixWeight * uncachedShare(v, len(d.PrefixHashes))
+	}
+	return s
+}
+
+// addPathCost adds the cost of an upstream's rate limit and of the way to it to a score.
+func (c *Picker) addPathCost(s float64, m *member, d *demand.Demand, now time.Time) float64 {
 	s += c.limitCost(m, now)
 	if m.upstream.FailureDomain != d.FailureDomain {
 		s += c.LocalityWeight
@@ -155,9 +167,6 @@
 	if c.Paths != nil && !c.Paths.Direct(m.upstream.Name) {
 		s += c.GatewayWeight
 	}
-	if len(d.PrefixHashes) > 0 {
-		s += c.PrefixWeight * uncachedShare(v, len(d.PrefixHashes))
-	}
 	return s
 }
 
@@ -217,7 +226,7 @@
 		if !c.allowed(p, m, d, now) {
 			continue
 		}
-		s := c.score(candidate{member: m}, d, p.median, now)
+		s := c.score(candidate{member: m}, d, p, now)
 		if best == nil || s < least {
 			best, least = m, s
 		}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -157,6 +157,7 @@
 	c.Ejection.Sweep(now)
 	for _, p := range c.pools {
 		p.updateMedian()
+		p.updatePaced(now)
 		c.updateLimited(p)
 	}
 }
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -27,6 +27,9 @@
 	latencies []float64
 	// limited says that an upstream of the pool names a rate limit.
 	limited bool
+	// paced says that an upstream of the pool reports its pace; medianWork is the median of work.
+	paced      bool
+	medianWork float64
 }
 
 // tombstone remembers a removed upstream and the requests that still run on it.
@@ -133,6 +136,7 @@
 		p.sort()
 		if o, ok := old[k]; ok {
 			p.median = o.median
+			p.paced, p.medianWork = o.paced, o.medianWork
 		}
 	}
 }
--- a/internal/wire/upstreamapi/server.go
+++ b/internal/wire/upstreamapi/server.go
@@ -142,9 +142,10 @@
 	if err != nil {
 		return err
 	}
-	if r.Upstream == "" || r.Running < 0 || r.Waiting < 0 || r.Age < 0 {
+	if r.Upstream == "" || r.Running < 0 || r.Waiting < 0 || r.Age < 0 || r.Pace < 0 {
 		return errors.New("the report names no upstream or has a negative value")
 	}
+	r.Pace = loadreport.BoundPace(r.Pace)
 	return s.Registry.Report(r)
 }
 
