Decide by load and cost which calls leave the failure domain

Cause: the constant weight of locality sends a good part of the calls away while the own domain has capacity, and says nothing of cost.

Change: spillover yields the share that leaves and the target domain from the capacity at the present pace, the requests of all hosts, the added time and the operators' cost of a gigabyte (fleet.domain-traffic). The picker uses it in place of the weight in pools whose upstreams report a pace; without the setting picks stay as they were.

Left: deadline and size of the single call, batch items, a lossy link.

--- a/internal/product/server/loads.go
+++ b/internal/product/server/loads.go
@@ -23,7 +23,8 @@
 	// loadChanges is the state of the loads and counts that was applied last.
 	loadChanges uint64
 	// callHosts is the number of hosts that take calls, among which the slots of a service are shared.
-	callHosts int
+	callHosts  int
+	departures departures
 }
 
 // peerCount is the number of requests of other hosts at an upstream.
@@ -39,6 +40,7 @@
 		if err := p.server.timer.Sleep(ctx, picker.CountsInterval(p.permits.AnyLimit())); err != nil {
 			return err
 		}
+		l.departures.show(p)
 		if !l.stale() {
 			continue
 		}
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -20,6 +20,7 @@
 	p.distribution.Subscribe(func(c *configuration.Configuration) { p.rollout.SetModels(c.Models) })
 	p.picker = picker.NewPicker(p.seed)
 	p.picker.LocalityWeight = s.Settings.Fleet.Weights.Locality
+	p.picker.DomainTraffic = s.Settings.Fleet.DomainTraffic
 	p.picker.Limits = p.permits
 	p.picker.VersionTTL = heartbeatsPerVersionTTL * s.Settings.Fleet.HeartbeatInterval.Duration()
 	p.picker.HeardAt = p.gossip.HeardAt
--- a/internal/product/settings/check.go
+++ b/internal/product/settings/check.go
@@ -11,13 +11,15 @@
 )
 
 const (
-	maxLedgerGroups      = 64
-	minFreshnessLease    = 3 * time.Second
-	maxFreshnessLease    = time.Minute
-	maxDrainTime         = time.Hour
-	maxRepairAfter       = time.Hour
-	maxDiskLosses        = 3
-	maxRateSlack         = 1 << 20
+	maxLedgerGroups   = 64
+	minFreshnessLease = 3 * time.Second
+	maxFreshnessLease = time.Minute
+	maxDrainTime      = time.Hour
+	maxRepairAfter    = time.Hour
+	maxDiskLosses     = 3
+	maxRateSlack      = 1 << 20
+	// maxDomainTraffic bounds the cost of a gigabyte between failure domains: a call of 3 kB then costs a third of its worth.
+	maxDomainTraffic     = 100000
 	maxHeartbeatInterval = time.Minute
 	minHeaderBytes       = 1 << 10
 	maxHeaderBytes       = 1 << 20
@@ -175,6 +177,9 @@
 	s.checkShare(f, "fleet.rate-overrun", s.Fleet.RateOverrun)
 	s.checkDuration(f, "fleet.rate-window", s.Fleet.RateWindow.Duration(), 0, time.Minute)
 	s.checkInt(f, "fleet.rate-slack", s.Fleet.RateSlack, 0, maxRateSlack)
+	if t := s.Fleet.DomainTraffic; t != nil && !(*t >= 0 && *t <= maxDomainTraffic) {
+		s.addDiagnostic(f, "fleet.domain-traffic", "is %v, not 0 to %d", *t, maxDomainTraffic)
+	}
 	s.checkShare(f, "fleet.weights.batch-throughput", s.Fleet.Weights.BatchThroughput)
 	s.checkShare(f, "fleet.weights.online-tail", s.Fleet.Weights.OnlineTail)
 	s.checkShare(f, "fleet.weights.locality", s.Fleet.Weights.Locality)
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -104,6 +104,9 @@
 	DrainTime duration.Duration `json:"drain"`
 	// TLS names the certificates of each kind of address.
 	TLS TLS `json:"tls"`
+	// DomainTraffic is the cost of a gigabyte between failure domains in answered calls that are worth as much. If it is there, it
+	// replaces weights.locality for services whose upstreams report their pace.
+	DomainTraffic *float64 `json:"domain-traffic,omitempty"`
 	// Weights are the weights of the operators' goals.
 	Weights Weights `json:"weights"`
 }
--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -40,6 +40,7 @@
 		{"unknown field", "{\n\"colour\": 1}", []string{"o.jsonc:2: colour: is not a known field"}},
 		{"wrong type", "{\"limits\":\n{\"concurrency\": \"x\"}}", []string{"o.jsonc:2: limits.concurrency: must be a whole number"}},
 		{"range", "{\"fleet\": {\n\n\"ledger-groups\": 65}}", []string{"o.jsonc:3: fleet.ledger-groups: is 65, not 1 to 64"}},
+		{"negative domain traffic", "{\"fleet\": {\"domain-traffic\": -1}}", []string{"o.jsonc:1: fleet.domain-traffic: is -1, not 0 to 100000"}},
 		{"duplicate name", "{\"teams\": {\"x\": {\"rate\": 1, \"burst\": 1, \"weight\": 1},\n\"x\": {}}}", []string{"o.jsonc:2: teams.x: is given twice, first on line 1"}},
 		{"missing model", "{\"routes\": {\"q\": {\"model\": \"zz\", \"service\": \"e\", \"price\": 1,\n\"timeout\": \"1s\"}}}", []string{"o.jsonc:1: routes.q.model: no model is named \"zz\""}},
 		{"route clash", "{\"routes\": {\"z\": {\"model\": \"m\", \"service\": \"e\", \"price\": 1, \"timeout\": \"1s\"}}}", []string{"o.jsonc:1: routes.z.model: \"m\" is that of route r"}},
--- a/internal/routing/picker/finish.go
+++ b/internal/routing/picker/finish.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 	// minLasting and maxLasting bound the lasting slowness relative to the median.
 	minLasting = 0.4
 	maxLasting = 4
+	// unexplainedFade is the time constant with which load that counts do not explain fades where reports come with each answer: by
+	// then the counts have come.
+	unexplainedFade = 300 * time.Millisecond
 )
 
 // SetPace applies the pace that an upstream reported to any host; older and repeated ones are ignored.
@@ -38,6 +42,15 @@
 	m.work += (v - m.work) * lastingWeight
 }
 
+// recentLoad returns the running and waiting online requests where reports come with each answer.
+func (m *member) recentLoad(now time.Time) float64 {
+	n := float64(m.own + m.peers)
+	if m.unexplained == 0 {
+		return n
+	}
+	return n + m.unexplained*math.Exp(-float64(max(now.Sub(m.reportTaken), 0))/float64(unexplainedFade))
+}
+
 // lasting returns how long work usually takes at the upstream relative to the median of its pool.
 func (m *member) lasting(median float64) float64 {
 	if m.work == 0 || median == 0 {
@@ -71,7 +84,7 @@
 func (c *Picker) finishCost(v candidate, d *demand.Demand, p *pool, now time.Time) float64 {
 	m := v.member
 	slots := m.effectiveSlots(now, c.WarmUp)
-	x := (m.load(now, c.ReportTTL) + 1) / slots
+	x := (m.recentLoad(now) + 1) / slots
 	s := 1 + x
 	if x > 1 {
 		s += c.QueueWeight * (x - 1)
--- a/internal/routing/picker/pace_load_test.go
+++ b/internal/routing/picker/pace_load_test.go
@@ -42,6 +42,16 @@
 	running        []int
 	calls          []pacedCall
 	next           int
+	// domains is the number of failure domains among which hosts and upstreams take turns, publishEvery the time between
+	// two times at which counts and paces are published.
+	domains      int
+	publishEvery time.Duration
+	// gone, if set, tells the baselines which upstreams are lost.
+	gone func(u int, at time.Duration) bool
+	// told are the counts of others that each host has applied.
+	told [][]int
+	// tried are the upstreams that the present call has tried.
+	tried []string
 
 	took []time.Duration
 	// missed counts the calls that went to a slow upstream while a fast one had a free slot.
@@ -61,14 +71,14 @@
 	pacedWay = time.Millisecond
 )
 
-func newPacedLoad(hosts, upstreams int) *pacedLoad {
+func newPacedLoad(hosts, upstreams, domains int) *pacedLoad {
 	l := &pacedLoad{
-		random: rand.New(rand.NewPCG(1, 2)), now: start, number: map[string]int{}, choose: (*pacedLoad).pick,
+		random: rand.New(rand.NewPCG(1, 2)), now: start, domains: domains, publishEvery: 20 * time.Millisecond, number: map[string]int{}, choose: (*pacedLoad).pick,
 		published: make([]int, upstreams), paces: make([]int, upstreams), pacesAt: make([]time.Time, upstreams),
 		publishedPaces: make([]int, upstreams), publishedAt: make([]time.Time, upstreams), running: make([]int, upstreams),
 	}
 	for i := range upstreams {
-		u := upstream.Upstream{Name: name(i), Kind: upstream.Service, Service: "s", FailureDomain: "d", Slots: pacedSlots}
+		u := upstream.Upstream{Name: name(i), Kind: upstream.Service, Service: "s", FailureDomain: domainName(i % domains), Slots: pacedSlots}
 		l.number[u.Name] = i
 		l.upstreams = append(l.upstreams, u)
 		l.free = append(l.free, make([]time.Time, pacedSlots))
@@ -79,6 +89,7 @@
 		p.SetUpstreams(l.upstreams, start)
 		l.hosts = append(l.hosts, p)
 		l.own = append(l.own, make([]int, upstreams))
+		l.told = append(l.told, make([]int, upstreams))
 	}
 	return l
 }
@@ -97,13 +108,15 @@
 }
 
 func (l *pacedLoad) pick(host int) int {
-	u, ok := l.hosts[host].Pick(l.now, demand.Demand{Service: "s", FailureDomain: "d"})
+	u, ok := l.hosts[host].Pick(l.now, demand.Demand{Service: "s", FailureDomain: domainName(host % l.domains), Tried: l.tried})
 	if !ok {
 		return l.random.IntN(len(l.upstreams))
 	}
 	return l.number[u.Name]
 }
 
+func domainName(i int) string { return fmt.Sprint("d", i) }
+
 // inTurn chooses the upstreams in turn.
 func (l *pacedLoad) inTurn(int) int {
 	l.next++
@@ -190,7 +203,7 @@
 // tell publishes the counts and paces of the hosts, and lets the hosts apply what is published.
 func (l *pacedLoad) tell() {
 	t := l.now.Sub(start)
-	if t%(20*time.Millisecond) == 0 {
+	if t%l.publishEvery == 0 {
 		copy(l.published, l.running)
 		copy(l.publishedPaces, l.paces)
 		copy(l.publishedAt, l.pacesAt)
@@ -200,8 +213,11 @@
 			continue
 		}
 		for i, u := range l.upstreams {
-			p.SetPeerRequests(u.Name, max(l.published[i]-l.own[h][i], 0), l.now)
-			if l.publishedPaces[i] > 0 {
+			if n := max(l.published[i]-l.own[h][i], 0); n != l.told[h][i] {
+				l.told[h][i] = n
+				p.SetPeerRequests(u.Name, n, l.now)
+			}
+			if l.now.Sub(l.publishedAt[i]) < 300*time.Millisecond {
 				p.SetPace(u.Name, l.publishedPaces[i], l.publishedAt[i])
 			}
 		}
@@ -240,7 +256,7 @@
 func TestCallsAvoidUpstreamsThatAreSlowNow(t *testing.T) {
 	is := is.New(t)
 	play := func(reports bool, choose func(*pacedLoad, int) int) *pacedLoad {
-		l := newPacedLoad(6, 4)
+		l := newPacedLoad(6, 4, 1)
 		l.slow, l.reports, l.choose = byTurns, reports, choose
 		l.play(100, 60*time.Second)
 		return l
@@ -274,7 +290,7 @@
 		for _, rate := range []float64{1800, 3600} {
 			t.Run(fmt.Sprintf("hosts=%d/rate=%v", hosts, rate), func(t *testing.T) {
 				play := func(reports bool) *pacedLoad {
-					l := newPacedLoad(hosts, upstreams)
+					l := newPacedLoad(hosts, upstreams, 1)
 					for i := range l.lasting {
 						l.lasting[i] = 1 / (0.55 + 0.65*float64(i*37%upstreams)/(upstreams-1))
 					}
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -41,7 +41,7 @@
 			list = append(list, candidate{member: m})
 		}
 	} else {
-		list = c.addRandom(list, p.domains[d.FailureDomain], localSamples)
+		list = c.addRandom(list, p.domains[c.chosenDomain], localSamples)
 		list = c.addRandom(list, p.all, otherSamples)
 	}
 	if len(d.PrefixHashes) == 0 {
@@ -140,7 +140,7 @@
 func (c *Picker) score(v candidate, d *demand.Demand, p *pool, now time.Time) float64 {
 	m := v.member
 	if p.paced {
-		return c.addPathCost(c.finishCost(v, d, p, now), m, d, now)
+		return c.addPathCost(c.finishCost(v, d, p, now), m, d, p, now)
 	}
 	slots := m.effectiveSlots(now, c.WarmUp)
 	x := (m.load(now, c.ReportTTL) + 1) / slots
@@ -151,7 +151,7 @@
 	s += c.batchCost(x, float64(m.batch+m.peerBatch)/slots)
 	s += c.PromptWeight * m.pendingPromptsAt(now)
 	s *= m.latencyRatio(now, p.median)
-	s = c.addPathCost(s, m, d, now)
+	s = c.addPathCost(s, m, d, p, now)
 	if len(d.PrefixHashes) > 0 {
 		s += c.PrefixWeight * uncachedShare(v, len(d.PrefixHashes))
 	}
@@ -159,9 +159,12 @@
 }
 
 // addPathCost adds the cost of an upstream's rate limit and of the way to it to a score.
-func (c *Picker) addPathCost(s float64, m *member, d *demand.Demand, now time.Time) float64 {
+func (c *Picker) addPathCost(s float64, m *member, d *demand.Demand, p *pool, now time.Time) float64 {
 	s += c.limitCost(m, now)
-	if m.upstream.FailureDomain != d.FailureDomain {
+	switch {
+	case c.spills(p):
+		s += c.domainCost(p, m, d)
+	case m.upstream.FailureDomain != d.FailureDomain:
 		s += c.LocalityWeight
 	}
 	if c.Paths != nil && !c.Paths.Direct(m.upstream.Name) {
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -53,6 +53,9 @@
 	PrefixWeight float64
 	// LocalityWeight is the cost of another failure domain, as a share of the slots.
 	LocalityWeight float64
+	// DomainTraffic, if set, is the cost of a gigabyte between failure domains in calls that are worth as much. It replaces
+	// LocalityWeight in pools whose upstreams report their pace.
+	DomainTraffic *float64
 	// PromptWeight is the cost of one prompt being computed, as a share of the slots.
 	PromptWeight float64
 	// QueueWeight is the extra cost of a request that would wait, relative to one that would run.
@@ -90,6 +93,11 @@
 	lastSweep  time.Time
 	latest     time.Time
 	candidates [maxCandidates]candidate
+	// chosenDomain is the failure domain that is chosen for the present pick.
+	chosenDomain string
+	// departures counts the calls by failure domain where leaving is decided; spillReason is the latest reason.
+	departures  map[string]int64
+	spillReason string
 }
 
 // NewPicker returns a Picker without upstreams; seed seeds its random samples.
@@ -113,6 +121,7 @@
 		members:    make(map[string]*member),
 		tombstones: make(map[string]*tombstone),
 		pools:      make(map[poolKey]*pool),
+		departures: make(map[string]int64),
 	}
 }
 
@@ -127,6 +136,10 @@
 		return upstream.Upstream{}, false
 	}
 	m := c.probe(p, &d, now)
+	c.chosenDomain = d.FailureDomain
+	if c.spills(p) {
+		c.chosenDomain = c.target(p, &d, now)
+	}
 	if m == nil {
 		m = c.best(p, c.sparing(p, c.sample(p, &d), &d, now), &d, now)
 	}
@@ -136,6 +149,9 @@
 	if m == nil {
 		return upstream.Upstream{}, false
 	}
+	if c.spills(p) {
+		c.departures[m.upstream.FailureDomain]++
+	}
 	if d.Model != "" {
 		c.Affinity.RecordSent(m.upstream.Name, d.PrefixHashes)
 	}
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -7,6 +7,7 @@
 
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/routing/spillover"
 )
 
 // tombstoneTTL is how long a removed upstream is remembered.
@@ -30,6 +31,9 @@
 	// paced says that an upstream of the pool reports its pace; medianWork is the median of work.
 	paced      bool
 	medianWork float64
+	// spill decides on leaving the failure domain, last at spilledAt; nil until it is called for.
+	spill     *spillover.Spillover
+	spilledAt time.Time
 }
 
 // tombstone remembers a removed upstream and the requests that still run on it.
@@ -137,6 +141,7 @@
 		if o, ok := old[k]; ok {
 			p.median = o.median
 			p.paced, p.medianWork = o.paced, o.medianWork
+			p.spill, p.spilledAt = o.spill, o.spilledAt
 		}
 	}
 }
