--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -7,6 +7,7 @@
 
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/routing/spillover"
 )
 
 // tombstoneTTL is how long a removed upstream is remembered.
@@ -27,6 +28,12 @@
 	latencies []float64
 	// limited says that an upstream of the pool names a rate limit.
 	limited bool
+	// paced says that an upstream of the pool reports its pace; medianWork is the median of work.
+	paced      bool
+	medianWork float64
+	// spill decides on leaving the failure domain, last at spilledAt; nil until it is called for.
+	spill     *spillover.Spillover
+	spilledAt time.Time
 }
 
 // tombstone remembers a removed upstream and the requests that still run on it.
@@ -133,6 +140,8 @@
 		p.sort()
 		if o, ok := old[k]; ok {
 			p.median = o.median
+			p.paced, p.medianWork = o.paced, o.medianWork
+			p.spill, p.spilledAt = o.spill, o.spilledAt
 		}
 	}
 }
