Choose the batch runs that yield by what they have done

Cause: an upstream's excess of batch runs was stopped youngest first, so a run with most of its events stopped like one with none, an item as often as load rose, and whether or not the call had another place.

Change: where Places.RunsWhole says so (nowhere yet), the runs with the fewest events stop first, none with half of the events that results of its route have on average, none that was resumed, and only for the part of the excess that has no free slot elsewhere. The runner tells how many events an item has. A preempted item prefers an upstream of its software. Counters batch-runs.results, results-of-several-runs, stopped.REASON.

--- a/internal/data/item/item.go
+++ b/internal/data/item/item.go
@@ -1,6 +1,10 @@
 package item
 
-import "siskinrun/internal/data/streamstart"
+import (
+	"sync/atomic"
+
+	"siskinrun/internal/data/streamstart"
+)
 
 // Item is one line of a job's input, leased to a host.
 type Item struct {
@@ -30,4 +34,6 @@
 	Text []byte
 	// Start is the software that made the text.
 	Start streamstart.Start
+	// Received, if set, holds the number of the next event while the item runs.
+	Received *atomic.Uint64
 }
--- a/internal/jobs/executor/begun_load_test.go
+++ b/internal/jobs/executor/begun_load_test.go
@@ -46,6 +46,8 @@
 	submitted map[string]time.Duration
 	took      []time.Duration
 	leases    int
+	// decided, if set, is told of each task that is stopped or started.
+	decided func(verb, host string, t *task)
 }
 
 func newBurstLoad() *burstLoad {
@@ -92,15 +94,23 @@
 	p.setUpstream("upstream-"+name, []string{"m"}, window, b.time().Add(time.Minute))
 	b.end(p)
 	for _, t := range p.tasksToStop(b.time()) {
+		b.tell("stop", name, t)
 		p.finishRun(b.time(), t, b.preempted(t))
 	}
 	p.returnStale(b.time())
 	for _, t := range p.assign(b.time()) {
+		b.tell("start", name, t)
 		b.started[t] = b.now
 	}
 	b.exchange(name, p)
 }
 
+func (b *burstLoad) tell(verb, host string, t *task) {
+	if b.decided != nil {
+		b.decided(verb, host, t)
+	}
+}
+
 // end ends the items that have run for runTime in all.
 func (b *burstLoad) end(p *scheduler) {
 	for _, t := range p.startedNewestFirst() {
--- a/internal/jobs/executor/end.go
+++ b/internal/jobs/executor/end.go
@@ -19,6 +19,7 @@
 		p.endTask(t, o)
 		return
 	}
+	whole := t.upstream.whole
 	t.upstream.started--
 	t.upstream = nil
 	t.stop = nil
@@ -32,7 +33,7 @@
 	if o.Progress != nil || t.preemptedOutcome == nil {
 		t.preemptedOutcome = o
 	}
-	p.pending = slices.Insert(p.pending, 0, t)
+	p.pause(t, whole)
 }
 
 // endTask queues the outcome of a task and frees its slot. A task that may not be repeated keeps its slot until
@@ -43,6 +44,7 @@
 	if s.tasks[t.item.Fence] != t {
 		return
 	}
+	p.observeResult(t, o)
 	o = t.mergePreempted(o)
 	delete(s.tasks, t.item.Fence)
 	if c := t.upstream; c != nil {
--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -260,7 +260,10 @@
 	defer d.mu.Unlock()
 	d.claims[u.Name] = sent.Add(localClaimTTL)
 	d.scheduler.setUpstream(u.Name, d.Fleet.Targets(u), 0, sent.Add(localClaimTTL))
-	d.scheduler.upstreams[u.Name].setLimits(d.Windows)
+	c := d.scheduler.upstreams[u.Name]
+	c.setLimits(d.Windows)
+	c.setPlaces(d.Places)
+	c.software = streamstart.Start{Service: u.Service, Version: u.Version}
 }
 
 // releaseOthers expires the claims on upstreams that are no longer assigned to this host and releases those
--- a/internal/jobs/executor/executor.go
+++ b/internal/jobs/executor/executor.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"siskinrun/internal/base/group"
@@ -93,6 +94,10 @@
 	Routes routes
 	// Windows limits the batch items on an upstream.
 	Windows windows
+	// Places, if set, tells where runs are preempted only for calls that have no other place.
+	Places places
+	// Metrics, if set, counts results and stopped runs.
+	Metrics metrics.Registry
 	// Runner sends items to upstreams.
 	Runner runner
 	// Timer provides the clock and sleeps.
@@ -117,6 +122,7 @@
 	d.mu.Lock()
 	d.scheduler = newScheduler(d.Groups)
 	d.scheduler.routeOf = d.Routes.RouteOf
+	d.scheduler.metrics = d.Metrics
 	d.mu.Unlock()
 	d.claims = map[string]time.Time{}
 	d.exchangeWake = map[uint32]chan struct{}{}
@@ -227,6 +233,7 @@
 	d.mu.Lock()
 	for _, c := range d.scheduler.upstreams {
 		c.setLimits(d.Windows)
+		c.setPlaces(d.Places)
 	}
 	d.scheduler.applyRevision(n, version, confirmed)
 	d.scheduler.endRouteless(n)
--- a/internal/jobs/executor/scheduler.go
+++ b/internal/jobs/executor/scheduler.go
@@ -2,9 +2,13 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"siskinrun/internal/data/item"
+	"siskinrun/internal/data/streamstart"
 	"siskinrun/internal/jobs/entry"
 )
 
@@ -51,6 +55,11 @@
 	// keep is the number of started items that may go on.
 	keep         int
 	claimExpires time.Time
+	// whole says that started tasks stop only for calls that have no other place, of which there is elsewhere.
+	whole     bool
+	elsewhere int
+	// software is what the upstream runs.
+	software streamstart.Start
 	// started counts the items that were given a slot and have not ended.
 	started int
 	// unrecorded counts the ended items that may not be repeated and whose outcome is not recorded yet.
@@ -86,6 +95,10 @@
 	revision uint64
 	// confirmed is when a quorum last confirmed the configuration.
 	confirmed time.Time
+	// expected is the average number of events of the whole results of each route.
+	expected map[string]float64
+	// metrics, if set, counts results and stopped runs.
+	metrics metrics.Registry
 }
 
 func newScheduler(groups uint32) *scheduler {
@@ -93,6 +106,7 @@
 		upstreams: map[string]*claimedUpstream{},
 		groups:    map[uint32]*groupState{},
 		targets:   map[string]*target{},
+		expected:  map[string]float64{},
 		routeOf:   func(i item.Item) string { return i.Target },
 	}
 	for g := uint32(1); g <= groups; g++ {
@@ -184,6 +198,8 @@
 			s.outcomes = append(s.outcomes, unsentOutcome(i.Fence))
 			continue
 		}
+		i.Received = &atomic.Uint64{}
+		i.Received.Store(i.NextEvent)
 		t := &task{group: g, item: i, pendingSince: now}
 		s.tasks[i.Fence] = t
 		if !p.learn(now, t) {
@@ -233,13 +249,21 @@
 		if c.usedSlots() >= c.window || !c.serves(now, t) {
 			continue
 		}
-		if best == nil || hasMoreFreeSlots(c, best) {
+		if best == nil || isBetter(t, c, best) {
 			best = c
 		}
 	}
 	return best
 }
 
+// isBetter reports whether a task rather starts on a than on b.
+func isBetter(t *task, a, b *claimedUpstream) bool {
+	if preferred, decided := t.prefersSoftware(a, b); decided {
+		return preferred
+	}
+	return hasMoreFreeSlots(a, b)
+}
+
 func hasMoreFreeSlots(a, b *claimedUpstream) bool {
 	x := a.window - a.usedSlots()
 	y := b.window - b.usedSlots()
--- a/internal/jobs/executor/stop.go
+++ b/internal/jobs/executor/stop.go
@@ -31,13 +31,19 @@
 	}
 	for _, t := range tasks {
 		lost := !now.Before(p.groups[t.group].sessionExpires)
-		if lost || t.stopping || !t.item.Repeatable || excess[t.upstream] <= 0 {
+		if lost || t.stopping || !t.item.Repeatable || excess[t.upstream] <= 0 || p.chosenByWork(now, t) {
 			continue
 		}
 		excess[t.upstream]--
 		t.preempting = true
 		a = append(a, t)
 	}
+	slices.Reverse(tasks)
+	for _, t := range p.wholeExcess(now, excess, tasks) {
+		t.preempting = true
+		a = append(a, t)
+	}
+	p.countStops(now, a)
 	return a
 }
 
@@ -78,7 +84,7 @@
 	if t.route == noRoute {
 		return routelessTimeout + confirmationTimeout
 	}
-	if t.item.NextEvent == 0 {
+	if t.item.NextEvent == 0 && (t.item.Preemptions == 0 || !p.runsWhole(now, t)) {
 		return pendingTimeout
 	}
 	for _, c := range p.upstreams {
--- /dev/null
+++ b/internal/jobs/preemption/doc.go
@@ -0,0 +1,2 @@
+// Package preemption chooses the batch runs of an upstream that stop for online calls.
+package preemption
--- a/internal/jobs/runner/output.go
+++ b/internal/jobs/runner/output.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,10 +26,21 @@
 	next uint64
 	// events is the number of events of the last answer.
 	events int
+	// received, if set, is told next.
+	received *atomic.Uint64
 }
 
 func newOutput(i item.Item) *output {
-	return &output{text: append([]byte(nil), i.Text...), next: i.NextEvent}
+	o := &output{text: append([]byte(nil), i.Text...), next: i.NextEvent, received: i.Received}
+	o.tell()
+	return o
+}
+
+// tell passes on the number of the next event.
+func (o *output) tell() {
+	if o.received != nil {
+		o.received.Store(o.next)
+	}
 }
 
 // readEvents adds complete events until the stream ends, and calls event for each of them and at the end.
@@ -90,6 +102,7 @@
 	}
 	o.text = append(o.text, e.Data()...)
 	o.next = e.ID + 1
+	o.tell()
 	o.events++
 	return nil
 }
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -127,6 +127,7 @@
 		Ledgers:     p.batch,
 		Fleet:       fleet{p},
 		Windows:     batchWindows{p},
+		Metrics:     p.childMetrics("batch-runs"),
 		Routes:      itemRoutes{r, p},
 		Runner:      r,
 		Timer:       s.timer,
