--- a/internal/routing/batchlimit/limiter.go
+++ b/internal/routing/batchlimit/limiter.go
@@ -54,6 +54,8 @@
 	CeilingRecovery time.Duration
 	// ReportTTL is the time after which a report is ignored.
 	ReportTTL time.Duration
+	// RunsWhole, if set, reports whether running streams of an engine stop only for online requests that need their slots.
+	RunsWhole func(name string) bool
 
 	mu      sync.Mutex
 	latest  time.Time
@@ -187,7 +189,11 @@
 	if !ok {
 		return 0
 	}
-	return max(min(int(e.ceiling), e.slots-e.online()), w)
+	free := e.slots - e.online()
+	if l.RunsWhole == nil || !l.RunsWhole(name) {
+		free = min(int(e.ceiling), free)
+	}
+	return max(free, w)
 }
 
 // Window returns up to how many batch streams may be started on an engine.
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -79,6 +79,9 @@
 	Affinity *affinity.Index
 	// Limits, if set, tells which upstreams take no request now.
 	Limits limits
+	// RunsWhole, if set, reports whether an upstream runs batch items whole: calls then go to a free slot first. It must not
+	// call the picker.
+	RunsWhole func(name string) bool
 	// Paths, if set, tells which upstreams this host reaches by itself.
 	Paths paths
 
@@ -128,7 +131,7 @@
 	}
 	m := c.probe(p, &d, now)
 	if m == nil {
-		m = c.best(p, c.sparing(p, c.sample(p, &d), &d, now), &d, now)
+		m = c.best(p, c.vacant(p, c.sparing(p, c.sample(p, &d), &d, now), &d, now), &d, now)
 	}
 	if m == nil {
 		m = c.scan(p, &d, now)
