Start batch runs where they end before the load rises

Change: for upstreams that report their pace (none yet, see pace in places.go) the window leaves what online calls are expected to need until a run ends, and a run stops only when a call has had no other place for 100 ms.

--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -262,7 +262,7 @@
 	d.scheduler.setUpstream(u.Name, d.Fleet.Targets(u), 0, sent.Add(localClaimTTL))
 	c := d.scheduler.upstreams[u.Name]
 	c.setLimits(d.Windows)
-	c.setPlaces(d.Places)
+	c.setPlaces(d.Timer.Now(), d.Places)
 	c.software = streamstart.Start{Service: u.Service, Version: u.Version}
 }
 
--- a/internal/jobs/executor/executor.go
+++ b/internal/jobs/executor/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -112,6 +113,8 @@
 	exchangeWake  map[uint32]chan struct{}
 	reconcileWake chan struct{}
 	runs          *group.Group
+	// runTime is the average length of the runs that gave a whole result, zero before the first.
+	runTime atomic.Int64
 }
 
 // Run executes items until ctx ends. It then stops repeatable items and returns their leases, and waits for
@@ -187,6 +190,14 @@
 	return d.scheduler.upstreams[name].started
 }
 
+// RunTime returns the average length of the runs that gave a whole result, or a default before the first.
+func (d *Executor) RunTime(byDefault time.Duration) time.Duration {
+	if n := d.runTime.Load(); n > 0 {
+		return time.Duration(n)
+	}
+	return byDefault
+}
+
 func (d *Executor) holder() string {
 	return d.Host + "/" + d.Incarnation
 }
@@ -233,7 +244,7 @@
 	d.mu.Lock()
 	for _, c := range d.scheduler.upstreams {
 		c.setLimits(d.Windows)
-		c.setPlaces(d.Places)
+		c.setPlaces(n, d.Places)
 	}
 	d.scheduler.applyRevision(n, version, confirmed)
 	d.scheduler.endRouteless(n)
--- a/internal/jobs/executor/run.go
+++ b/internal/jobs/executor/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"siskinrun/internal/jobs/entry"
 )
@@ -61,14 +62,28 @@
 	t.stop = cancel
 	n := t.upstream.name
 	d.mu.Unlock()
+	began := d.Timer.Now()
 	d.runs.Go("item", func(context.Context) error {
 		defer cancel()
 		a, err := d.Runner.Run(ctx, n, t.item)
+		if err == nil {
+			d.observeRunTime(d.Timer.Now().Sub(began))
+		}
 		d.finishTask(t, outcomeOf(t.item.Fence, a, err, ctx.Err() != nil))
 		return nil
 	})
 }
 
+// observeRunTime adds the length of a run to the average. Of two at once one may be left out.
+func (d *Executor) observeRunTime(took time.Duration) {
+	old := d.runTime.Load()
+	n := int64(took)
+	if old > 0 {
+		n = old + int64(float64(n-old)*expectedWeight)
+	}
+	d.runTime.CompareAndSwap(old, max(n, 1))
+}
+
 // finishTask ends a run and wakes the loops that report its outcome and assign its slot.
 func (d *Executor) finishTask(t *task, o *entry.Outcome) {
 	d.mu.Lock()
--- a/internal/jobs/executor/scheduler.go
+++ b/internal/jobs/executor/scheduler.go
@@ -58,6 +58,8 @@
 	// whole says that started tasks stop only for calls that have no other place, of which there is elsewhere.
 	whole     bool
 	elsewhere int
+	// neededSince is since when the excess of started tasks is more than elsewhere, zero if it is not.
+	neededSince time.Time
 	// software is what the upstream runs.
 	software streamstart.Start
 	// started counts the items that were given a slot and have not ended.
--- a/internal/jobs/executor/whole.go
+++ b/internal/jobs/executor/whole.go
@@ -13,6 +13,10 @@
 // expectedWeight is the weight of one whole result in the moving average of the events of a route's results.
 const expectedWeight = 0.05
 
+// placeWait is how long a call must have had no other place before a run stops for it. The counts of other upstreams are up to
+// that old, and slots of a full upstream often become free by themselves in that time.
+const placeWait = 100 * time.Millisecond
+
 // places tells where else in a service there is room for an online call.
 type places interface {
 	// RunsWhole reports whether runs on an upstream are preempted only for calls that have no other place.
@@ -22,11 +26,22 @@
 }
 
 // setPlaces reads whether the upstream runs items whole and, if it has more than it may keep, where else there is room.
-func (c *claimedUpstream) setPlaces(p places) {
+func (c *claimedUpstream) setPlaces(now time.Time, p places) {
 	c.whole, c.elsewhere = p != nil && p.RunsWhole(c.name), 0
 	if c.whole && c.started > c.keep {
 		c.elsewhere = p.FreeElsewhere(c.name)
 	}
+	switch needed := c.whole && c.started-c.keep > c.elsewhere; {
+	case !needed:
+		c.neededSince = time.Time{}
+	case c.neededSince.IsZero():
+		c.neededSince = now
+	}
+}
+
+// needed reports whether calls have had no other place for some time.
+func (c *claimedUpstream) needed(now time.Time) bool {
+	return !c.neededSince.IsZero() && now.Sub(c.neededSince) >= placeWait
 }
 
 // wholeExcess returns the tasks to stop on the upstreams that run items whole, for the calls that have no other place. Excess
@@ -34,7 +49,7 @@
 func (p *scheduler) wholeExcess(now time.Time, excess map[*claimedUpstream]int, oldest []*task) []*task {
 	tasks := map[*claimedUpstream][]*task{}
 	for _, t := range oldest {
-		if c := t.upstream; p.chosenByWork(now, t) && excess[c] > 0 {
+		if c := t.upstream; p.chosenByWork(now, t) && excess[c] > 0 && c.needed(now) {
 			tasks[c] = append(tasks[c], t)
 		}
 	}
--- a/internal/jobs/executor/whole_test.go
+++ b/internal/jobs/executor/whole_test.go
@@ -28,14 +28,27 @@
 	for i, t := range tasks {
 		t.item.Received.Store(events[i])
 	}
-	s.upstreams["u"].setPlaces(p)
+	s.upstreams["u"].setPlaces(now, p)
 	return s, tasks, now, until
 }
 
-// narrow lowers what an upstream may keep.
-func narrow(s *scheduler, p fakePlaces, keep int, until time.Time) {
+// narrow lowers what an upstream may keep, placeWait before now.
+func narrow(s *scheduler, p fakePlaces, keep int, now, until time.Time) {
 	s.setUpstream("u", []string{"m"}, keep, until)
-	s.upstreams["u"].setPlaces(p)
+	s.upstreams["u"].setPlaces(now.Add(-placeWait), p)
+}
+
+// TestRunsStayWhileCountsMayBeOld guards against runs that stop for a call which a slot elsewhere, or one that becomes free
+// here, would have taken: what a host knows of other upstreams is some time old.
+func TestRunsStayWhileCountsMayBeOld(t *testing.T) {
+	is := is.New(t)
+	s, tasks, now, until := newWhole(0, 0)
+	narrow(s, 0, 0, now, until)
+	is.Equal(len(s.tasksToStop(now.Add(-1))), 0)
+	s.upstreams["u"].setPlaces(now.Add(-1), fakePlaces(1)) // a slot is free elsewhere for a moment
+	s.upstreams["u"].setPlaces(now, fakePlaces(0))
+	is.Equal(len(s.tasksToStop(now.Add(placeWait-1))), 0)
+	is.Equal(s.tasksToStop(now.Add(placeWait)), tasks)
 }
 
 // TestRunWithLeastWorkYields guards against stopping the run that began last, whatever it has done, and a run for a call that
@@ -57,7 +70,7 @@
 			is := is.New(t)
 			s, tasks, now, until := newWhole(c.elsewhere, c.events...)
 			s.expected["m"] = 100
-			narrow(s, c.elsewhere, c.keep, until)
+			narrow(s, c.elsewhere, c.keep, now, until)
 			var want []*task
 			for _, i := range c.want {
 				want = append(want, tasks[i])
@@ -71,20 +84,20 @@
 func TestItemIsPreemptedOnce(t *testing.T) {
 	is := is.New(t)
 	s, tasks, now, until := newWhole(0, 0)
-	narrow(s, 0, 0, until)
+	narrow(s, 0, 0, now, until)
 	is.Equal(s.tasksToStop(now), tasks)
 	s.finishRun(now, tasks[0], unsentOutcome(1))
 	s.returnStale(now.Add(pendingTimeout))
 	is.Equal(len(s.pending), 1) // the ledger would not know that it was preempted
-	narrow(s, 0, 1, until)
+	narrow(s, 0, 1, now, until)
 	now = now.Add(preemptionBackoff)
 	is.Equal(s.assign(now), tasks)
-	narrow(s, 0, 0, until)
+	narrow(s, 0, 0, now, until)
 	is.Equal(len(s.tasksToStop(now)), 0)
 
 	s, tasks, now, until = newWhole(0, 0)
 	tasks[0].item.NextEvent = 7 // it came with text
-	narrow(s, 0, 0, until)
+	narrow(s, 0, 0, now, until)
 	is.Equal(len(s.tasksToStop(now)), 0)
 }
 
@@ -106,7 +119,7 @@
 func TestPreemptedItemGoesOnWhereItsSoftwareRuns(t *testing.T) {
 	is := is.New(t)
 	s, tasks, now, until := newWhole(0, 5)
-	narrow(s, 0, 0, until)
+	narrow(s, 0, 0, now, until)
 	s.tasksToStop(now)
 	o := unsentOutcome(1)
 	o.Progress = &entry.Progress{Next: 5, Text: []byte("so far"), Service: "s", Version: "v1"}
@@ -114,7 +127,7 @@
 	for n, v := range map[string]string{"a": "v2", "b": "v1"} {
 		s.setUpstream(n, []string{"m"}, map[string]int{"a": 8, "b": 1}[n], until)
 		s.upstreams[n].software = streamstart.Start{Service: "s", Version: v}
-		s.upstreams[n].setPlaces(fakePlaces(0))
+		s.upstreams[n].setPlaces(now, fakePlaces(0))
 	}
 	is.Equal(s.assign(now.Add(preemptionBackoff)), tasks)
 	is.Equal(tasks[0].upstream.name, "b")
--- a/internal/product/server/adapters.go
+++ b/internal/product/server/adapters.go
@@ -171,7 +171,17 @@
 	if s < slowLatencyRatio {
 		s = 1
 	}
-	return w.permitted(name, int(float64(w.components.batchLimiter.Window(name, n))/s))
+	return w.permitted(name, w.foreseen(name, int(float64(w.components.batchLimiter.Window(name, n))/s)))
+}
+
+// foreseen returns a window that leaves the slots that online calls are expected to need before a run ends, on an upstream
+// that runs items whole.
+func (w batchWindows) foreseen(name string, window int) int {
+	p := w.components
+	if !p.places.runsWhole(name) {
+		return window
+	}
+	return min(window, p.places.room(name, p.batchLimiter.Slots(name), p.executor.RunTime(defaultRunTime)))
 }
 
 // permitted returns a window that leaves no item without a permit under the rate limit that the upstream names.
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -88,6 +88,7 @@
 	// assignment assigns the upstreams to the hosts that run batch items, as of the last list of upstreams.
 	assignment atomic.Pointer[assignment.Assignment]
 	picker     *picker.Picker
+	places     runPlaces
 	paths      *reachability.Table
 	// upstreams holds the known upstreams by their names.
 	upstreams      atomic.Pointer[map[string]upstream.Upstream]
--- a/internal/product/server/loads.go
+++ b/internal/product/server/loads.go
@@ -49,6 +49,7 @@
 			l.compareCount(l.upstreams[i].Name)
 		}
 		p.inflight.Refresh(l.changed)
+		p.places.observe(l.upstreams, func(n string) int { return p.gossip.Peers(n) + p.picker.OwnRequests(n) }, p.server.timer.Now())
 		p.capacity.Update(l.upstreams, l.usableSlots, p.gossip.Peers, l.callHosts)
 	}
 }
@@ -94,6 +95,7 @@
 		return
 	}
 	l.measured[name] = at
+	l.components.places.note(r)
 	l.components.picker.Report(r, at)
 	l.components.batchLimiter.Report(r, at)
 }
--- /dev/null
+++ b/internal/product/server/places.go
@@ -0,0 +1,108 @@
+package server
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"siskinrun/internal/data/loadreport"
+	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/routing/forecast"
+)
+
+// defaultRunTime is how long a batch run is taken to last before the first one has ended.
+const defaultRunTime = 2 * time.Second
+
+// runPlaces knows which upstreams run batch items whole, and where online calls and runs have room. The zero value knows none.
+type runPlaces struct {
+	mu sync.Mutex
+	// paced are the upstreams that report their pace; forecasts are those of the services with one.
+	paced     map[string]bool
+	forecasts map[string]*forecast.Forecast
+	services  map[string]string
+}
+
+// pace returns the pace in a report, zero if it holds none.
+func pace(loadreport.Report) int { return 0 }
+
+// note records an upstream that reports its pace.
+func (r *runPlaces) note(l loadreport.Report) {
+	if pace(l) <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.paced == nil {
+		r.paced = map[string]bool{}
+	}
+	r.paced[l.Upstream] = true
+}
+
+// runsWhole reports whether runs on an upstream are preempted only for calls that have no other place.
+func (r *runPlaces) runsWhole(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paced[name]
+}
+
+// observe records the online load of each service that has an upstream with a pace.
+func (r *runPlaces) observe(list []upstream.Upstream, online func(name string) int, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.paced) == 0 {
+		return
+	}
+	slots, used, paced := map[string]int{}, map[string]int{}, map[string]bool{}
+	r.services = make(map[string]string, len(list))
+	known := make(map[string]bool, len(r.paced))
+	for _, u := range list {
+		r.services[u.Name] = u.Service
+		known[u.Name] = r.paced[u.Name]
+		paced[u.Service] = paced[u.Service] || r.paced[u.Name]
+		if !u.Leaving {
+			slots[u.Service] += u.Slots
+			used[u.Service] += online(u.Name)
+		}
+	}
+	r.paced = known
+	old := r.forecasts
+	r.forecasts = map[string]*forecast.Forecast{}
+	for s, n := range slots {
+		if !paced[s] || n == 0 {
+			continue
+		}
+		f := old[s]
+		if f == nil {
+			f = &forecast.Forecast{}
+		}
+		f.Observe(float64(used[s])/float64(n), now)
+		r.forecasts[s] = f
+	}
+}
+
+// room returns the slots of an upstream that online calls are not expected to need while a run of a given length goes on.
+func (r *runPlaces) room(name string, slots int, length time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.forecasts[r.services[name]]
+	if f == nil {
+		return slots
+	}
+	return max(slots-int(math.Ceil(f.Most(length)*float64(slots))), 0)
+}
+
+// executorPlaces passes what an executor asks for.
+type executorPlaces struct {
+	components *components
+}
+
+// RunsWhole reports whether runs on an upstream are preempted only for calls that have no other place. An unreachable upstream
+// keeps none, so that its items go on elsewhere.
+func (e executorPlaces) RunsWhole(name string) bool {
+	return e.components.places.runsWhole(name) && e.components.picker.Reachable(name)
+}
+
+// FreeElsewhere returns the number of free slots of the other upstreams of the same service.
+func (e executorPlaces) FreeElsewhere(name string) int {
+	return e.components.picker.FreeElsewhere(name, e.components.server.timer.Now())
+}
--- /dev/null
+++ b/internal/product/server/places_test.go
@@ -0,0 +1,40 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskinrun/internal/data/loadreport"
+	"siskinrun/internal/data/upstream"
+)
+
+// TestRoomFollowsTroughsOfPacedServicesOnly guards against a batch window that changes where no upstream reports its pace, and
+// against runs that start where the next step of online load needs their slots.
+func TestRoomFollowsTroughsOfPacedServicesOnly(t *testing.T) {
+	is := is.New(t)
+	l := []upstream.Upstream{{Name: "a", Service: "s", Slots: 8}, {Name: "b", Service: "s", Slots: 8}, {Name: "c", Service: "other", Slots: 8}}
+	r := &runPlaces{}
+	play := func() {
+		for at := time.Duration(0); at < 15*time.Second; at += 50 * time.Millisecond {
+			n := 2
+			if at%(6*time.Second) < 2400*time.Millisecond {
+				n = 6
+			}
+			r.observe(l, func(string) int { return n }, time.Unix(0, int64(at)))
+		}
+	}
+	r.note(loadreport.Report{Upstream: "a"})
+	play()
+	is.True(!r.runsWhole("a"))
+	is.Equal(r.room("a", 8, time.Second), 8)
+
+	r.paced = map[string]bool{"a": true, "gone": true}
+	play()
+	is.True(r.runsWhole("a"))
+	is.True(!r.runsWhole("gone"))                      // it is forgotten with its announcement
+	is.Equal(r.room("c", 8, time.Second), 8)           // another service
+	is.Equal(r.room("b", 8, time.Second), 6)           // the trough lasts longer
+	is.Equal(r.room("b", 8, 3500*time.Millisecond), 2) // the next step comes before
+}
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -25,7 +25,9 @@
 	p.picker.HeardAt = p.gossip.HeardAt
 	p.paths = reachability.NewTable(p.host.FailureDomain, p.seed)
 	p.picker.Paths = p.paths
+	p.picker.RunsWhole = p.places.runsWhole
 	p.batchLimiter = batchlimit.NewLimiter()
+	p.batchLimiter.RunsWhole = p.places.runsWhole
 	w := s.Settings.Fleet.Weights
 	p.batchLimiter.BatchWeight = w.BatchThroughput
 	p.batchLimiter.OnlineWeight = max(w.OnlineTail, w.WorstTeam)
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -127,6 +127,7 @@
 		Ledgers:     p.batch,
 		Fleet:       fleet{p},
 		Windows:     batchWindows{p},
+		Places:      executorPlaces{p},
 		Metrics:     p.childMetrics("batch-runs"),
 		Routes:      itemRoutes{r, p},
 		Runner:      r,
@@ -145,6 +146,7 @@
 
 // applyReport applies a load report that came with an upstream's answer.
 func (p *components) applyReport(r loadreport.Report, at time.Time) {
+	p.places.note(r)
 	p.picker.Report(r, at)
 	p.batchLimiter.Report(r, at)
 }
--- a/internal/routing/batchlimit/limiter.go
+++ b/internal/routing/batchlimit/limiter.go
@@ -89,6 +89,16 @@
 	e.slots = slots
 }
 
+// Slots returns the number of slots of an engine, zero if it is not known.
+func (l *Limiter) Slots(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e, ok := l.engines[name]; ok {
+		return e.slots
+	}
+	return 0
+}
+
 // RemoveEngine removes an engine.
 func (l *Limiter) RemoveEngine(name string) {
 	l.mu.Lock()
--- a/internal/routing/forecast/forecast.go
+++ b/internal/routing/forecast/forecast.go
@@ -9,8 +9,7 @@
 	minStep = 0.15
 	// minTrough is the least length of a trough: shorter ones are noise about the middle of the step.
 	minTrough = 300 * time.Millisecond
-	// startShare is the share of a trough in which runs start however long they take. Without it, runs that are longer than
-	// each trough would never start.
+	// startShare is the share of a trough in which runs start that are longer than each trough, which would never start otherwise.
 	startShare = 0.5
 )
 
@@ -21,19 +20,26 @@
 	start time.Time
 	sum   float64
 	count int
+	// latest is the load that was observed last.
+	latest float64
 }
 
 // Observe records the load at a time.
 func (f *Forecast) Observe(load float64, now time.Time) {
-	if f.count == 0 || now.Sub(f.start) > buckets*bucketTime {
-		*f = Forecast{start: now}
+	if f.start.IsZero() || now.Sub(f.start) > buckets*bucketTime {
+		*f = Forecast{start: now, latest: load}
 	}
 	for now.Sub(f.start) >= bucketTime {
-		f.loads = append(f.loads, f.sum/float64(f.count))
+		l := f.latest
+		if f.count > 0 {
+			l = f.sum / float64(f.count)
+		}
+		f.loads = append(f.loads, l)
 		f.loads = f.loads[max(len(f.loads)-buckets, 0):]
 		f.start = f.start.Add(bucketTime)
-		f.sum, f.count = f.loads[len(f.loads)-1], 1
+		f.sum, f.count = 0, 0
 	}
+	f.latest = load
 	f.sum += load
 	f.count++
 }
@@ -53,14 +59,17 @@
 		return most
 	}
 	shortest, since, low := f.troughs(middle)
-	if shortest == 0 || since+min(length, time.Duration(startShare*float64(shortest))) > shortest {
+	if length > shortest {
+		length = time.Duration(startShare * float64(shortest))
+	}
+	if shortest == 0 || since+length > shortest {
 		return most
 	}
 	return low
 }
 
 // troughs returns the length of the shortest whole trough below a level, zero if there is none, how long ago the present one
-// began, and the most load in any of them.
+// began, and the most load in any of them, without the buckets in which the load rose or fell.
 func (f *Forecast) troughs(level float64) (shortest, since time.Duration, low float64) {
 	began := -1
 	for i, l := range f.loads {
@@ -73,7 +82,8 @@
 				shortest = d
 			}
 		}
-		if l < level {
+		edge := i > 0 && f.loads[i-1] >= level || i+1 < len(f.loads) && f.loads[i+1] >= level
+		if l < level && !edge {
 			low = max(low, l)
 		}
 	}
