Give runs more slots while items wait, and describe whole runs

TestSteppedLoadLeavesRunsWhole plays 33 and 50 a second. Its check that no run stops with a free slot elsewhere holds at 33; at 50 at most 1 in 100 of those of today may, since counts are 60 to 110 ms old.

--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -52,8 +52,14 @@
 		return
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.scheduler.groups[g].backlog = b
-	d.mu.Unlock()
+	n := d.Timer.Now()
+	if !d.scheduler.backlogged(n) {
+		d.waitingSince.Store(0)
+		return
+	}
+	d.waitingSince.CompareAndSwap(0, n.UnixNano())
 }
 
 // reportOutcomes sends one report and returns whether there may be more outcomes to send.
--- a/internal/jobs/executor/executor.go
+++ b/internal/jobs/executor/executor.go
@@ -115,6 +115,9 @@
 	runs          *group.Group
 	// runTime is the average length of the runs that gave a whole result, zero before the first.
 	runTime atomic.Int64
+	// waitingSince is since when a group has had items ready that an upstream of this host serves, in Unix nanoseconds, zero if
+	// none has.
+	waitingSince atomic.Int64
 }
 
 // Run executes items until ctx ends. It then stops repeatable items and returns their leases, and waits for
@@ -198,6 +201,15 @@
 	return byDefault
 }
 
+// Waiting returns how long items that upstreams of this host serve have been waiting for a slot without a break.
+func (d *Executor) Waiting() time.Duration {
+	n := d.waitingSince.Load()
+	if n == 0 {
+		return 0
+	}
+	return max(d.Timer.Now().Sub(time.Unix(0, n)), 0)
+}
+
 func (d *Executor) holder() string {
 	return d.Host + "/" + d.Incarnation
 }
--- a/internal/jobs/executor/random_test.go
+++ b/internal/jobs/executor/random_test.go
@@ -75,6 +75,9 @@
 	}
 	n := h.simulation.time()
 	h.updateWindow(n)
+	if c := h.scheduler.upstreams["u"]; c != nil && h.simulation.whole {
+		c.setPlaces(n.Add(-placeWait), fakePlaces(0))
+	}
 	h.stopAll(h.scheduler.tasksToStop(n))
 	h.scheduler.returnStale(n)
 	h.start(h.scheduler.assign(n))
@@ -101,6 +104,9 @@
 
 func (h *fakeHost) stopAll(tasks []*task) {
 	for _, t := range tasks {
+		if t.preempting {
+			h.simulation.preempted++
+		}
 		t.stopping = true
 		if t.stop != nil {
 			t.stop()
@@ -273,7 +279,10 @@
 
 // simulate runs one seed: faults for 4 s, then none until all jobs have ended.
 func simulate(seed uint64) error {
-	w := newSimulation(seed)
+	return simulateOn(newSimulation(seed))
+}
+
+func simulateOn(w *simulation) error {
 	w.upload("file-1-a", 12)
 	w.upload("file-1-b", 9)
 	w.submit("k1", "file-1-a", true)
@@ -337,3 +346,21 @@
 		})
 	}
 }
+
+// TestRandomisedWholeRuns plays lost hosts, leaders, claims and messages while runs stop only for calls without another place: an
+// item still ends once, and none is lost.
+func TestRandomisedWholeRuns(t *testing.T) {
+	is := is.New(t)
+	preempted := 0
+	for s := range uint64(100) {
+		w := newSimulation(s)
+		w.whole = true
+		if err := simulateOn(w); err != nil {
+			t.Logf("seed %d", s)
+			is.NoErr(err)
+		}
+		preempted += w.preempted
+	}
+	t.Logf("%d runs preempted", preempted)
+	is.True(preempted > 0)
+}
--- a/internal/jobs/executor/simulation_test.go
+++ b/internal/jobs/executor/simulation_test.go
@@ -39,18 +39,22 @@
 // simulation is a replicated log without consensus, with lossy calls to its leader, hosts and callers, in virtual
 // time.
 type simulation struct {
-	random     *rand.Rand
-	now        time.Duration
-	seq        int
-	events     []event
-	log        [][]byte
-	answers    map[int][]byte
-	replicas   []*replica
-	leader     int
-	term       uint64
-	skew       time.Duration
-	faultFree  bool
-	finished   bool
+	random    *rand.Rand
+	now       time.Duration
+	seq       int
+	events    []event
+	log       [][]byte
+	answers   map[int][]byte
+	replicas  []*replica
+	leader    int
+	term      uint64
+	skew      time.Duration
+	faultFree bool
+	finished  bool
+	// whole makes the upstream one that runs items whole.
+	whole bool
+	// preempted counts the runs that stopped for online calls.
+	preempted  int
 	hosts      []*fakeHost
 	dispatches map[itemRef]int
 	cancelled  map[string]bool
--- a/internal/jobs/executor/whole.go
+++ b/internal/jobs/executor/whole.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// backlogged reports whether a group has items ready that an upstream of this host serves.
+func (p *scheduler) backlogged(now time.Time) bool {
+	for _, s := range p.groups {
+		for _, t := range s.backlog {
+			for _, c := range p.upstreams {
+				if c.servesAny(p.routesOf(now, t)) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func (p *scheduler) count(name string) {
 	if p.metrics != nil {
 		metrics.GetOrRegisterCounter(name, p.metrics).Inc(1)
--- a/internal/jobs/executor/whole_test.go
+++ b/internal/jobs/executor/whole_test.go
@@ -147,3 +147,14 @@
 	is.Equal(metrics.GetOrRegisterCounter("results-of-several-runs", s.metrics).Count(), int64(1))
 	is.Equal(s.expected["m"], 10+20*expectedWeight)
 }
+
+// TestBacklogOfOtherUpstreamsDoesNotPress guards against a host that gives up slots for items which none of its upstreams serves.
+func TestBacklogOfOtherUpstreamsDoesNotPress(t *testing.T) {
+	is := is.New(t)
+	s, _, now, _ := newWhole(0, 0)
+	is.True(!s.backlogged(now))
+	s.groups[1].backlog = []string{"other"}
+	is.True(!s.backlogged(now))
+	s.groups[1].backlog = []string{"other", "m"}
+	is.True(s.backlogged(now))
+}
--- a/internal/product/server/adapters.go
+++ b/internal/product/server/adapters.go
@@ -181,7 +181,8 @@
 	if !p.places.runsWhole(name) {
 		return window
 	}
-	return min(window, p.places.room(name, p.batchLimiter.Slots(name), p.executor.RunTime(defaultRunTime)))
+	pressed := int(p.executor.Waiting() / pressedAfter)
+	return min(window, p.places.room(name, p.batchLimiter.Slots(name), p.executor.RunTime(defaultRunTime))+pressed)
 }
 
 // permitted returns a window that leaves no item without a permit under the rate limit that the upstream names.
--- a/internal/product/server/places.go
+++ b/internal/product/server/places.go
@@ -13,6 +13,10 @@
 // defaultRunTime is how long a batch run is taken to last before the first one has ended.
 const defaultRunTime = 2 * time.Second
 
+// pressedAfter is how long items wait for each slot of an upstream that they get of those that online calls are expected to need:
+// longer than a phase of high load, and so short that items wait well below the usual due time of 18 s.
+const pressedAfter = 4 * time.Second
+
 // runPlaces knows which upstreams run batch items whole, and where online calls and runs have room. The zero value knows none.
 type runPlaces struct {
 	mu sync.Mutex
--- a/internal/routing/batchlimit/runs_test.go
+++ b/internal/routing/batchlimit/runs_test.go
@@ -33,12 +33,13 @@
 	stepHigh   = 2400 * time.Millisecond
 	// countsDelay is the age of the counts that hosts have of each other.
 	countsDelay = 60 * time.Millisecond
-	// siteDue is when an item is late; jobs of ten items come every jobInterval.
-	siteDue     = 18 * time.Second
-	jobInterval = 300 * time.Millisecond
-	itemEvents  = 50
-	holdTime    = 100 * time.Millisecond
-	pauseTime   = 250 * time.Millisecond
+	// siteDue is when an item is late; jobs of ten items come every interval of a test.
+	siteDue    = 18 * time.Second
+	itemEvents = 50
+	holdTime   = 100 * time.Millisecond
+	// pressedAfter is how long items wait for each slot that they get of those that online requests are expected to need.
+	pressedAfter = 4 * time.Second
+	pauseTime    = 250 * time.Millisecond
 )
 
 // siteItem is one batch item of a site.
@@ -66,6 +67,8 @@
 	running  [][]*siteItem
 	pending  []*siteItem
 	runTime  time.Duration
+	// emptied is when no item was waiting.
+	emptied time.Time
 	// perItem counts items by how often they were preempted; needless counts preemptions while another engine had a free slot.
 	perItem  map[int]int
 	needs    [siteEngines]time.Time
@@ -78,9 +81,9 @@
 
 func engineName(i int) string { return fmt.Sprintf("u%02d", i) }
 
-func newSite(batch, whole bool, seed uint64) *site {
+func newSite(interval time.Duration, whole bool, seed uint64) *site {
 	s := &site{
-		clock: timer.NewManual(start), random: rand.New(rand.NewPCG(seed, 9)), online: make([]int, siteEngines),
+		clock: timer.NewManual(start), emptied: start, random: rand.New(rand.NewPCG(seed, 9)), online: make([]int, siteEngines),
 		limiter: batchlimit.NewLimiter(), whole: whole, running: make([][]*siteItem, siteEngines), perItem: map[int]int{}, runTime: time.Second,
 	}
 	s.limiter.RunsWhole = func(string) bool { return whole }
@@ -100,9 +103,9 @@
 		s.own[h] = make([]int, siteEngines)
 	}
 	s.clock.Every(50*time.Millisecond, func(time.Time) { s.share() })
-	if batch {
+	if interval > 0 {
 		s.clock.Every(25*time.Millisecond, s.drive)
-		s.clock.Every(jobInterval, s.submit)
+		s.clock.Every(interval, s.submit)
 	}
 	s.arrive()
 	return s
@@ -175,11 +178,14 @@
 
 // drive stops and starts runs as the executor does.
 func (s *site) drive(now time.Time) {
+	if len(s.pending) == 0 {
+		s.emptied = now
+	}
 	for i := range s.engines {
 		s.yield(i, now)
 		w := s.limiter.Window(engineName(i), now)
 		if s.whole {
-			w = min(w, siteSlots-int(math.Ceil(s.forecast.Most(s.runTime)*siteSlots)))
+			w = min(w, siteSlots-int(math.Ceil(s.forecast.Most(s.runTime)*siteSlots))+int(now.Sub(s.emptied)/pressedAfter))
 		}
 		for len(s.running[i]) < w && s.begin(i, now) {
 		}
@@ -278,29 +284,39 @@
 	return items, whole
 }
 
-// TestSteppedLoadLeavesRunsWhole guards against batch runs that are cut to pieces by each step of the online load, and against
-// online calls that pay for whole runs.
+// TestSteppedLoadLeavesRunsWhole guards against batch runs that are cut to pieces by each step of the online load, against online
+// calls that pay for whole runs, and against slots that are left free while items come too late.
 func TestSteppedLoadLeavesRunsWhole(t *testing.T) {
 	for seed := range uint64(3) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			is := is.New(t)
-			off, today, whole := newSite(false, false, seed), newSite(true, false, seed), newSite(true, true, seed)
-			for _, s := range []*site{off, today, whole} {
-				s.clock.Advance(siteTime)
-			}
-			off.report(t, "batch off")
-			before, pieces := today.report(t, "as today")
-			items, share := whole.report(t, "whole")
-			is.True(pieces < 0.9) // without the change the load cuts runs to pieces
-			is.True(share >= 0.9)
-			is.Equal(whole.needless, 0)
-			for k := range whole.perItem {
-				is.True(k <= 1)
-			}
-			is.True(items >= before*95/100)
-			is.True(whole.late <= today.late)
-			is.True(quantile(whole.firsts, .99) <= quantile(today.firsts, .99)*110/100)
-			is.Equal(whole.lost, 0)
-		})
+		for _, c := range []struct {
+			name     string
+			interval time.Duration
+			// needless is the share of the needless preemptions of today that may be left, since counts are some time old.
+			needless float64
+		}{
+			{"33 items a second", 300 * time.Millisecond, 0},
+			{"50 items a second", 200 * time.Millisecond, 0.01},
+		} {
+			t.Run(fmt.Sprint("seed ", seed, "/", c.name), func(t *testing.T) {
+				is := is.New(t)
+				off, today, whole := newSite(0, false, seed), newSite(c.interval, false, seed), newSite(c.interval, true, seed)
+				for _, s := range []*site{off, today, whole} {
+					s.clock.Advance(siteTime)
+				}
+				off.report(t, "batch off")
+				before, pieces := today.report(t, "as today")
+				items, share := whole.report(t, "whole")
+				is.True(pieces < 0.9) // without the change the load cuts runs to pieces
+				is.True(share >= 0.9)
+				is.True(float64(whole.needless) <= c.needless*float64(today.needless))
+				for k := range whole.perItem {
+					is.True(k <= 1)
+				}
+				is.True(items >= before*95/100)
+				is.True(whole.late <= today.late)
+				is.True(quantile(whole.firsts, .99) <= quantile(today.firsts, .99)*110/100)
+				is.Equal(whole.lost, 0)
+			})
+		}
 	}
 }
