Log preempted batch runs, and test that runs tell their events

The line `batch run preempted` gives what the choice was made from, at most once for each item and host. TestRunTellsItsEvents fails (9, not 3) when the runner does not pass on the number of the next event.

--- a/internal/jobs/executor/executor.go
+++ b/internal/jobs/executor/executor.go
@@ -260,7 +260,9 @@
 	}
 	d.scheduler.applyRevision(n, version, confirmed)
 	d.scheduler.endRouteless(n)
-	d.stopAll(d.scheduler.tasksToStop(n))
+	stop := d.scheduler.tasksToStop(n)
+	d.logPreempted(stop)
+	d.stopAll(stop)
 	d.scheduler.returnStale(n)
 	a := d.scheduler.assign(n)
 	err := d.scheduler.check()
@@ -274,6 +276,19 @@
 	}
 }
 
+// logPreempted logs the runs that stop for calls without another place. There is at most one line for each item and host.
+func (d *Executor) logPreempted(tasks []*task) {
+	for _, t := range tasks {
+		c := t.upstream
+		if !t.preempting || !c.whole {
+			continue
+		}
+		d.Log.Info().Str("job", t.item.Job).Int("item", t.item.Index).Str("upstream", c.name).
+			Uint64("events", t.item.Received.Load()).Float64("expected-events", d.scheduler.expected[t.route]).
+			Int("running", c.started).Int("keep", c.keep).Int("free-elsewhere", c.elsewhere).Msg("batch run preempted")
+	}
+}
+
 // stopAll cancels the runs of started tasks. The caller holds d.mu.
 func (d *Executor) stopAll(tasks []*task) {
 	for _, t := range tasks {
--- a/internal/jobs/runner/comment_test.go
+++ b/internal/jobs/runner/comment_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -41,3 +42,21 @@
 	is.NoErr(err)
 	is.Equal(string(a.Body), "a\nc")
 }
+
+// TestRunTellsItsEvents guards against a choice of the runs to stop that doesn't know what they have done.
+func TestRunTellsItsEvents(t *testing.T) {
+	is := is.New(t)
+	r := &Runner{
+		VersionFresh: alwaysFresh,
+		Pipeline:     commentPipeline{},
+		Upstreams:    func() []upstream.Upstream { return []upstream.Upstream{{Name: "u", Service: "s", Version: "v"}} },
+		Timer:        timer.NewService(),
+	}
+	l, err := json.Marshal(itemline.Line{CustomID: "i", Method: "POST", URL: "/", Inline: true})
+	is.NoErr(err)
+	var n atomic.Uint64
+	n.Store(9) // what another software made is begun anew
+	_, err = r.Run(t.Context(), "u", item.Item{Job: "j", Line: l, NextEvent: 9, Received: &n})
+	is.NoErr(err)
+	is.Equal(n.Load(), uint64(3))
+}
