Read the counts of the picker before locking the places of runs

Cause: observe read counts under its own lock while the picker asks runsWhole under the picker's, so the two could wait for each other as soon as an upstream reports its pace. Found by reading.

Change: the counts are read first. TestRoomFollowsTroughsOfPacedServicesOnly asks runsWhole while a count is read, and hangs on the code before.

--- a/internal/product/server/places.go
+++ b/internal/product/server/places.go
@@ -49,23 +49,36 @@
 	return r.paced[name]
 }
 
-// observe records the online load of each service that has an upstream with a pace.
-func (r *runPlaces) observe(list []upstream.Upstream, online func(name string) int, now time.Time) {
+// any reports whether any upstream reports its pace.
+func (r *runPlaces) any() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.paced) == 0 {
+	return len(r.paced) > 0
+}
+
+// observe records the online load of each service that has an upstream with a pace.
+func (r *runPlaces) observe(list []upstream.Upstream, online func(name string) int, now time.Time) {
+	if !r.any() {
 		return
 	}
+	counts := make([]int, len(list)) // read before the lock: the picker asks runsWhole under its own
+	for i, u := range list {
+		counts[i] = online(u.Name)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	slots, used, paced := map[string]int{}, map[string]int{}, map[string]bool{}
 	r.services = make(map[string]string, len(list))
 	known := make(map[string]bool, len(r.paced))
-	for _, u := range list {
+	for i, u := range list {
 		r.services[u.Name] = u.Service
-		known[u.Name] = r.paced[u.Name]
+		if r.paced[u.Name] {
+			known[u.Name] = true
+		}
 		paced[u.Service] = paced[u.Service] || r.paced[u.Name]
 		if !u.Leaving {
 			slots[u.Service] += u.Slots
-			used[u.Service] += online(u.Name)
+			used[u.Service] += counts[i]
 		}
 	}
 	r.paced = known
--- a/internal/product/server/places_test.go
+++ b/internal/product/server/places_test.go
@@ -22,7 +22,8 @@
 			if at%(6*time.Second) < 2400*time.Millisecond {
 				n = 6
 			}
-			r.observe(l, func(string) int { return n }, time.Unix(0, int64(at)))
+			// The picker holds its lock while it asks runsWhole, so a count that takes that lock must not be read under r.mu.
+			r.observe(l, func(s string) int { r.runsWhole(s); return n }, time.Unix(0, int64(at)))
 		}
 	}
 	r.note(loadreport.Report{Upstream: "a"})
