--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -52,8 +52,14 @@
 		return
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.scheduler.groups[g].backlog = b
-	d.mu.Unlock()
+	n := d.Timer.Now()
+	if !d.scheduler.backlogged(n) {
+		d.waitingSince.Store(0)
+		return
+	}
+	d.waitingSince.CompareAndSwap(0, n.UnixNano())
 }
 
 // reportOutcomes sends one report and returns whether there may be more outcomes to send.
@@ -260,7 +266,10 @@
 	defer d.mu.Unlock()
 	d.claims[u.Name] = sent.Add(localClaimTTL)
 	d.scheduler.setUpstream(u.Name, d.Fleet.Targets(u), 0, sent.Add(localClaimTTL))
-	d.scheduler.upstreams[u.Name].setLimits(d.Windows)
+	c := d.scheduler.upstreams[u.Name]
+	c.setLimits(d.Windows)
+	c.setPlaces(d.Timer.Now(), d.Places)
+	c.software = streamstart.Start{Service: u.Service, Version: u.Version}
 }
 
 // releaseOthers expires the claims on upstreams that are no longer assigned to this host and releases those
--- a/internal/jobs/executor/executor.go
+++ b/internal/jobs/executor/executor.go
@@ -4,8 +4,10 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"siskinrun/internal/base/group"
@@ -93,6 +95,10 @@
 	Routes routes
 	// Windows limits the batch items on an upstream.
 	Windows windows
+	// Places, if set, tells where runs are preempted only for calls that have no other place.
+	Places places
+	// Metrics, if set, counts results and stopped runs.
+	Metrics metrics.Registry
 	// Runner sends items to upstreams.
 	Runner runner
 	// Timer provides the clock and sleeps.
@@ -107,6 +113,11 @@
 	exchangeWake  map[uint32]chan struct{}
 	reconcileWake chan struct{}
 	runs          *group.Group
+	// runTime is the average length of the runs that gave a whole result, zero before the first.
+	runTime atomic.Int64
+	// waitingSince is since when a group has had items ready that an upstream of this host serves, in Unix nanoseconds, zero if
+	// none has.
+	waitingSince atomic.Int64
 }
 
 // Run executes items until ctx ends. It then stops repeatable items and returns their leases, and waits for
@@ -117,6 +128,7 @@
 	d.mu.Lock()
 	d.scheduler = newScheduler(d.Groups)
 	d.scheduler.routeOf = d.Routes.RouteOf
+	d.scheduler.metrics = d.Metrics
 	d.mu.Unlock()
 	d.claims = map[string]time.Time{}
 	d.exchangeWake = map[uint32]chan struct{}{}
@@ -181,6 +193,23 @@
 	return d.scheduler.upstreams[name].started
 }
 
+// RunTime returns the average length of the runs that gave a whole result, or a default before the first.
+func (d *Executor) RunTime(byDefault time.Duration) time.Duration {
+	if n := d.runTime.Load(); n > 0 {
+		return time.Duration(n)
+	}
+	return byDefault
+}
+
+// Waiting returns how long items that upstreams of this host serve have been waiting for a slot without a break.
+func (d *Executor) Waiting() time.Duration {
+	n := d.waitingSince.Load()
+	if n == 0 {
+		return 0
+	}
+	return max(d.Timer.Now().Sub(time.Unix(0, n)), 0)
+}
+
 func (d *Executor) holder() string {
 	return d.Host + "/" + d.Incarnation
 }
@@ -227,10 +256,13 @@
 	d.mu.Lock()
 	for _, c := range d.scheduler.upstreams {
 		c.setLimits(d.Windows)
+		c.setPlaces(n, d.Places)
 	}
 	d.scheduler.applyRevision(n, version, confirmed)
 	d.scheduler.endRouteless(n)
-	d.stopAll(d.scheduler.tasksToStop(n))
+	stop := d.scheduler.tasksToStop(n)
+	d.logPreempted(stop)
+	d.stopAll(stop)
 	d.scheduler.returnStale(n)
 	a := d.scheduler.assign(n)
 	err := d.scheduler.check()
@@ -244,6 +276,19 @@
 	}
 }
 
+// logPreempted logs the runs that stop for calls without another place. There is at most one line for each item and host.
+func (d *Executor) logPreempted(tasks []*task) {
+	for _, t := range tasks {
+		c := t.upstream
+		if !t.preempting || !c.whole {
+			continue
+		}
+		d.Log.Info().Str("job", t.item.Job).Int("item", t.item.Index).Str("upstream", c.name).
+			Uint64("events", t.item.Received.Load()).Float64("expected-events", d.scheduler.expected[t.route]).
+			Int("running", c.started).Int("keep", c.keep).Int("free-elsewhere", c.elsewhere).Msg("batch run preempted")
+	}
+}
+
 // stopAll cancels the runs of started tasks. The caller holds d.mu.
 func (d *Executor) stopAll(tasks []*task) {
 	for _, t := range tasks {
--- a/internal/routing/batchlimit/limiter.go
+++ b/internal/routing/batchlimit/limiter.go
@@ -54,6 +54,8 @@
 	CeilingRecovery time.Duration
 	// ReportTTL is the time after which a report is ignored.
 	ReportTTL time.Duration
+	// RunsWhole, if set, reports whether running streams of an engine stop only for online requests that need their slots.
+	RunsWhole func(name string) bool
 
 	mu      sync.Mutex
 	latest  time.Time
@@ -87,6 +89,16 @@
 	e.slots = slots
 }
 
+// Slots returns the number of slots of an engine, zero if it is not known.
+func (l *Limiter) Slots(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e, ok := l.engines[name]; ok {
+		return e.slots
+	}
+	return 0
+}
+
 // RemoveEngine removes an engine.
 func (l *Limiter) RemoveEngine(name string) {
 	l.mu.Lock()
@@ -187,7 +199,11 @@
 	if !ok {
 		return 0
 	}
-	return max(min(int(e.ceiling), e.slots-e.online()), w)
+	free := e.slots - e.online()
+	if l.RunsWhole == nil || !l.RunsWhole(name) {
+		free = min(int(e.ceiling), free)
+	}
+	return max(free, w)
 }
 
 // Window returns up to how many batch streams may be started on an engine.
