Spread for how long upstreams stay cold

Heartbeats carry the time for which an upstream still bears few requests, and the announcement dropped it, so no host could hold back from a cold upstream. It now travels with the announcement and counts down with its age. Announcements whose end of that time differs by less than 400 ms count as the same, so heartbeats of a cold upstream cause no further changes; one that turns cold without a restart is pushed as urgent news.

Nothing uses the time yet.

--- a/internal/data/upstream/check.go
+++ b/internal/data/upstream/check.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -14,6 +15,8 @@
 	MaxTextBytes = 128
 	// MaxSlots is the maximum number of slots.
 	MaxSlots = 1 << 16
+	// MaxCold is the maximum time for which an upstream is cold.
+	MaxCold = 1e9 * time.Millisecond
 )
 
 // Check returns why the announcement names no upstream to use, or nil. One that only ends an incarnation needs no more than a
@@ -36,6 +39,9 @@
 	if u.Slots < 1 || u.Slots > MaxSlots {
 		return errors.Newf("upstream: %d slots are out of range", u.Slots)
 	}
+	if c := u.Cold.Duration(); c < 0 || c > MaxCold {
+		return errors.Newf("upstream: %v of being cold are out of range", c)
+	}
 	return checkAddress(u.Address)
 }
 
--- a/internal/data/upstream/check_test.go
+++ b/internal/data/upstream/check_test.go
@@ -3,9 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/base/duration"
 	"siskinrun/internal/data/upstream"
 )
 
@@ -33,6 +35,9 @@
 		{"no slots", func(u *upstream.Upstream) { u.Slots = 0 }, false},
 		{"negative slots", func(u *upstream.Upstream) { u.Slots = -1 }, false},
 		{"too many slots", func(u *upstream.Upstream) { u.Slots = upstream.MaxSlots + 1 }, false},
+		{"cold", func(u *upstream.Upstream) { u.Cold = duration.Duration(3 * time.Second) }, true},
+		{"cold for a negative time", func(u *upstream.Upstream) { u.Cold = -1 }, false},
+		{"cold for too long", func(u *upstream.Upstream) { u.Cold = duration.Duration(upstream.MaxCold) + 1 }, false},
 		{"no address", func(u *upstream.Upstream) { u.Address = "" }, false},
 		{"no host", func(u *upstream.Upstream) { u.Address = ":80" }, false},
 		{"port zero", func(u *upstream.Upstream) { u.Address = "10.0.0.1:0" }, false},
--- a/internal/data/upstream/upstream.go
+++ b/internal/data/upstream/upstream.go
@@ -45,9 +45,11 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Age is the time since the upstream sent the announcement.
 	Age duration.Duration `json:"age,omitempty"`
+	// Cold is how much longer the upstream bore few requests when it sent the announcement, or zero. It counts down with Age.
+	Cold duration.Duration `json:"cold,omitempty"`
 }
 
-// SameContent reports whether two upstreams agree in everything but Age and Sequence.
+// SameContent reports whether two upstreams agree in everything but Age, Cold and Sequence.
 func (u Upstream) SameContent(v Upstream) bool {
 	return u.Name == v.Name && u.Address == v.Address && u.FailureDomain == v.FailureDomain &&
 		u.Kind == v.Kind && u.Service == v.Service && u.Version == v.Version && u.Role == v.Role && u.Slots == v.Slots &&
--- a/internal/fleet/gossip/publish.go
+++ b/internal/fleet/gossip/publish.go
@@ -28,17 +28,19 @@
 	s.publishMu.Lock()
 	defer s.publishMu.Unlock()
 	s.mu.Lock()
-	v := s.membership.Version()
+	v, c := s.membership.Version(), s.membership.ColdChanges()
 	if v == s.version && !expired {
 		s.mu.Unlock()
 		return
 	}
 	s.version = v
+	cold := c != s.coldChanges
+	s.coldChanges = c
 	u := s.membership.Upstreams(s.Timer.Now())
 	l := slices.Clone(s.subscribers)
 	s.mu.Unlock()
 	old := s.current.Swap(&u)
-	if old != nil && slices.EqualFunc(*old, u, upstream.Upstream.SameContent) || old == nil && len(u) == 0 {
+	if old != nil && !cold && slices.EqualFunc(*old, u, upstream.Upstream.SameContent) || old == nil && len(u) == 0 {
 		return
 	}
 	for _, f := range l {
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -78,6 +78,8 @@
 	subscribers []func([]upstream.Upstream)
 	publishMu   sync.Mutex
 	version     uint64
+	// coldChanges is the number of changes of the time that upstreams stay cold as of the last publication.
+	coldChanges uint64
 	samples     sync.Map
 	// heardAt is when the last exchange began that a peer answered.
 	heardAt atomic.Pointer[time.Time]
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"siskinrun/internal/base/duration"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
@@ -147,6 +148,8 @@
 		Leaving:        u.Leaving,
 		Beat:           u.Sequence,
 		Version:        u.Version,
+
+		ColdNanoseconds: int64(u.Cold),
 	}
 }
 
@@ -168,6 +171,7 @@
 			Leaving:       a.Leaving,
 			Sequence:      a.Beat,
 			Version:       a.Version,
+			Cold:          duration.Duration(a.ColdNanoseconds),
 		},
 	}
 }
--- a/internal/fleet/membership/announcement.go
+++ b/internal/fleet/membership/announcement.go
@@ -41,6 +41,28 @@
 	}
 }
 
+// coldTolerance is the difference below which two reports of the time that an upstream stays cold agree. They differ by
+// the time that heartbeats are on their way.
+const coldTolerance = 400 * time.Millisecond
+
+// coldUntil returns when the upstream is warm.
+func (a *announcement) coldUntil() time.Time {
+	return a.createdAt.Add(a.upstream.Cold.Duration())
+}
+
+// sameCold reports whether a announcement says of the time that an upstream stays cold what an earlier one said.
+func (a *announcement) sameCold(now time.Time, old *announcement) bool {
+	x, y := a.coldUntil(), old.coldUntil()
+	cold, wasCold := a.upstream.Cold > 0 && x.After(now), old.upstream.Cold > 0 && y.After(now)
+	return cold == wasCold && (!cold || x.Sub(y).Abs() <= coldTolerance) || x.Sub(y).Abs() <= coldTolerance
+}
+
+// turnsCold reports whether an upstream that was warm is cold without a restart.
+func (a *announcement) turnsCold(now time.Time, old *announcement) bool {
+	return old != nil && a.upstream.Incarnation == old.upstream.Incarnation && a.upstream.Cold > 0 && !a.sameCold(now, old) &&
+		a.coldUntil().After(old.coldUntil())
+}
+
 func (a *announcement) news(now time.Time) gossipmessage.Announcement {
 	return gossipmessage.Announcement{Origin: a.origin, Age: now.Sub(a.createdAt), Upstream: a.upstream}
 }
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -49,6 +49,8 @@
 	random    *rand.Rand
 	exchanges uint64
 	version   uint64
+	// coldChanges counts the changes of the time that upstreams stay cold.
+	coldChanges uint64
 
 	hosts     map[string]*host
 	peers     []string
@@ -119,7 +121,7 @@
 	if !supersedes(a, old) {
 		return old != nil && u.SameContent(old.upstream)
 	}
-	if old != nil && u.SameContent(old.upstream) && createdAt.Sub(old.createdAt) < RenewalAge {
+	if old != nil && u.SameContent(old.upstream) && a.sameCold(now, old) && createdAt.Sub(old.createdAt) < RenewalAge {
 		return true
 	}
 	a.origin = m.nextOrigin()
@@ -238,6 +240,11 @@
 	return m.version
 }
 
+// ColdChanges returns a number that grows whenever a known upstream stays cold for a time other than the one announced before.
+func (m *Membership) ColdChanges() uint64 {
+	return m.coldChanges
+}
+
 // nextOrigin returns the origin of the next piece of news that enters the fleet at this host.
 func (m *Membership) nextOrigin() gossipmessage.Origin {
 	h := m.hosts[m.name]
@@ -254,6 +261,13 @@
 	if old == nil || !a.upstream.SameContent(old.upstream) {
 		m.version++
 	}
+	if old != nil && !a.sameCold(now, old) {
+		m.version++
+		m.coldChanges++
+	}
+	if a.turnsCold(now, old) && !a.upstream.Leaving {
+		m.urgent.Announcements = append(m.urgent.Announcements, a.news(now))
+	}
 	if !a.upstream.Leaving || old != nil && old.upstream.Leaving && old.upstream.Incarnation == a.upstream.Incarnation {
 		return
 	}
