Hold requests to cold upstreams to what they bear

A cold upstream crashes under more requests than its service names, and hosts sent it as many as to a warm one. A cold upstream now counts as one with a rate limit: each send takes a permit of the host that coordinates it, at most one fewer in 1.4 s than the upstream bears in 1 s. New coordinators wait 1.9 s; hosts that see half of the others or fewer, that are new or that stood still hand out none. Warm upstreams with free slots go first, batch items wait.

It takes fleet.cold-overrun and a rate of the service. The rates are decoded but left out of the configuration until all control hosts are known to understand them.

Turning cold without a restart holds from the moment all hosts have heard of it.

--- a/internal/limits/meter/meter.go
+++ b/internal/limits/meter/meter.go
@@ -33,6 +33,8 @@
 	starts []time.Time
 	// blocked is until when nothing is let through.
 	blocked time.Time
+	// window is the length of the spans, zero for Span.
+	window time.Duration
 }
 
 // SetRate changes the committed rate in requests a second.
@@ -43,6 +45,14 @@
 	m.peak.SetRate(now, rate*PeakFactor, float64(m.most))
 }
 
+// SetWindow changes the rates in requests a second and the most requests in each window of a length up to Span. It stands in
+// for SetRate where an upstream bears a number of requests in a window rather than a rate.
+func (m *Meter) SetWindow(now time.Time, committed, peak float64, most int, window time.Duration) {
+	m.most, m.window = most, min(window, Span)
+	m.committed.SetRate(now, min(committed, maxRate), float64(most))
+	m.peak.SetRate(now, min(peak, maxRate), float64(most))
+}
+
 // Depth returns how many requests are saved up at a committed rate in requests a second.
 func Depth(rate float64) float64 {
 	return committedRequests + rate*Span.Seconds()
@@ -113,7 +123,14 @@
 	if n < 0 {
 		return 0
 	}
-	return m.starts[n].Add(Span).Sub(now)
+	return m.starts[n].Add(m.span()).Sub(now)
+}
+
+func (m *Meter) span() time.Duration {
+	if m.window > 0 {
+		return m.window
+	}
+	return Span
 }
 
 func (m *Meter) add(start time.Time) {
@@ -123,7 +140,7 @@
 
 func (m *Meter) prune(now time.Time) {
 	n := 0
-	for n < len(m.starts) && now.Sub(m.starts[n]) >= Span {
+	for n < len(m.starts) && now.Sub(m.starts[n]) >= m.span() {
 		n++
 	}
 	m.starts = slices.Delete(m.starts, 0, n)
--- /dev/null
+++ b/internal/product/server/cold.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"maps"
+
+	"siskinrun/internal/config/change"
+	"siskinrun/internal/data/configuration"
+)
+
+// boundColdUpstreams has permits keep to what cold upstreams bear, if the settings say by how much they may exceed it.
+func (p *components) boundColdUpstreams() {
+	f := p.server.Settings.Fleet
+	if f.ColdOverrun <= 0 {
+		return
+	}
+	p.permits.ColdRate = p.coldRate
+	p.permits.ColdOverrun, p.permits.ColdSlack = f.ColdOverrun, f.ColdSlack
+	p.permits.SingleHost = len(f.Hosts) == 1 && !p.server.Settings.UsesSeeds()
+}
+
+// applyColdRates applies the rates of cold upstreams that a configuration names.
+func (p *components) applyColdRates(c *configuration.Configuration) {
+	r := map[string]float64{}
+	for n, s := range c.Services {
+		if s.ColdRate > 0 {
+			r[n] = s.ColdRate
+		}
+	}
+	old := p.coldRates.Swap(&r)
+	if old == nil && len(r) == 0 || old != nil && maps.Equal(*old, r) {
+		return
+	}
+	p.permits.SetUpstreams(p.gossip.Upstreams())
+}
+
+// coldRate returns the requests a second that a cold upstream of a service bears, 0 if nothing bounds them.
+func (p *components) coldRate(service string) float64 {
+	r := p.coldRates.Load()
+	if r == nil {
+		return 0
+	}
+	return (*r)[service]
+}
+
+// withoutColdRates removes what control hosts of an older build would not understand and so not apply, unlike the others.
+func withoutColdRates(c *change.Change) {
+	if c.Whole == nil {
+		return
+	}
+	for n, s := range c.Whole.Services {
+		s.ColdTime, s.ColdRate = 0, 0
+		c.Whole.Services[n] = s
+	}
+}
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -68,19 +68,21 @@
 	seeds atomic.Pointer[[]string]
 
 	// diskSpace makes writes wait while the disk is full.
-	diskSpace        *diskspace.Waiter
-	link             *rpc.Endpoint
-	control          *control.Service
-	client           *proposal.Client
-	store            *configstore.Store
-	ledgers          map[uint32]*ledger.Ledger
-	distribution     *distribution.Service
-	authenticator    *keyauth.Authenticator
-	directory        *directory.Directory
-	gossip           *gossip.Service
-	streams          *streamregistry.Registry
-	guard            *promptguard.Guard
-	permits          *permits.Service
+	diskSpace     *diskspace.Waiter
+	link          *rpc.Endpoint
+	control       *control.Service
+	client        *proposal.Client
+	store         *configstore.Store
+	ledgers       map[uint32]*ledger.Ledger
+	distribution  *distribution.Service
+	authenticator *keyauth.Authenticator
+	directory     *directory.Directory
+	gossip        *gossip.Service
+	streams       *streamregistry.Registry
+	guard         *promptguard.Guard
+	permits       *permits.Service
+	// coldRates holds the requests a second that a cold upstream bears, by service.
+	coldRates        atomic.Pointer[map[string]float64]
 	rateLimiter      *grant.Limiter
 	rollout          *rollout.Rollout
 	planner          *planner.Planner
--- a/internal/product/server/limits.go
+++ b/internal/product/server/limits.go
@@ -63,6 +63,7 @@
 		Log:          s.Log,
 		Metrics:      p.childMetrics("permits"),
 	}
+	p.boundColdUpstreams()
 	p.permits.Register()
 	p.rateLimiter = &grant.Limiter{
 		Link:          p.link,
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -37,6 +37,7 @@
 		Timer:        s.timer,
 	}
 	p.gossip.Subscribe(p.applyUpstreams)
+	p.distribution.Subscribe(p.applyColdRates)
 	return nil
 }
 
@@ -44,6 +45,7 @@
 func (p *components) applyUpstreams(l []upstream.Upstream) {
 	n := p.server.timer.Now()
 	p.rollout.SetUpstreams(l)
+	p.permits.SetUpstreams(l)
 	p.picker.SetUpstreams(l, n)
 	p.permits.Retain(l)
 	p.paths.SetUpstreams(l)
--- a/internal/product/settings/check.go
+++ b/internal/product/settings/check.go
@@ -18,6 +18,8 @@
 	maxRepairAfter       = time.Hour
 	maxDiskLosses        = 3
 	maxRateSlack         = 1 << 20
+	maxColdOverrun       = 100
+	maxColdSlack         = 10000
 	maxHeartbeatInterval = time.Minute
 	minHeaderBytes       = 1 << 10
 	maxHeaderBytes       = 1 << 20
@@ -175,6 +177,8 @@
 	s.checkShare(f, "fleet.rate-overrun", s.Fleet.RateOverrun)
 	s.checkDuration(f, "fleet.rate-window", s.Fleet.RateWindow.Duration(), 0, time.Minute)
 	s.checkInt(f, "fleet.rate-slack", s.Fleet.RateSlack, 0, maxRateSlack)
+	s.checkRange(f, "fleet.cold-overrun", s.Fleet.ColdOverrun, maxColdOverrun)
+	s.checkRange(f, "fleet.cold-slack", s.Fleet.ColdSlack, maxColdSlack)
 	s.checkShare(f, "fleet.weights.batch-throughput", s.Fleet.Weights.BatchThroughput)
 	s.checkShare(f, "fleet.weights.online-tail", s.Fleet.Weights.OnlineTail)
 	s.checkShare(f, "fleet.weights.locality", s.Fleet.Weights.Locality)
@@ -222,6 +226,12 @@
 	}
 }
 
+func (s *Settings) checkRange(f *diagnostic.List, field string, v, most float64) {
+	if v < 0 || v > most {
+		s.addDiagnostic(f, field, "is %v, not 0 to %v", v, most)
+	}
+}
+
 func (s *Settings) checkShare(f *diagnostic.List, field string, v float64) {
 	if v < 0 || v > 1 {
 		s.addDiagnostic(f, field, "is %v, not 0 to 1", v)
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -80,6 +80,10 @@
 	RateWindow duration.Duration `json:"rate-window,omitempty"`
 	// RateSlack is the number of units by which teams may exceed their rate and burst in addition to RateOverrun.
 	RateSlack int64 `json:"rate-slack,omitempty"`
+	// ColdOverrun is the factor by which a cold upstream bears more in one second than the rate that its service names.
+	ColdOverrun float64 `json:"cold-overrun,omitempty"`
+	// ColdSlack is the number of requests in one second that a cold upstream bears in addition to that.
+	ColdSlack float64 `json:"cold-slack,omitempty"`
 	// RepairAfter is how long a voter may be silent before a spare control host replaces it; 0s disables replacement.
 	RepairAfter duration.Duration `json:"repair,omitempty"`
 	// HeartbeatInterval is the interval at which upstreams announce themselves; 0s means unknown.
--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -37,6 +37,8 @@
 		overlay string
 		want    []string
 	}{
+		{"negative overrun of cold upstreams", `{"fleet": {"cold-overrun": -1}}`, []string{"fleet.cold-overrun: is -1, not 0 to 100"}},
+		{"endless slack of cold upstreams", `{"fleet": {"cold-slack": 1e9}}`, []string{"fleet.cold-slack: is 1e+09, not 0 to 10000"}},
 		{"unknown field", "{\n\"colour\": 1}", []string{"o.jsonc:2: colour: is not a known field"}},
 		{"wrong type", "{\"limits\":\n{\"concurrency\": \"x\"}}", []string{"o.jsonc:2: limits.concurrency: must be a whole number"}},
 		{"range", "{\"fleet\": {\n\n\"ledger-groups\": 65}}", []string{"o.jsonc:3: fleet.ledger-groups: is 65, not 1 to 64"}},
--- a/internal/routing/permits/coordinate.go
+++ b/internal/routing/permits/coordinate.go
@@ -36,11 +36,15 @@
 	s.lookAtHosts(s.Timer.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	n := s.Timer.Now()
+	if _, rate, ok := s.cold.Get(n, name, 0); ok {
+		l, _ := s.bound(name, 0)
+		return s.grantCold(n, l, rate, r)
+	}
 	l, ok := s.view.Get(name, 0)
 	if !ok {
 		return permit.Permit{Granted: true}
 	}
-	n := s.Timer.Now()
 	m := s.meter(n, l)
 	p := permit.Permit{Limit: l}
 	if !r.batch || batchRoom(n, m, l) > 0 {
@@ -111,8 +115,11 @@
 		return permit.Permit{}, errNoCoordinator
 	}
 	now := s.Timer.Now()
+	k, cold := s.told(l.Upstream)
 	q := &permitmessage.Ask{
-		Limit: encodeLimit(now, l), Batch: r.batch, Peak: r.peak, WaitNanoseconds: int64(r.wait), Without: passed,
+		ColdNanoseconds: int64(cold),
+
+		Limit: encodeLimit(now, k), Batch: r.batch, Peak: r.peak, WaitNanoseconds: int64(r.wait), Without: passed,
 	}
 	g, err := s.callCoordinator(ctx, to, q)
 	s.observeAsk(s.Timer.Now().Sub(now))
@@ -192,7 +199,10 @@
 		return nil, refusal.NewNotRun(400, "malformed-ask", "the ask names no upstream")
 	}
 	s.passOn(from, s.merge([]upstreamlimit.Limit{l}))
-	if !s.coordinates(l.Upstream, q.Without) {
+	s.hearCold(l, time.Duration(q.ColdNanoseconds))
+	// A host that cannot take the upstream for cold as well, such as one that knows no rate yet, must not let it through.
+	doubt := q.ColdNanoseconds > 0 && !s.isCold(l.Upstream)
+	if doubt || !s.coordinates(l.Upstream, q.Without) {
 		return proto.Marshal(&permitmessage.Grant{Elsewhere: true})
 	}
 	p := s.grant(l.Upstream, request{batch: q.Batch, peak: q.Peak, wait: min(time.Duration(q.WaitNanoseconds), maxWait)})
--- a/internal/routing/permits/handover.go
+++ b/internal/routing/permits/handover.go
@@ -37,6 +37,9 @@
 		if n.Sub(last) > maxStandstill {
 			s.blockMeters(n.Add(meter.Span))
 		}
+		s.mu.Lock()
+		s.watched = n
+		s.mu.Unlock()
 		last = n
 		s.lookAtHosts(n)
 		s.handOver(n)
@@ -54,6 +57,7 @@
 	}
 	joined := slices.ContainsFunc(l, func(h host.Host) bool { return !slices.Contains(s.hosts, h) })
 	s.hosts = l
+	s.countHosts(now)
 	s.settled = now.Add(meter.Span)
 	if !joined {
 		return
@@ -69,16 +73,22 @@
 	defer s.mu.Unlock()
 	clear(s.meters)
 	s.settled = until
+	clear(s.coldMeters)
+	s.resumed = s.Timer.Now().Add(resumeTime)
 }
 
 // handOver tells the new coordinators of upstreams what this host has let through.
 func (s *Service) handOver(now time.Time) {
 	s.mu.Lock()
-	var names []string
+	var names, cold []string
 	for n := range s.meters {
 		names = append(names, n)
 	}
+	for n := range s.coldMeters {
+		cold = append(cold, n)
+	}
 	s.mu.Unlock()
+	s.dropCold(cold)
 	for _, n := range names {
 		c, _ := s.coordinator(n)
 		if c == s.Name || c == "" {
@@ -90,6 +100,17 @@
 	}
 }
 
+// dropCold drops the meters of cold upstreams that other hosts coordinate from now on. Those wait until the window is past.
+func (s *Service) dropCold(names []string) {
+	for _, n := range names {
+		if c, _ := s.coordinator(n); c != s.Name {
+			s.mu.Lock()
+			delete(s.coldMeters, n)
+			s.mu.Unlock()
+		}
+	}
+}
+
 // giveUp drops the meter of an upstream and returns what it has let through, if there still is one.
 func (s *Service) giveUp(now time.Time, name string) (upstreamlimit.Limit, []time.Time, bool) {
 	s.mu.Lock()
--- a/internal/routing/permits/outlook.go
+++ b/internal/routing/permits/outlook.go
@@ -33,16 +33,19 @@
 // Next returns when an upstream has its next permit, as far as this host knows, and how much of its reserve for times at
 // which others are full is used, from 0 to 1; both are zero if it names no limit.
 func (s *Service) Next(name string, incarnation uint64, now time.Time) (at time.Time, used float64) {
-	if !s.active.Load() {
+	if !s.AnyLimit() {
 		return time.Time{}, 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l, ok := s.view.Get(name, incarnation)
+	l, ok := s.bound(name, incarnation)
 	if !ok {
 		return time.Time{}, 0
 	}
 	n := s.next[name]
+	if _, _, cold := s.cold.Get(now, name, incarnation); cold {
+		return n.peak, 1
+	}
 	rate := l.Value.PerSecond
 	saved := n.saved + now.Sub(n.at).Seconds()*rate/meter.Depth(rate)
 	return n.peak, 1 - min(saved/reserveShare, 1)
@@ -54,9 +57,9 @@
 	return ok
 }
 
-// AnyLimit reports whether any upstream is known to name a limit.
+// AnyLimit reports whether any upstream is known to name a limit or to be cold.
 func (s *Service) AnyLimit() bool {
-	return s.active.Load()
+	return s.active.Load() || s.anyCold()
 }
 
 // committedUsed reports whether the committed rate of an upstream is known to be used.
@@ -72,6 +75,9 @@
 	if !ok {
 		return 0, false
 	}
+	if s.isCold(name) {
+		return 0, true // items wait until the upstream is warm
+	}
 	if c, _ := s.coordinator(name); c != s.Name {
 		return 0, true
 	}
--- a/internal/routing/permits/service.go
+++ b/internal/routing/permits/service.go
@@ -17,6 +17,7 @@
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/data/upstreamlimit"
 	"siskinrun/internal/fleet/fanout"
+	"siskinrun/internal/limits/coldview"
 	"siskinrun/internal/limits/limitview"
 	"siskinrun/internal/limits/meter"
 	"siskinrun/pkg/refusal"
@@ -56,6 +57,13 @@
 	Hosts func() []host.Host
 	// Topology returns to which hosts news goes.
 	Topology func() fanout.Topology
+	// ColdRate returns the requests a second that a cold upstream of a service bears, 0 if nothing bounds them. Without it
+	// the time that upstreams stay cold is ignored.
+	ColdRate func(service string) float64
+	// ColdOverrun and ColdSlack make what a cold upstream bears in any second: ColdOverrun times its rate, and ColdSlack.
+	ColdOverrun, ColdSlack float64
+	// SingleHost means that no other host belongs to the fleet.
+	SingleHost bool
 	// Timer is the clock.
 	Timer *timer.Service
 	// Log receives a line for each limit that begins or ends.
@@ -79,6 +87,16 @@
 	without map[string]time.Time
 	// malformed holds the incarnations of which a malformed limit was logged.
 	malformed map[string]uint64
+	// cold holds which upstreams are cold, and coldMeters the permits of those that this host coordinates.
+	cold       *coldview.View
+	coldMeters map[string]*meter.Meter
+	// watched is when this host last looked at the others, and resumed until when it has just stood still.
+	watched, resumed time.Time
+	// mostHosts is the most hosts that were seen, at mostHostsAt.
+	mostHosts   int
+	mostHostsAt time.Time
+	// coldUntil is until when any upstream is cold, for readers without the lock.
+	coldUntil atomic.Pointer[time.Time]
 	// active says that any limit is known, for readers without the lock.
 	active atomic.Bool
 	// compared says that another host has answered a comparison.
@@ -114,6 +132,8 @@
 	s.silent = map[string]time.Time{}
 	s.without = map[string]time.Time{}
 	s.malformed = map[string]uint64{}
+	s.cold = coldview.NewView()
+	s.coldMeters = map[string]*meter.Meter{}
 	s.Link.Handle(methodAsk, s.handleAsk)
 	s.Link.Handle(methodHandOver, s.handleHandOver)
 	s.Link.Handle(methodTell, s.handleTell)
@@ -124,9 +144,15 @@
 // committed rate is known to be used, gets one at the peak rate.
 func (s *Service) Take(ctx context.Context, u upstream.Upstream, batch bool, wait time.Duration) permit.Permit {
 	l, ok := s.limit(u.Name, u.Incarnation)
-	if !ok {
+	if !ok && !s.uncertain(u) {
 		return permit.Permit{Granted: true}
 	}
+	if !ok {
+		l = upstreamlimit.Limit{Upstream: u.Name, Incarnation: u.Incarnation}
+		if c, _ := s.coordinator(u.Name); c == s.Name {
+			return permit.Permit{Wait: resumeTime, Limit: l} // another host may coordinate it
+		}
+	}
 	r := request{batch: batch, wait: min(wait, maxWait)}
 	r.peak = !batch && (wait > 0 || s.committedUsed(u.Name))
 	p := s.take(ctx, l, r)
@@ -154,12 +180,12 @@
 
 // limit returns the limit that an incarnation of an upstream names, if any.
 func (s *Service) limit(name string, incarnation uint64) (upstreamlimit.Limit, bool) {
-	if !s.active.Load() {
+	if !s.AnyLimit() {
 		return upstreamlimit.Limit{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.view.Get(name, incarnation)
+	return s.bound(name, incarnation)
 }
 
 func (s *Service) count(name string) {
--- a/internal/routing/permits/service_test.go
+++ b/internal/routing/permits/service_test.go
@@ -52,6 +52,8 @@
 	group     *group.Group
 	timer     *timer.Service
 	bytes     int
+	// coldRate is the requests a second that cold upstreams bear, zero if nothing bounds them.
+	coldRate float64
 }
 
 // node is one host of a network.
@@ -112,6 +114,9 @@
 		Coordinators: func(u string) []string { return w.assignment(x).Ranking(u, 3) },
 		Hosts:        func() []host.Host { return w.hosts(x) },
 		Topology:     func() fanout.Topology { return w.topology(x) },
+		ColdRate:     func(string) float64 { return w.coldRate },
+		ColdOverrun:  coldOverrun,
+		ColdSlack:    coldSlack,
 	}
 	s.Register()
 	x.service.Store(s)
