Let hosts say which features of the replicated configuration they know

Cause: a replica of an older build answers a kind of change that it does not know with invalid and does not apply it, so replicas of two builds would part. Change: the gossip record of a host carries a set of features as bits (data/feature). Hosts of older builds pass a record on without them, so the bits are joined within one run, and are part of the fingerprint of compact digests where there are any. While builds are mixed, compact digests differ and hosts exchange their lists; this ends with the upgrade.

--- /dev/null
+++ b/internal/data/feature/feature.go
@@ -0,0 +1,17 @@
+package feature
+
+// Set is a set of features of the replicated configuration, each a bit. The bits are part of the gossip: one that is retired
+// isn't used again.
+type Set uint64
+
+const (
+	// Evacuation is the evacuation of failure domains.
+	Evacuation Set = 1 << 0
+	// Known holds the features that this build knows.
+	Known = Evacuation
+)
+
+// Has reports whether a set holds all features of another.
+func (s Set) Has(other Set) bool {
+	return s&other == other
+}
--- a/internal/data/gossipmessage/message.go
+++ b/internal/data/gossipmessage/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
 )
@@ -57,6 +58,8 @@
 	Ledgers bool
 	// Replica means that this run of the host has held a replica of a batch ledger.
 	Replica bool
+	// Features are the features of the replicated configuration that this run of the host knows.
+	Features feature.Set
 	// Stopping means that this run of the host accepts no new work.
 	Stopping bool
 	// Dead means that no peer could reach the host.
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -52,7 +52,7 @@
 	Boot uint64
 	// Open adds hosts that the link did not name at the start.
 	Open bool
-	// Self holds the label and the roles that this host announces of itself.
+	// Self holds the label, the roles and the features that this host announces of itself.
 	Self gossipmessage.Host
 	// Expiry is the age at which an announcement expires; zero means membership.Expiry.
 	Expiry time.Duration
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
@@ -66,6 +67,7 @@
 			Ledgers:       h.Ledgers,
 			Stopping:      h.Stopping,
 			Replica:       h.Replica,
+			Features:      feature.Set(h.Features),
 		})
 	}
 	for _, a := range m.Announcements {
@@ -126,6 +128,7 @@
 		Ledgers:       h.Ledgers,
 		Stopping:      h.Stopping,
 		Replica:       h.Replica,
+		Features:      uint64(h.Features),
 	}
 }
 
--- a/internal/fleet/membership/digest.go
+++ b/internal/fleet/membership/digest.go
@@ -76,5 +76,8 @@
 	for _, v := range []bool{h.Control, h.Ledgers, h.Replica, h.Stopping, h.Dead} {
 		b = strconv.AppendBool(b, v)
 	}
+	if h.Features != 0 { // older builds know none, and their fingerprints stay the same
+		b = binary.LittleEndian.AppendUint64(b, uint64(h.Features))
+	}
 	return b
 }
--- a/internal/fleet/membership/hosts.go
+++ b/internal/fleet/membership/hosts.go
@@ -127,10 +127,10 @@
 	}
 }
 
-// SetSelf sets the label and the roles of this host; it must be called before any message is sent or answered.
+// SetSelf sets the label, the roles and the features of this host; it must be called before any message is sent or answered.
 func (m *Membership) SetSelf(self gossipmessage.Host) {
 	h := m.hosts[m.name]
-	h.Label, h.Control, h.Ledgers = self.Label, self.Control, self.Ledgers
+	h.Label, h.Control, h.Ledgers, h.Features = self.Label, self.Control, self.Ledgers, self.Features
 }
 
 // AnnounceStopping tells other hosts that this one accepts no more work.
@@ -223,6 +223,8 @@
 	}
 	h.Stopping = h.Stopping || n.Stopping
 	h.Replica = h.Replica || n.Replica
+	// A host of an older build passes news of others on without their features.
+	h.Features |= n.Features
 	if h.FailureDomain == "" {
 		h.FailureDomain = n.FailureDomain
 	}
--- a/internal/fleet/membership/hosts_test.go
+++ b/internal/fleet/membership/hosts_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/fleet/membership"
 )
@@ -103,6 +104,47 @@
 	}
 }
 
+// TestFeaturesComeThroughHostsOfOlderBuilds guards against a host that takes another one for older, since a host of an older
+// build passed it on without its features, and against features that stay those of a former run.
+func TestFeaturesComeThroughHostsOfOlderBuilds(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := membership.NewMembership("a", "d1", 1, []string{"b"}, 1)
+	features := func() feature.Set {
+		for _, h := range a.Hosts() {
+			if h.Name == "b" {
+				return h.Features
+			}
+		}
+		return 0
+	}
+	older := gossipmessage.Host{Name: "b", FailureDomain: "d2", Boot: 1, Control: true}
+	a.ApplyPush(now, gossipmessage.Message{From: "c", Hosts: []gossipmessage.Host{older}})
+	is.Equal(features(), feature.Set(0))
+	b := membership.NewMembership("b", "d2", 1, []string{"a"}, 2)
+	b.SetSelf(gossipmessage.Host{Control: true, Features: feature.Evacuation})
+	a.Answer(now, b.Digest())
+	is.True(features().Has(feature.Evacuation))
+	a.ApplyPush(now, gossipmessage.Message{From: "c", Hosts: []gossipmessage.Host{older}})
+	is.True(features().Has(feature.Evacuation))
+	older.Boot = 2 // replaced by a host of an older build
+	a.ApplyPush(now, gossipmessage.Message{From: "c", Hosts: []gossipmessage.Host{older}})
+	is.Equal(features(), feature.Set(0))
+}
+
+// TestFeaturesReachHostsThatKnowTheRest guards against a fingerprint without features, which would take two views for equal
+// of which one lacks the features of a host.
+func TestFeaturesReachHostsThatKnowTheRest(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := membership.NewMembership("b", "d2", 1, []string{"a"}, 2)
+	b.SetSelf(gossipmessage.Host{Features: feature.Evacuation})
+	a := membership.NewMembership("a", "d1", 1, []string{"b"}, 1)
+	b.Answer(now, a.Digest())
+	a.ApplyPush(now, gossipmessage.Message{From: "c", Hosts: []gossipmessage.Host{{Name: "b", FailureDomain: "d2", Boot: 1}}})
+	is.True(b.Answer(now, a.CompactDigest()).Mismatch)
+}
+
 // TestLargeFleetsExchangeLessOften checks that a small fleet keeps exchanging in every period.
 func TestLargeFleetsExchangeLessOften(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/product/server/limits.go
+++ b/internal/product/server/limits.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/fleet/gossip"
 	"siskinrun/internal/fleet/streamregistry"
@@ -31,6 +32,8 @@
 			Label:   p.host.Label,
 			Control: p.host.Stores(settings.KeepsConfiguration),
 			Ledgers: p.host.Stores(settings.KeepsLedgers),
+
+			Features: feature.Known,
 		},
 	}
 	p.gossip.Register()
