Evacuate failure domains

Cause: operators need to take the upstreams of a failure domain out of use for a while. The flag Leaving does so for good. Change: the replicated configuration holds the set of evacuated failure domains beside the retiring hosts, with the changes begin-evacuation and finish-evacuation. routing/evacuation.Gate is the one place that answers whether an upstream may get work; the picker, the rollout, the planner, claims and windows of batch items and the slots of the queues ask it, and the transport asks it again when a call has a connection. A host that knows no configuration sends nothing. Upstreams that may get work again warm up. Orders are refused 503, not run, while a live control host knows no evacuation, and hosts don't pull the configuration from relay hosts of an older build, which would drop the set. Orders come by Evacuations.Begin and Evacuations.Finish on the control address, or as changes on the operators' address. An order that asks for the state in force is answered once a quorum has confirmed that state; each other one has a change ID of its own, so that a begin after a finish is not answered from memory.

--- a/internal/config/change/change.go
+++ b/internal/config/change/change.go
@@ -35,6 +35,10 @@
 	Install = "install"
 	// Retire makes a host give up the replicated state that it holds.
 	Retire = "retire"
+	// BeginEvacuation takes the upstreams of a failure domain out of use; it changes nothing if they are already.
+	BeginEvacuation = "begin-evacuation"
+	// FinishEvacuation lets the upstreams of a failure domain get work again; it changes nothing if they may already.
+	FinishEvacuation = "finish-evacuation"
 	// Form sets the initial membership of the batch ledgers, once.
 	Form = "form"
 )
@@ -42,6 +46,9 @@
 const (
 	maxIDBytes = 128
 	maxByBytes = 128
+	// maxEvacuated bounds the configuration; no fleet has as many failure domains.
+	maxEvacuated   = 1024
+	maxDomainBytes = 256
 )
 
 // Change is one change that an operator makes, based on a version that the operator has seen.
@@ -56,7 +63,7 @@
 	At time.Time `json:"at,omitzero"`
 	// Kind says which of the fields below are used.
 	Kind string `json:"kind"`
-	// Name is the entry that is set, removed, granted or withdrawn, or the host that retires.
+	// Name is the entry that is set, removed, granted or withdrawn, the host that retires, or the failure domain that is evacuated.
 	Name string `json:"name,omitempty"`
 	// Team is the team to set.
 	Team *team.Team `json:"team,omitempty"`
@@ -138,6 +145,11 @@
 		return c.install(now, &n)
 	case Retire:
 		n.Retiring = with(now.Retiring, c.Name, true)
+	case BeginEvacuation:
+		n.Evacuated, p = evacuate(now.Evacuated, c.Name)
+	case FinishEvacuation:
+		n.Evacuated = maps.Clone(now.Evacuated)
+		delete(n.Evacuated, c.Name)
 	case Form:
 		if !now.Ledgers.IsZero() {
 			p = []validation.Problem{{Field: "ledgers", Message: "are formed already"}}
@@ -196,6 +208,9 @@
 		Install:     c.Whole != nil && c.Edition != 0,
 		Retire:      c.Name != "",
 		Form:        c.Ledgers != nil && c.Ledgers.Formed,
+
+		BeginEvacuation:  c.Name != "",
+		FinishEvacuation: c.Name != "",
 	}
 	ok, known := need[c.Kind]
 	if !known {
@@ -217,6 +232,17 @@
 	return n
 }
 
+// evacuate adds a failure domain to the evacuated ones, in a copy.
+func evacuate(m map[string]bool, domain string) (map[string]bool, []validation.Problem) {
+	if len(domain) > maxDomainBytes {
+		return nil, []validation.Problem{{Field: "evacuated", Message: "has a name that is too long"}}
+	}
+	if len(m) >= maxEvacuated && !m[domain] {
+		return nil, []validation.Problem{{Field: "evacuated", Message: "holds too many failure domains"}}
+	}
+	return with(m, domain, true), nil
+}
+
 func without[T any](m map[string]T, section, name string) (map[string]T, []validation.Problem) {
 	if _, ok := m[name]; !ok {
 		return nil, []validation.Problem{{Field: section + "." + name, Message: "does not exist"}}
--- a/internal/config/configstore/configstore.go
+++ b/internal/config/configstore/configstore.go
@@ -162,7 +162,8 @@
 // decide applies the change if its base is the version in force.
 func (s *Store) decide(c *change.Change) *changeoutcome.Outcome {
 	now := s.View()
-	if c.Kind == change.Retire || c.Kind == change.Form {
+	switch c.Kind {
+	case change.Retire, change.Form, change.BeginEvacuation, change.FinishEvacuation:
 		// These do not depend on the rest of the configuration, so any base will do.
 		c.Base = now.Version
 	}
--- a/internal/config/delta/delta.go
+++ b/internal/config/delta/delta.go
@@ -37,6 +37,8 @@
 	Services sectionDelta[service.Service] `json:"services,omitzero"`
 	// Retiring holds the retiring hosts that differ.
 	Retiring sectionDelta[bool] `json:"retiring,omitzero"`
+	// Evacuated holds the evacuated failure domains that differ.
+	Evacuated sectionDelta[bool] `json:"evacuated,omitzero"`
 	// Ledgers is the formation of the batch ledgers in version To.
 	Ledgers formation.Formation `json:"ledgers,omitzero"`
 }
@@ -55,16 +57,17 @@
 // Between returns the delta that turns a into b.
 func Between(a, b *configuration.Configuration) *Delta {
 	return &Delta{
-		From:     a.Version,
-		To:       b.Version,
-		Edition:  b.Edition,
-		Teams:    diffSection(a.Teams, b.Teams, equal[team.Team]),
-		Keys:     diffSection(a.Keys, b.Keys, equal[key.Key]),
-		Routes:   diffSection(a.Routes, b.Routes, equalRoutes),
-		Models:   diffSection(a.Models, b.Models, equalModels),
-		Services: diffSection(a.Services, b.Services, equal[service.Service]),
-		Retiring: diffSection(a.Retiring, b.Retiring, equal[bool]),
-		Ledgers:  b.Ledgers,
+		From:      a.Version,
+		To:        b.Version,
+		Edition:   b.Edition,
+		Teams:     diffSection(a.Teams, b.Teams, equal[team.Team]),
+		Keys:      diffSection(a.Keys, b.Keys, equal[key.Key]),
+		Routes:    diffSection(a.Routes, b.Routes, equalRoutes),
+		Models:    diffSection(a.Models, b.Models, equalModels),
+		Services:  diffSection(a.Services, b.Services, equal[service.Service]),
+		Retiring:  diffSection(a.Retiring, b.Retiring, equal[bool]),
+		Evacuated: diffSection(a.Evacuated, b.Evacuated, equal[bool]),
+		Ledgers:   b.Ledgers,
 	}
 }
 
@@ -85,16 +88,17 @@
 // Inverse returns the delta that undoes d, given the version that d applies to.
 func (d *Delta) Inverse(now *configuration.Configuration) *Delta {
 	return &Delta{
-		From:     d.To,
-		To:       d.From,
-		Edition:  now.Edition,
-		Teams:    invert(now.Teams, d.Teams),
-		Keys:     invert(now.Keys, d.Keys),
-		Routes:   invert(now.Routes, d.Routes),
-		Models:   invert(now.Models, d.Models),
-		Services: invert(now.Services, d.Services),
-		Retiring: invert(now.Retiring, d.Retiring),
-		Ledgers:  now.Ledgers,
+		From:      d.To,
+		To:        d.From,
+		Edition:   now.Edition,
+		Teams:     invert(now.Teams, d.Teams),
+		Keys:      invert(now.Keys, d.Keys),
+		Routes:    invert(now.Routes, d.Routes),
+		Models:    invert(now.Models, d.Models),
+		Services:  invert(now.Services, d.Services),
+		Retiring:  invert(now.Retiring, d.Retiring),
+		Evacuated: invert(now.Evacuated, d.Evacuated),
+		Ledgers:   now.Ledgers,
 	}
 }
 
@@ -112,6 +116,7 @@
 		w.models = applySection(&n.Models, d.Models, w.models)
 		w.services = applySection(&n.Services, d.Services, w.services)
 		w.retiring = applySection(&n.Retiring, d.Retiring, w.retiring)
+		w.evacuated = applySection(&n.Evacuated, d.Evacuated, w.evacuated)
 		n.Ledgers = d.Ledgers
 		n.Version = d.To
 		n.Edition = d.Edition
@@ -121,7 +126,7 @@
 
 // copied records which sections have been copied already.
 type copied struct {
-	teams, keys, routes, models, services, retiring bool
+	teams, keys, routes, models, services, retiring, evacuated bool
 }
 
 func applySection[T any](m *map[string]T, p sectionDelta[T], isCopy bool) bool {
--- a/internal/config/difference/difference.go
+++ b/internal/config/difference/difference.go
@@ -33,6 +33,12 @@
 	l = entries(l, "models", a.Models, d.Models.Set, d.Models.Removed)
 	l = entries(l, "routes", a.Routes, d.Routes.Set, d.Routes.Removed)
 	l = entries(l, "services", a.Services, d.Services.Set, d.Services.Removed)
+	for _, n := range slices.Sorted(maps.Keys(d.Evacuated.Set)) {
+		l = append(l, Difference{Field: "evacuated." + n, After: "true"})
+	}
+	for _, n := range d.Evacuated.Removed {
+		l = append(l, Difference{Field: "evacuated." + n, Before: "true"})
+	}
 	before := withoutHashes(a.Keys, d.Keys.Set, d.Keys.Removed)
 	after := withoutHashes(d.Keys.Set, d.Keys.Set, nil)
 	return entries(l, "keys", before, after, d.Keys.Removed)
--- a/internal/config/operatorapi/endpoints.go
+++ b/internal/config/operatorapi/endpoints.go
@@ -109,6 +109,11 @@
 	if err != nil {
 		return nil, refusal.NewNotRun(400, "bad-change", err.Error())
 	}
+	if s.Check != nil {
+		if err := s.Check(c); err != nil {
+			return nil, err
+		}
+	}
 	p, err := s.propose(ctx, c)
 	if err != nil {
 		return nil, err
--- a/internal/config/operatorapi/operatorapi.go
+++ b/internal/config/operatorapi/operatorapi.go
@@ -16,6 +16,7 @@
 	"siskinrun/internal/base/httpserver"
 	"siskinrun/internal/base/secret"
 	"siskinrun/internal/base/timer"
+	"siskinrun/internal/config/change"
 	"siskinrun/internal/config/difference"
 	"siskinrun/internal/config/hoststatus"
 	"siskinrun/internal/config/revision"
@@ -52,6 +53,8 @@
 	Secret secret.Secret
 	// Configuration provides the configuration in force, its history and the status of hosts.
 	Configuration configService
+	// Check, if set, refuses changes that this host may not propose.
+	Check func(c *change.Change) error
 	// Client proposes changes.
 	Client proposer
 	// Timer is the clock.
--- a/internal/data/configuration/configuration.go
+++ b/internal/data/configuration/configuration.go
@@ -27,6 +27,8 @@
 	Services map[string]service.Service `json:"services,omitempty"`
 	// Retiring is the set of hosts that are giving up their stored state.
 	Retiring map[string]bool `json:"retiring,omitempty"`
+	// Evacuated is the set of failure domains whose upstreams get no work.
+	Evacuated map[string]bool `json:"evacuated,omitempty"`
 	// Ledgers is the initial membership of the batch ledgers' replica groups, if it is decided here.
 	Ledgers formation.Formation `json:"ledgers,omitzero"`
 }
--- a/internal/product/server/adapters.go
+++ b/internal/product/server/adapters.go
@@ -115,13 +115,7 @@
 
 // Upstreams returns the upstreams that take new work.
 func (f fleet) Upstreams() []upstream.Upstream {
-	var l []upstream.Upstream
-	for _, u := range f.components.gossip.Upstreams() {
-		if !u.Leaving {
-			l = append(l, u)
-		}
-	}
-	return l
+	return f.components.openUpstreams()
 }
 
 // Targets returns the targets whose batch items an upstream serves.
@@ -161,9 +155,9 @@
 	return w.components.batchLimiter.Keep(name, w.components.server.timer.Now())
 }
 
-// Window returns up to how many batch items may be started on an upstream now, 0 on an unreachable one.
+// Window returns up to how many batch items may be started on an upstream now, 0 on an unreachable or evacuated one.
 func (w batchWindows) Window(name string) int {
-	if !w.components.picker.Reachable(name) {
+	if u, ok := w.components.upstream(name); ok && !w.components.evacuation.Open(u) || !w.components.picker.Reachable(name) {
 		return 0
 	}
 	n := w.components.server.timer.Now()
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	mathrand "math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,7 @@
 	"siskinrun/internal/limits/lane"
 	"siskinrun/internal/product/settings"
 	"siskinrun/internal/routing/batchlimit"
+	"siskinrun/internal/routing/evacuation"
 	"siskinrun/internal/routing/inflight"
 	"siskinrun/internal/routing/permits"
 	"siskinrun/internal/routing/picker"
@@ -85,6 +87,12 @@
 	rollout          *rollout.Rollout
 	planner          *planner.Planner
 	limitedUpstreams map[string]bool
+	// evacuation tells which upstreams may get work; all choices of upstreams, counts of slots and sends ask it.
+	evacuation *evacuation.Gate
+	// evacuationChanges counts the changes of evacuation.
+	evacuationChanges atomic.Uint64
+	// upstreamsMu orders the uses of applyUpstreams.
+	upstreamsMu sync.Mutex
 	// assignment assigns the upstreams to the hosts that run batch items, as of the last list of upstreams.
 	assignment atomic.Pointer[assignment.Assignment]
 	picker     *picker.Picker
@@ -119,7 +127,7 @@
 	if !ok {
 		return nil, unknownHost(s.Name)
 	}
-	p := &components{server: s, host: h, seed: newSeed(), started: s.timer.Now()}
+	p := &components{server: s, host: h, seed: newSeed(), started: s.timer.Now(), evacuation: &evacuation.Gate{}}
 	_, stopTimeout := s.Settings.Fleet.Stop()
 	p.drain = &drain.Drain{Limit: stopTimeout}
 	p.diskSpace = p.newDiskSpace(g.Context())
--- a/internal/product/server/dialect.go
+++ b/internal/product/server/dialect.go
@@ -91,6 +91,7 @@
 		Document: p.document,
 		Retire:   p.retire,
 		Retired:  p.retired,
+		Evacuate: p.evacuate,
 		Log:      p.server.Log,
 	})
 }
--- a/internal/product/server/edges.go
+++ b/internal/product/server/edges.go
@@ -79,6 +79,7 @@
 		TLS:           server,
 		Secret:        s.Settings.OperatorSecret,
 		Configuration: p.distribution,
+		Check:         p.checkChange,
 		Client:        p.client,
 		Timer:         s.timer,
 		Log:           s.Log,
@@ -87,6 +88,7 @@
 	}
 	p.operatorServer.Handle("GET", "/v1/metrics", p.showMetrics)
 	p.operatorServer.Handle("GET", "/v1/upstreams", p.showUpstreams)
+	p.operatorServer.Handle("GET", "/v1/evacuations", p.showEvacuations)
 	p.operatorServer.Handle("GET", "/v1/groups", p.showGroups)
 	p.operatorServer.Handle("POST", "/v1/groups/replace", p.replace)
 	p.operatorServer.Handle("GET", "/v1/quarantine", p.guard.List)
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -9,6 +9,7 @@
 
 	"siskinrun/internal/base/host"
 	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/fleet/fanout"
 )
@@ -242,6 +243,9 @@
 		if h.Dead {
 			continue
 		}
+		if !h.Control && !h.Features.Has(feature.Known) {
+			continue // an older build passes configurations on without what it doesn't know
+		}
 		domains[h.Name] = h.FailureDomain
 		if h.Control {
 			control = append(control, h.Name)
--- a/internal/product/server/loads.go
+++ b/internal/product/server/loads.go
@@ -22,6 +22,8 @@
 	peerCounts map[string]peerCount
 	// loadChanges is the state of the loads and counts that was applied last.
 	loadChanges uint64
+	// evacuationChanges is the state of the evacuations that was applied last.
+	evacuationChanges uint64
 	// callHosts is the number of hosts that take calls, among which the slots of a service are shared.
 	callHosts int
 }
@@ -49,7 +51,7 @@
 			l.compareCount(l.upstreams[i].Name)
 		}
 		p.inflight.Refresh(l.changed)
-		p.capacity.Update(l.upstreams, l.usableSlots, p.gossip.Peers, l.callHosts)
+		p.capacity.Update(p.evacuation.Filter(l.upstreams), l.usableSlots, p.gossip.Peers, l.callHosts)
 	}
 }
 
@@ -63,11 +65,11 @@
 // stale reports whether upstreams, loads or counts have changed since the last pass.
 func (l *loadUpdater) stale() bool {
 	g := l.components.gossip
-	n := g.LoadChanges()
-	if n == l.loadChanges && sameSnapshot(l.upstreams, g.Upstreams()) {
+	n, e := g.LoadChanges(), l.components.evacuationChanges.Load()
+	if n == l.loadChanges && e == l.evacuationChanges && sameSnapshot(l.upstreams, g.Upstreams()) {
 		return false
 	}
-	l.loadChanges = n
+	l.loadChanges, l.evacuationChanges = n, e
 	return true
 }
 
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -36,14 +36,23 @@
 		Recheck:      func() { p.executor.Recheck() },
 		Timer:        s.timer,
 	}
-	p.gossip.Subscribe(p.applyUpstreams)
+	p.picker.Gate = p.evacuation
+	p.gossip.Subscribe(p.reapplyUpstreams)
+	p.distribution.Subscribe(p.applyEvacuations)
 	return nil
 }
 
+// reapplyUpstreams applies the newest list of upstreams; upstreams and evacuations change at the same time.
+func (p *components) reapplyUpstreams([]upstream.Upstream) {
+	p.upstreamsMu.Lock()
+	defer p.upstreamsMu.Unlock()
+	p.applyUpstreams(p.gossip.Upstreams())
+}
+
 // applyUpstreams applies the list of known upstreams to the rollout, the picker and the batch windows.
 func (p *components) applyUpstreams(l []upstream.Upstream) {
 	n := p.server.timer.Now()
-	p.rollout.SetUpstreams(l)
+	p.rollout.SetUpstreams(p.evacuation.Filter(l))
 	p.picker.SetUpstreams(l, n)
 	p.permits.Retain(l)
 	p.paths.SetUpstreams(l)
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -66,6 +66,7 @@
 		BodyReadTimeout: m.StreamIdleTimeout.Duration(),
 		ConnectTimeout:  m.ConnectTimeout.Duration(),
 		RateLimit:       p.permits.Observe,
+		Gate:            p.evacuation,
 	}
 	if s.Dialect != nil {
 		x.Dialect = s.Dialect.Upstreams
@@ -101,10 +102,10 @@
 	s := p.server
 	l := planner.NewPlanner()
 	l.Lead = func() leadership.Status { return p.leadership(configurationGroup) }
-	l.Upstreams = p.gossip.Upstreams
+	l.Upstreams = p.openUpstreams
 	l.Configuration = p.distribution.View
 	l.OnlineRequests = func(n string) int { return p.gossip.Peers(n) + p.picker.OwnRequests(n) }
-	l.Engines = &orderclient.Client{Transport: x, Timer: s.timer}
+	l.Engines = openEngines{&orderclient.Client{Transport: x, Timer: s.timer}, p}
 	l.Timer = s.timer
 	l.Log = s.Log
 	return l
@@ -116,7 +117,7 @@
 		Pipeline:     p.pipeline,
 		Router:       p.pipeline,
 		VersionFresh: func(name string) bool { return p.picker.VersionFresh(name, s.timer.Now()) },
-		Upstreams:    p.gossip.Upstreams,
+		Upstreams:    p.openUpstreams,
 		Timer:        s.timer,
 		Silence:      s.Settings.Limits.StreamIdleTimeout.Duration(),
 	}
--- a/internal/product/settings/check.go
+++ b/internal/product/settings/check.go
@@ -164,6 +164,7 @@
 			s.addDiagnostic(f, e.field, "is missing")
 		}
 	}
+	s.checkFailureDomains(f)
 	s.checkInt(f, "fleet.ledger-groups", int64(s.Fleet.LedgerGroups), 1, maxLedgerGroups)
 	s.checkDuration(f, "fleet.freshness-lease", s.Fleet.FreshnessLease.Duration(), minFreshnessLease, maxFreshnessLease)
 	s.checkInt(f, "fleet.losses", int64(s.Fleet.MaxDiskLosses), 0, maxDiskLosses)
@@ -181,6 +182,14 @@
 	s.checkShare(f, "fleet.weights.worst-team", s.Fleet.Weights.WorstTeam)
 }
 
+func (s *Settings) checkFailureDomains(f *diagnostic.List) {
+	for i, t := range s.Fleet.FailureDomains {
+		for n := range t {
+			s.checkName(f, "fleet.failure-domains."+strconv.Itoa(i), n)
+		}
+	}
+}
+
 func (s *Settings) checkTLS(f *diagnostic.List) {
 	t := s.Fleet.TLS
 	s.checkCertificate(f, "fleet.tls.callers", t.Callers)
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -96,6 +96,9 @@
 	UpstreamSecretFile string `json:"upstream-secret-file"`
 	// OperatorSecretFile holds the secret with which operators authenticate.
 	OperatorSecretFile string `json:"operator-secret-file"`
+	// FailureDomains holds tables whose keys are the names of failure domains that operators may evacuate, besides those of
+	// hosts and upstreams; the values are their regions. Null entries count as empty.
+	FailureDomains []map[string]string `json:"failure-domains,omitempty"`
 	// LedgerGroups is the number of replica groups of the batch ledger.
 	LedgerGroups int `json:"ledger-groups"`
 	// FreshnessLease is how long a host admits keyed requests after its configuration was confirmed as current.
--- a/internal/routing/picker/member.go
+++ b/internal/routing/picker/member.go
@@ -38,6 +38,8 @@
 	// refusedAt is when a connection to it last failed to come about.
 	refusedAt time.Time
 	warming   bool
+	// closed says that the gate was closed for the upstream when it changed last.
+	closed bool
 
 	own   int
 	peers int
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -51,7 +51,7 @@
 	n := 0
 	c.Affinity.Lookup(d.PrefixHashes, func(name string, blocks int) bool {
 		m, ok := c.members[name]
-		if ok && !m.upstream.Leaving && m.serves(d) {
+		if ok && c.open(m) && m.serves(d) {
 			list = addCandidate(list, m, blocks)
 			n++
 		}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -44,6 +44,11 @@
 	Direct(name string) bool
 }
 
+// gate tells which upstreams may get work.
+type gate interface {
+	Open(u upstream.Upstream) bool
+}
+
 // Picker picks upstreams; it is safe for concurrent use.
 //
 // A pick costs the same at any number of upstreams: it scores a bounded sample and
@@ -79,6 +84,8 @@
 	Affinity *affinity.Index
 	// Limits, if set, tells which upstreams take no request now.
 	Limits limits
+	// Gate, if set, tells which upstreams may get work; after each change of it Reopen must be called.
+	Gate gate
 	// Paths, if set, tells which upstreams this host reaches by itself.
 	Paths paths
 
@@ -90,6 +97,8 @@
 	lastSweep  time.Time
 	latest     time.Time
 	candidates [maxCandidates]candidate
+	// opened says that Reopen was called. Before, a closed gate only means that this host knows no configuration yet.
+	opened bool
 }
 
 // NewPicker returns a Picker without upstreams; seed seeds its random samples.
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -61,6 +61,29 @@
 	c.rebuildPools()
 }
 
+// Reopen applies a change of Gate. Upstreams that may get work again warm up as new ones do, since they may have gone cold.
+func (c *Picker) Reopen(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Gate == nil {
+		return
+	}
+	c.opened = true
+	for _, m := range c.members {
+		closed := !c.Gate.Open(m.upstream)
+		if m.closed && !closed {
+			m.added, m.warming = now, true
+		}
+		m.closed = closed
+	}
+	c.rebuildPools()
+}
+
+// open reports whether an upstream may get work, as far as its own state goes.
+func (c *Picker) open(m *member) bool {
+	return !m.upstream.Leaving && (c.Gate == nil || c.Gate.Open(m.upstream))
+}
+
 // setUpstream adds or updates one upstream and reports whether it is known afterwards; upstreams of the initial list
 // do not warm up.
 func (c *Picker) setUpstream(u upstream.Upstream, now time.Time, initial bool) bool {
@@ -80,6 +103,7 @@
 	}
 	n := &member{added: now, warming: !initial}
 	n.applyAnnouncement(u)
+	n.closed = c.opened && !c.Gate.Open(u)
 	if wasRemoved {
 		n.own = t.own
 	}
@@ -122,7 +146,7 @@
 	old := c.pools
 	c.pools = make(map[poolKey]*pool, len(old))
 	for _, m := range c.members {
-		if m.upstream.Leaving {
+		if !c.open(m) {
 			continue
 		}
 		for _, model := range m.models {
--- a/internal/wire/controldeps/dependencies.go
+++ b/internal/wire/controldeps/dependencies.go
@@ -28,6 +28,8 @@
 	Retire func(ctx context.Context, label string) error
 	// Retired reports whether the host has given up its state.
 	Retired func(ctx context.Context, label string) (bool, error)
+	// Evacuate begins or finishes the evacuation of a failure domain and returns nil once a quorum holds that state.
+	Evacuate func(ctx context.Context, domain string, begin bool) error
 	// Log receives the refused messages.
 	Log zerolog.Logger
 }
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -201,7 +201,7 @@
 		if !d.Timer.Now().Before(s.call.Deadline) {
 			return nil, nil, last
 		}
-		if ctx.Err() == nil && f.Code == codeUnreachable && n < maxUnreachable {
+		if ctx.Err() == nil && sentNothing(f.Code) && n < maxUnreachable {
 			continue
 		}
 		if lostTooOften(s.call) {
@@ -213,6 +213,11 @@
 	}
 }
 
+// sentNothing reports whether an attempt with this code has put no load on an upstream.
+func sentNothing(code string) bool {
+	return code == codeUnreachable || code == codeEvacuated
+}
+
 // lostTooOften reports whether a call has lost as many upstreams as it may.
 func lostTooOften(c *call.Call) bool {
 	return c.Record.Lost >= maxLost && len(c.Parts) > 0
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -59,6 +59,9 @@
 	ConnectTimeout time.Duration
 	// BodyReadTimeout is the longest wait for the next bytes of a response body, and for the headers of a streamed batch item.
 	BodyReadTimeout time.Duration
+	// Gate, if set, tells which upstreams may get work. It is asked once more right before a call is sent, which may have waited
+	// for a permit or a connection since its upstream was chosen.
+	Gate gate
 	// Connector opens connections, nil for the dialer of the standard library.
 	Connector connector
 
@@ -68,6 +71,18 @@
 	running map[string]map[*conn]bool
 }
 
+// gate tells which upstreams may get work.
+type gate interface {
+	Open(u upstream.Upstream) bool
+}
+
+// evacuatedRetryAfter is the wait that is told to callers whose call can't go elsewhere.
+const evacuatedRetryAfter = time.Second
+
+// evacuated refuses a call whose upstream may get no work any more.
+var evacuated = refusal.NewNotRun(503, "upstream-evacuated", "the upstream may get no work since its failure domain is evacuated").
+	WithRetryAfter(evacuatedRetryAfter)
+
 // connector opens connections to upstreams, some of them through another host, the gateway.
 type connector interface {
 	Sound(upstream string) bool
@@ -81,6 +96,10 @@
 	if err != nil {
 		return nil, unreachable(err)
 	}
+	if e.Gate != nil && c.Upstream.Name != "" && !e.Gate.Open(c.Upstream) {
+		k.close()
+		return nil, evacuated.WithJitter()
+	}
 	k.stopAbort = context.AfterFunc(ctx, k.abort)
 	e.started(k, c)
 	a, err := e.roundTrip(k, c)
