--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -46,6 +46,7 @@
 		{"no port", "{\"fleet\": {\"hosts\": {\"a-1\": {\"peers\": \"127.0.0.1\"}}}}", []string{"o.jsonc:1: fleet.hosts.a-1.peers: \"127.0.0.1\" is not an address with a port"}},
 		{"no failure domain", "{\"fleet\": {\"hosts\": {\"a-1\": {\"failure-domain\": null}}}}", []string{"fleet.hosts.a-1.failure-domain: is missing"}},
 		{"bad span", "{\"fleet\": {\"drain\": \"soon\"}}", []string{"o.jsonc:1: fleet.drain: \"soon\" is not a duration"}},
+		{"bad failure domain", "{\"fleet\": {\"failure-domains\": [{\"A b\": \"r\"}]}}", []string{"o.jsonc:1: fleet.failure-domains.0"}},
 		{"syntax", "{\"fleet\": [}", []string{"o.jsonc:1: hujson: line 1"}},
 		{"too deep", strings.Repeat("[", 65), []string{"nested more than 64 deep"}},
 		{"mutual without files", "{\"fleet\": {\"tls\": {\"peers\": {\"mutual\": true}}}}", []string{"fleet.tls.peers.mutual: needs a certificate-file"}},
