--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"siskinrun/internal/base/duration"
+	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
@@ -67,6 +68,7 @@
 			Ledgers:       h.Ledgers,
 			Stopping:      h.Stopping,
 			Replica:       h.Replica,
+			Features:      feature.Set(h.Features),
 		})
 	}
 	for _, a := range m.Announcements {
@@ -127,6 +129,7 @@
 		Ledgers:       h.Ledgers,
 		Stopping:      h.Stopping,
 		Replica:       h.Replica,
+		Features:      uint64(h.Features),
 	}
 }
 
