Keep rates of cold upstreams in configurations that all control hosts understand

The rates were left out of every configuration. They stay in it now if each live control host says that it knows them, and are left out, with a log line, otherwise: a control host of the previous build takes them for an invalid change, which the others apply. Refusing such configurations was the other way; it would stop all changes for the time of an upgrade.

Seen: a configuration whose rates are removed is encoded as one that never named them.

--- a/internal/data/feature/feature.go
+++ b/internal/data/feature/feature.go
@@ -7,8 +7,10 @@
 const (
 	// Evacuation is the evacuation of failure domains.
 	Evacuation Set = 1 << 0
+	// ColdUpstreams is how long upstreams of a service are cold and what they bear meanwhile.
+	ColdUpstreams Set = 1 << 1
 	// Known holds the features that this build knows.
-	Known = Evacuation
+	Known = Evacuation | ColdUpstreams
 )
 
 // Has reports whether a set holds all features of another.
--- a/internal/product/server/cold.go
+++ b/internal/product/server/cold.go
@@ -5,6 +5,7 @@
 
 	"siskinrun/internal/config/change"
 	"siskinrun/internal/data/configuration"
+	"siskinrun/internal/data/feature"
 )
 
 // boundColdUpstreams has permits keep to what cold upstreams bear, if the settings say by how much they may exceed it.
@@ -42,13 +43,31 @@
 	return (*r)[service]
 }
 
-// withoutColdRates removes what control hosts of an older build would not understand and so not apply, unlike the others.
-func withoutColdRates(c *change.Change) {
-	if c.Whole == nil {
+// keepColdRates removes the rates of cold upstreams from a configuration that control hosts of an older build would not
+// understand and so not apply, unlike the others. Those ignored the rates.
+func (p *components) keepColdRates(c *change.Change) {
+	if !removeColdRates(c, false) || p.requireFeature(feature.ColdUpstreams) == nil {
 		return
 	}
+	removeColdRates(c, true)
+	p.server.Log.Warn().Uint64("edition", c.Edition).Msg("configuration proposed without the rates of cold upstreams")
+}
+
+// removeColdRates reports whether a configuration names rates or times of cold upstreams and, if told so, removes them.
+func removeColdRates(c *change.Change, remove bool) bool {
+	if c.Whole == nil {
+		return false
+	}
+	named := false
 	for n, s := range c.Whole.Services {
-		s.ColdTime, s.ColdRate = 0, 0
-		c.Whole.Services[n] = s
+		if s.ColdTime == 0 && s.ColdRate == 0 {
+			continue
+		}
+		named = true
+		if remove {
+			s.ColdTime, s.ColdRate = 0, 0
+			c.Whole.Services[n] = s
+		}
 	}
+	return named
 }
