--- a/internal/routing/permits/cold_test.go
+++ b/internal/routing/permits/cold_test.go
@@ -192,7 +192,6 @@
 // TestColdBoundHoldsWhileHostsAreLost guards against a second coordinator, one that goes on with what it knew before it
 // stood still, and hosts that take all of the rate for themselves where they are cut off.
 func TestColdBoundHoldsWhileHostsAreLost(t *testing.T) {
-	t.Parallel()
 	for _, c := range []struct {
 		name string
 		lose func(x *node)
@@ -230,7 +229,6 @@
 
 // TestCutOffHostsSendNothingToColdUpstreams guards against a share of the rate at either side of a cut that sums to more.
 func TestCutOffHostsSendNothingToColdUpstreams(t *testing.T) {
-	t.Parallel()
 	l := newColdLoad(t, 9, 1, true)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
@@ -251,7 +249,6 @@
 // TestWithoutARateColdUpstreamsAreAsWarmOnes guards against decisions that change where nothing bounds cold upstreams: the
 // recorded answers of a host without the part are those of one with it.
 func TestWithoutARateColdUpstreamsAreAsWarmOnes(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	w := newNetwork(t, 3, 1)
 	s := w.nodes["h0"].service.Load()
@@ -280,7 +277,6 @@
 
 // TestBatchItemsWaitForColdUpstreams guards against items that take what a cold upstream bears from calls.
 func TestBatchItemsWaitForColdUpstreams(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	l := newColdLoad(t, 3, 1, true)
 	l.turnCold(t.Context())
