--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -52,7 +52,7 @@
 	Boot uint64
 	// Open adds hosts that the link did not name at the start.
 	Open bool
-	// Self holds the label and the roles that this host announces of itself.
+	// Self holds the label, the roles and the features that this host announces of itself.
 	Self gossipmessage.Host
 	// Expiry is the age at which an announcement expires; zero means membership.Expiry.
 	Expiry time.Duration
@@ -78,6 +78,8 @@
 	subscribers []func([]upstream.Upstream)
 	publishMu   sync.Mutex
 	version     uint64
+	// coldChanges is the number of changes of the time that upstreams stay cold as of the last publication.
+	coldChanges uint64
 	samples     sync.Map
 	// heardAt is when the last exchange began that a peer answered.
 	heardAt atomic.Pointer[time.Time]
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -6,6 +6,8 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"siskinrun/internal/base/duration"
+	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
@@ -69,6 +71,7 @@
 			Ledgers:       h.Ledgers,
 			Stopping:      h.Stopping,
 			Replica:       h.Replica,
+			Features:      feature.Set(h.Features),
 		})
 	}
 	for _, a := range m.Announcements {
@@ -141,6 +144,7 @@
 		Ledgers:       h.Ledgers,
 		Stopping:      h.Stopping,
 		Replica:       h.Replica,
+		Features:      uint64(h.Features),
 	}
 }
 
@@ -162,6 +166,8 @@
 		Leaving:        u.Leaving,
 		Beat:           u.Sequence,
 		Version:        u.Version,
+
+		ColdNanoseconds: int64(u.Cold),
 	}
 }
 
@@ -183,6 +189,7 @@
 			Leaving:       a.Leaving,
 			Sequence:      a.Beat,
 			Version:       a.Version,
+			Cold:          duration.Duration(a.ColdNanoseconds),
 		},
 	}
 }
--- a/internal/product/server/dialect.go
+++ b/internal/product/server/dialect.go
@@ -91,6 +91,7 @@
 		Document: p.document,
 		Retire:   p.retire,
 		Retired:  p.retired,
+		Evacuate: p.evacuate,
 		Log:      p.server.Log,
 	})
 }
@@ -106,6 +107,7 @@
 // installConfiguration proposes a whole configuration and returns the outcome of the change.
 func (p *components) installConfiguration(ctx context.Context, c *change.Change) (*changeoutcome.Outcome, error) {
 	c.At = p.server.timer.Now()
+	p.keepColdRates(c)
 	b, err := c.Encode()
 	if err != nil {
 		return nil, refusal.NewNotRun(400, "bad-change", err.Error())
--- a/internal/product/settings/check.go
+++ b/internal/product/settings/check.go
@@ -20,6 +20,8 @@
 	maxRateSlack      = 1 << 20
 	// maxDomainTraffic bounds the cost of a gigabyte between failure domains: a call of 3 kB then costs a third of its worth.
 	maxDomainTraffic     = 100000
+	maxColdOverrun       = 100
+	maxColdSlack         = 10000
 	maxHeartbeatInterval = time.Minute
 	minHeaderBytes       = 1 << 10
 	maxHeaderBytes       = 1 << 20
@@ -166,6 +168,7 @@
 			s.addDiagnostic(f, e.field, "is missing")
 		}
 	}
+	s.checkFailureDomains(f)
 	s.checkInt(f, "fleet.ledger-groups", int64(s.Fleet.LedgerGroups), 1, maxLedgerGroups)
 	s.checkDuration(f, "fleet.freshness-lease", s.Fleet.FreshnessLease.Duration(), minFreshnessLease, maxFreshnessLease)
 	s.checkInt(f, "fleet.losses", int64(s.Fleet.MaxDiskLosses), 0, maxDiskLosses)
@@ -180,12 +183,22 @@
 	if t := s.Fleet.DomainTraffic; t != nil && !(*t >= 0 && *t <= maxDomainTraffic) {
 		s.addDiagnostic(f, "fleet.domain-traffic", "is %v, not 0 to %d", *t, maxDomainTraffic)
 	}
+	s.checkRange(f, "fleet.cold-overrun", s.Fleet.ColdOverrun, maxColdOverrun)
+	s.checkRange(f, "fleet.cold-slack", s.Fleet.ColdSlack, maxColdSlack)
 	s.checkShare(f, "fleet.weights.batch-throughput", s.Fleet.Weights.BatchThroughput)
 	s.checkShare(f, "fleet.weights.online-tail", s.Fleet.Weights.OnlineTail)
 	s.checkShare(f, "fleet.weights.locality", s.Fleet.Weights.Locality)
 	s.checkShare(f, "fleet.weights.worst-team", s.Fleet.Weights.WorstTeam)
 }
 
+func (s *Settings) checkFailureDomains(f *diagnostic.List) {
+	for i, t := range s.Fleet.FailureDomains {
+		for n := range t {
+			s.checkName(f, "fleet.failure-domains."+strconv.Itoa(i), n)
+		}
+	}
+}
+
 func (s *Settings) checkTLS(f *diagnostic.List) {
 	t := s.Fleet.TLS
 	s.checkCertificate(f, "fleet.tls.callers", t.Callers)
@@ -227,6 +240,12 @@
 	}
 }
 
+func (s *Settings) checkRange(f *diagnostic.List, field string, v, most float64) {
+	if v < 0 || v > most {
+		s.addDiagnostic(f, field, "is %v, not 0 to %v", v, most)
+	}
+}
+
 func (s *Settings) checkShare(f *diagnostic.List, field string, v float64) {
 	if v < 0 || v > 1 {
 		s.addDiagnostic(f, field, "is %v, not 0 to 1", v)
--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -37,6 +37,8 @@
 		overlay string
 		want    []string
 	}{
+		{"negative overrun of cold upstreams", `{"fleet": {"cold-overrun": -1}}`, []string{"fleet.cold-overrun: is -1, not 0 to 100"}},
+		{"endless slack of cold upstreams", `{"fleet": {"cold-slack": 1e9}}`, []string{"fleet.cold-slack: is 1e+09, not 0 to 10000"}},
 		{"unknown field", "{\n\"colour\": 1}", []string{"o.jsonc:2: colour: is not a known field"}},
 		{"wrong type", "{\"limits\":\n{\"concurrency\": \"x\"}}", []string{"o.jsonc:2: limits.concurrency: must be a whole number"}},
 		{"range", "{\"fleet\": {\n\n\"ledger-groups\": 65}}", []string{"o.jsonc:3: fleet.ledger-groups: is 65, not 1 to 64"}},
@@ -47,6 +49,7 @@
 		{"no port", "{\"fleet\": {\"hosts\": {\"a-1\": {\"peers\": \"127.0.0.1\"}}}}", []string{"o.jsonc:1: fleet.hosts.a-1.peers: \"127.0.0.1\" is not an address with a port"}},
 		{"no failure domain", "{\"fleet\": {\"hosts\": {\"a-1\": {\"failure-domain\": null}}}}", []string{"fleet.hosts.a-1.failure-domain: is missing"}},
 		{"bad span", "{\"fleet\": {\"drain\": \"soon\"}}", []string{"o.jsonc:1: fleet.drain: \"soon\" is not a duration"}},
+		{"bad failure domain", "{\"fleet\": {\"failure-domains\": [{\"A b\": \"r\"}]}}", []string{"o.jsonc:1: fleet.failure-domains.0"}},
 		{"syntax", "{\"fleet\": [}", []string{"o.jsonc:1: hujson: line 1"}},
 		{"too deep", strings.Repeat("[", 65), []string{"nested more than 64 deep"}},
 		{"mutual without files", "{\"fleet\": {\"tls\": {\"peers\": {\"mutual\": true}}}}", []string{"fleet.tls.peers.mutual: needs a certificate-file"}},
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -44,6 +44,11 @@
 	Direct(name string) bool
 }
 
+// gate tells which upstreams may get work.
+type gate interface {
+	Open(u upstream.Upstream) bool
+}
+
 // Picker picks upstreams; it is safe for concurrent use.
 //
 // A pick costs the same at any number of upstreams: it scores a bounded sample and
@@ -85,6 +90,8 @@
 	// RunsWhole, if set, reports whether an upstream runs batch items whole: calls then go to a free slot first. It must not
 	// call the picker.
 	RunsWhole func(name string) bool
+	// Gate, if set, tells which upstreams may get work; after each change of it Reopen must be called.
+	Gate gate
 	// Paths, if set, tells which upstreams this host reaches by itself.
 	Paths paths
 
@@ -101,6 +108,8 @@
 	// departures counts the calls by failure domain where leaving is decided; spillReason is the latest reason.
 	departures  map[string]int64
 	spillReason string
+	// opened says that Reopen was called. Before, a closed gate only means that this host knows no configuration yet.
+	opened bool
 }
 
 // NewPicker returns a Picker without upstreams; seed seeds its random samples.
