--- a/internal/product/server/feature.go
+++ b/internal/product/server/feature.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"siskinrun/internal/data/feature"
+	"siskinrun/internal/data/gossipmessage"
 	"siskinrun/pkg/refusal"
 )
 
@@ -17,11 +18,20 @@
 // requireFeature refuses unless all live control hosts know a feature of the replicated configuration. Nothing that uses the
 // feature is proposed before.
 func (p *components) requireFeature(f feature.Set) error {
-	for _, h := range p.gossip.Hosts() {
+	h := olderControlHost(p.gossip.Hosts(), f)
+	if h == "" {
+		return nil
+	}
+	p.server.Log.Warn().Str("peer", h).Msg("control host of an older build, change refused")
+	return featureUnknown.WithJitter()
+}
+
+// olderControlHost returns the name of a live control host that lacks a feature, or "" if there is none.
+func olderControlHost(l []gossipmessage.Host, f feature.Set) string {
+	for _, h := range l {
 		if h.Control && !h.Dead && !h.Features.Has(f) {
-			p.server.Log.Warn().Str("peer", h.Name).Msg("control host of an older build, change refused")
-			return featureUnknown.WithJitter()
+			return h.Name
 		}
 	}
-	return nil
+	return ""
 }
