Keep what clients hold on one account of a host's memory

Cause: header lines cost many times their bytes before the first of them could be refused, and bodies were read without any account, so that clients of permitted size filled the memory of a process.

Change: internal/base/clientmemory decides who may hold what and who is evicted, internal/base/clientguard closes connections for it, internal/base/headerscan counts header lines before the HTTP library parses them. Connections, header lines and bodies of callers are on the account, bodies by the capacity of their buffer as they grow, as is what arrives at the control, operators', upstreams' and readiness addresses. The Go runtime's limit leaves 24 MB of memory-bytes for the program's pages. Settings client-memory-bytes, header-lines and descriptors.

--- a/internal/product/server/dialect.go
+++ b/internal/product/server/dialect.go
@@ -64,10 +64,12 @@
 			MaxHeaderBytes: m.HeaderBytes,
 			ReadTimeout:    m.ReadTimeout.Duration(),
 			Concurrency:    m.Concurrency,
+			Guard:          s.clients,
+			MaxHeaderLines: m.HeaderLines,
 			Drain:          drain,
 			StopTimeout:    timeout,
 		},
-		Readiness:    p.readinessListener,
+		Readiness:    s.guarded(p.readinessListener),
 		Pipeline:     p.pipeline,
 		Identifier:   p.authenticator,
 		Jobs:         p.batch,
@@ -84,7 +86,7 @@
 		return nil
 	}
 	return p.server.Dialect.Control(ctx, controldeps.Dependencies{
-		Listener: p.controlListener,
+		Listener: p.server.clients.Listener(p.controlListener, false),
 		Announce: p.handleAnnouncement,
 		Leave:    p.gossip.EndIncarnation,
 		Install:  p.installConfiguration,
--- a/internal/product/server/edges.go
+++ b/internal/product/server/edges.go
@@ -36,6 +36,8 @@
 		MaxBodyBytes:   m.BodyBytes,
 		MaxFileBytes:   m.FileBytes,
 		Concurrency:    m.Concurrency,
+		Guard:          s.clients,
+		MaxHeaderLines: m.HeaderLines,
 		ReadTimeout:    m.ReadTimeout.Duration(),
 		Drain:          drain,
 	}
@@ -53,7 +55,7 @@
 		return err
 	}
 	p.upstreamServer = &upstreamapi.Server{
-		Listener: l,
+		Listener: s.clients.Listener(l, server != nil),
 		TLS:      server,
 		Secret:   s.Settings.UpstreamSecret,
 		Registry: announcements{p.gossip},
@@ -75,7 +77,7 @@
 	}
 	p.operatorServer = &operatorapi.Server{
 		Name:          s.Name,
-		Listener:      l,
+		Listener:      s.clients.Listener(l, server != nil),
 		TLS:           server,
 		Secret:        s.Settings.OperatorSecret,
 		Configuration: p.distribution,
--- a/internal/product/server/server.go
+++ b/internal/product/server/server.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"siskinrun/internal/base/clientguard"
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/logwriter"
 	"siskinrun/internal/base/timer"
@@ -52,6 +52,8 @@
 
 	timer   *timer.Service
 	metrics metrics.Registry
+	// clients is the account of what the host's clients hold.
+	clients *clientguard.Guard
 }
 
 // Run serves until ctx ends and then lets the calls in flight finish before it stops.
@@ -60,9 +62,7 @@
 	defer cancel()
 	s.timer = timer.NewService()
 	s.metrics = metrics.NewRegistry()
-	if m := s.Settings.Limits.MemoryBytes; m > 0 {
-		debug.SetMemoryLimit(m)
-	}
+	s.limitMemory()
 	defer s.startTimer(base)()
 	defer s.startLog(base)()
 	g := group.NewGroup(base)
--- a/internal/product/settings/check.go
+++ b/internal/product/settings/check.go
@@ -25,6 +25,10 @@
 	maxUploadBytes       = 1 << 40
 	maxConcurrency       = 1 << 20
 	maxMemoryBytes       = 1 << 42
+	minHeaderLines       = 32
+	maxHeaderLines       = 1 << 16
+	minDescriptors       = 2 * fileDescriptors
+	maxDescriptors       = 1 << 24
 	maxTimeout           = time.Hour
 	maxPort              = 1<<16 - 1
 )
@@ -204,6 +208,13 @@
 	s.checkInt(f, "limits.body-bytes", int64(l.BodyBytes), 1, maxBodyBytes)
 	s.checkInt(f, "limits.file-bytes", l.FileBytes, 1, maxUploadBytes)
 	s.checkInt(f, "limits.memory-bytes", l.MemoryBytes, 0, maxMemoryBytes)
+	if l.ClientMemoryBytes != 0 {
+		s.checkInt(f, "limits.client-memory-bytes", l.ClientMemoryBytes, minBodies*int64(l.BodyBytes), maxMemoryBytes)
+	}
+	s.checkInt(f, "limits.header-lines", int64(l.HeaderLines), minHeaderLines, maxHeaderLines)
+	if l.Descriptors != 0 {
+		s.checkInt(f, "limits.descriptors", int64(l.Descriptors), minDescriptors, maxDescriptors)
+	}
 	s.checkInt(f, "limits.concurrency", int64(l.Concurrency), 1, maxConcurrency)
 	s.checkDuration(f, "limits.connect-timeout", l.ConnectTimeout.Duration(), time.Millisecond, maxTimeout)
 	s.checkDuration(f, "limits.stream-silence", l.StreamIdleTimeout.Duration(), time.Millisecond, maxTimeout)
--- /dev/null
+++ b/internal/product/settings/clients.go
@@ -0,0 +1,38 @@
+package settings
+
+const (
+	// clientShare is the share of the runtime's memory that clients may hold: the rest is for the host itself and for garbage
+	// between two collections.
+	clientShare = 3
+	// programBytes is kept of the machine's memory for the pages of the program and what the runtime exceeds its limit by: 17 MB
+	// were measured under abusive load.
+	programBytes = 24_000_000
+	// fileDescriptors is the number of descriptors for files.
+	fileDescriptors = 200
+	// minBodies is how many of the largest bodies the clients' memory must hold: one that grows is held one and a half times,
+	// and three quarters of the memory are for one address.
+	minBodies = 4
+)
+
+// RuntimeBytes returns the memory limit of the Go runtime, zero for none.
+func (l Limits) RuntimeBytes() int64 {
+	m := l.MemoryBytes
+	return max(m/2, min(m/4*3, m-programBytes))
+}
+
+// ClientBytes returns how many bytes clients may hold, zero for no bound.
+func (l Limits) ClientBytes() int64 {
+	if l.ClientMemoryBytes > 0 || l.MemoryBytes <= 0 {
+		return l.ClientMemoryBytes
+	}
+	return max(l.RuntimeBytes()/clientShare, minBodies*int64(l.BodyBytes))
+}
+
+// ClientConnections returns how many connections callers may open, zero for no bound. The other half of the descriptors is
+// for upstreams, peers and operators.
+func (l Limits) ClientConnections() int {
+	if l.Descriptors <= 0 {
+		return 0
+	}
+	return (l.Descriptors - fileDescriptors) / 2
+}
--- a/internal/product/settings/load.go
+++ b/internal/product/settings/load.go
@@ -48,6 +48,7 @@
 			BodyBytes:   defaultBodyBytes,
 			FileBytes:   defaultFileBytes,
 			Concurrency: defaultConcurrency,
+			HeaderLines: defaultHeaderLines,
 			ReadTimeout: duration.Duration(defaultReadTimeout),
 
 			ConnectTimeout:    duration.Duration(defaultConnectTimeout),
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -24,6 +24,7 @@
 	defaultBodyBytes         = 4 << 20
 	defaultFileBytes         = 256 << 20
 	defaultConcurrency       = 4096
+	defaultHeaderLines       = 512
 	defaultReadTimeout       = 30 * time.Second
 	defaultStreamIdleTimeout = 2 * time.Second
 	defaultConnectTimeout    = time.Second
@@ -187,8 +188,15 @@
 	ConnectTimeout duration.Duration `json:"connect-timeout"`
 	// StreamIdleTimeout bounds the wait for the next byte of an answer that has begun.
 	StreamIdleTimeout duration.Duration `json:"stream-silence"`
-	// MemoryBytes is the soft memory limit of the process; 0 means none.
+	// MemoryBytes is the memory of the machine that the process may take; 0 means no limit.
 	MemoryBytes int64 `json:"memory-bytes,omitempty"`
+	// ClientMemoryBytes bounds what callers, upstreams and operators hold; 0 means a third of what MemoryBytes leaves beside the
+	// program, and at least four bodies.
+	ClientMemoryBytes int64 `json:"client-memory-bytes,omitempty"`
+	// HeaderLines is the maximum number of lines of a request's header section.
+	HeaderLines int `json:"header-lines"`
+	// Descriptors is the limit of the process's open descriptors; 0 means unknown.
+	Descriptors int `json:"descriptors,omitempty"`
 }
 
 // Configuration returns the part that apply puts in force on the whole fleet, without keys.
--- a/internal/wire/callerapi/server.go
+++ b/internal/wire/callerapi/server.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"siskinrun/internal/base/clientguard"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
@@ -58,6 +59,10 @@
 	ReadTimeout time.Duration
 	// Concurrency limits the connections served at once.
 	Concurrency int
+	// Guard, if set, is the account of what the callers hold.
+	Guard *clientguard.Guard
+	// MaxHeaderLines bounds the lines of a header section, zero for no bound.
+	MaxHeaderLines int
 	// Drain is how long a stopping host still accepts connections before it refuses new ones and closes idle ones.
 	Drain time.Duration
 
@@ -78,6 +83,8 @@
 		MaxHeaderBytes: s.MaxHeaderBytes,
 		ReadTimeout:    s.ReadTimeout,
 		Concurrency:    s.Concurrency,
+		Guard:          s.Guard,
+		MaxHeaderLines: s.MaxHeaderLines,
 		Drain:          s.Drain,
 		StopTimeout:    s.StopTimeout,
 	}
--- /dev/null
+++ b/internal/wire/ingress/hold.go
@@ -0,0 +1,114 @@
+package ingress
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinrun/pkg/refusal"
+)
+
+const (
+	// firstBody is the first size of the buffer of a body.
+	firstBody = 4 << 10
+	// minRetryAfter and maxRetryAfter bound when a caller that there was no memory for comes back: evicted clients leave within
+	// less, and callers have 3 s as a rule, of which a refusal may take a third.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 900 * time.Millisecond
+	// connBytes is what a connection takes beside the buffer of its header section: that of the response, stacks, the request.
+	connBytes = 24 << 10
+	// largeHeaderShare is the share of the longest header section above which a connection ends after the response, since the
+	// HTTP library keeps what it grew for each line.
+	largeHeaderShare = 4
+)
+
+// errTooManyLines refuses a header section of too many lines.
+var errTooManyLines = refusal.NewNotRun(fasthttp.StatusRequestHeaderFieldsTooLarge, "too-many-header-lines",
+	"the header section has too many lines")
+
+// Overloaded returns the refusal of a request for which there is no memory.
+func Overloaded() *refusal.Refusal {
+	d := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	return refusal.NewNotRun(fasthttp.StatusServiceUnavailable, "overloaded", "this host has no memory for the request").WithRetryAfter(d)
+}
+
+// holder is a connection that is on the account of what callers hold.
+type holder interface {
+	Reserve(n int64) bool
+	Release(n int64)
+	Complete()
+}
+
+// Reserve reserves memory for a request until it ends, or returns a refusal.
+func Reserve(x *fasthttp.RequestCtx, n int64) error {
+	if h, ok := x.Conn().(holder); ok && !h.Reserve(n) {
+		x.SetConnectionClose()
+		return Overloaded()
+	}
+	return nil
+}
+
+// Complete records that a request has arrived, so that its connection is not closed before it is answered.
+func Complete(x *fasthttp.RequestCtx) {
+	if h, ok := x.Conn().(holder); ok {
+		h.Complete()
+	}
+}
+
+func release(x *fasthttp.RequestCtx, n int64) {
+	if h, ok := x.Conn().(holder); ok {
+		h.Release(n)
+	}
+}
+
+// ReadBody returns the body of a request, or a refusal if it is longer than a limit or there is no memory for it. Its memory
+// is reserved as it arrives.
+func ReadBody(x *fasthttp.RequestCtx, limit int64) ([]byte, error) {
+	n := int64(x.Request.Header.ContentLength())
+	if n > limit {
+		x.SetConnectionClose()
+		return nil, TooLarge(limit)
+	}
+	most := limit + 1
+	if n >= 0 {
+		most = n
+	}
+	b, err := readAll(x, Body(x), most)
+	if err != nil {
+		x.SetConnectionClose()
+		return nil, err
+	}
+	if int64(len(b)) > limit {
+		x.SetConnectionClose()
+		return nil, TooLarge(limit)
+	}
+	Complete(x)
+	return b, nil
+}
+
+// readAll reads up to most bytes into a buffer that grows with them.
+func readAll(x *fasthttp.RequestCtx, r io.Reader, most int64) ([]byte, error) {
+	b := []byte{}
+	for int64(len(b)) < most {
+		if len(b) == cap(b) {
+			c := min(max(firstBody, 2*int64(cap(b))), most)
+			if err := Reserve(x, c); err != nil {
+				return nil, err
+			}
+			o := cap(b)
+			b = append(make([]byte, 0, c), b...)
+			release(x, int64(o))
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, errCutBody
+		}
+	}
+	return b, nil
+}
--- a/internal/wire/ingress/ingress.go
+++ b/internal/wire/ingress/ingress.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"siskinrun/internal/base/clientguard"
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/wire/listener"
@@ -50,6 +51,10 @@
 	ReadTimeout time.Duration
 	// Concurrency limits the connections served at once.
 	Concurrency int
+	// Guard, if set, is the account of what the callers hold.
+	Guard *clientguard.Guard
+	// MaxHeaderLines bounds the lines of a header section, zero for no bound.
+	MaxHeaderLines int
 	// Drain is how long a stopping host still accepts connections before it refuses new ones and closes idle ones.
 	Drain time.Duration
 	// StopTimeout, if set, bounds how long a stopping host waits for calls to end.
@@ -70,7 +75,10 @@
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
 	}
-	s.tracked = &listener.Listener{Listener: l, Timer: s.Timer, Group: g}
+	s.tracked = &listener.Listener{
+		Listener: l, Timer: s.Timer, Group: g,
+		Guard: s.Guard, ConnBytes: int64(s.MaxHeaderBytes) + connBytes, MaxHeaderLines: s.MaxHeaderLines,
+	}
 	v := s.server()
 	g.Go("serve", func(context.Context) error { return v.Serve(s.tracked) })
 	g.Go("drain", func(w context.Context) error {
@@ -144,12 +152,30 @@
 		x.SetConnectionClose()
 	}
 	x.SetUserValue(markIdleKey, done)
-	s.Dialect.Handle(x)
+	s.checkHeader(x)
 	if !x.Response.IsBodyStream() {
 		done()
 	}
 }
 
+// checkHeader hands a request to the dialect unless its header section has too many lines. The listener counts those of a
+// section that it sees begin; this one may have come behind a body.
+func (s *Server) checkHeader(x *fasthttp.RequestCtx) {
+	h := &x.Request.Header
+	if n := len(h.RawHeaders()); s.Guard != nil && n > s.MaxHeaderBytes/largeHeaderShare {
+		x.SetConnectionClose()
+		if s.MaxHeaderLines > 0 && h.Len() > s.MaxHeaderLines {
+			s.Guard.Count("clients-rejected-lines")
+			s.Dialect.HandleReadError(x, listener.ErrTooManyLines)
+			return
+		}
+	}
+	if h.ContentLength() == 0 {
+		Complete(x)
+	}
+	s.Dialect.Handle(x)
+}
+
 // markIdleKey is the user value with the function that marks the connection of a request as idle.
 const markIdleKey = "ingress-release"
 
--- a/internal/wire/ingress/pass.go
+++ b/internal/wire/ingress/pass.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/data/answer"
+	"siskinrun/internal/wire/listener"
 	"siskinrun/pkg/refusal"
 )
 
@@ -122,30 +123,16 @@
 	x.SetBodyStream(o, length)
 }
 
-// ReadBody returns the body of a request, or a refusal if it is longer than a limit.
-func ReadBody(x *fasthttp.RequestCtx, limit int64) ([]byte, error) {
-	if int64(x.Request.Header.ContentLength()) > limit {
-		x.SetConnectionClose()
-		return nil, TooLarge(limit)
-	}
-	b, err := io.ReadAll(io.LimitReader(Body(x), limit+1))
-	if err != nil {
-		x.SetConnectionClose()
-		return nil, errCutBody
-	}
-	if int64(len(b)) > limit {
-		x.SetConnectionClose()
-		return nil, TooLarge(limit)
-	}
-	return b, nil
-}
-
 // ReadError returns the refusal for a request that the HTTP library could not read.
 func ReadError(err error) *refusal.Refusal {
 	var s *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &s):
 		return refusal.NewNotRun(fasthttp.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the request line and headers are too long")
+	case errors.Is(err, listener.ErrTooManyLines):
+		return errTooManyLines
+	case errors.Is(err, listener.ErrNoRoom):
+		return Overloaded()
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return refusal.NewNotRun(fasthttp.StatusRequestEntityTooLarge, "body-too-large", "the body is too long")
 	default:
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"siskinrun/internal/base/headerscan"
 )
 
 // expired is a read deadline in the past, which interrupts a pending read.
@@ -29,6 +31,13 @@
 	// closing says that the connection is being closed as idle; bytes that still arrive are not read.
 	closing  bool
 	lastUsed time.Time
+
+	// id is the connection in the account of what the callers hold.
+	id uint64
+	// scan counts the lines of the header section that arrives; it is used by the reader alone.
+	scan headerscan.Scanner
+	// lineBytes and bodyBytes are what is held for header lines and bodies.
+	lineBytes, bodyBytes int64
 }
 
 // Read implements io.Reader.Read.
@@ -39,7 +48,7 @@
 		c.ahead = c.ahead[n:]
 		c.lastUsed = c.listener.Timer.Now()
 		c.mu.Unlock()
-		return n, nil
+		return c.count(p, n, nil)
 	}
 	err := c.err
 	c.mu.Unlock()
@@ -50,13 +59,16 @@
 	if n > 0 && !c.touch() {
 		return 0, net.ErrClosed
 	}
-	return n, err
+	return c.count(p, n, err)
 }
 
 // Write implements io.Writer.Write.
 func (c *conn) Write(p []byte) (int, error) {
 	c.addBusy(1)
 	defer c.addBusy(-1)
+	g := c.listener.Guard
+	g.Write(c.id)
+	defer c.written()
 	return c.Conn.Write(p)
 }
 
@@ -67,6 +79,7 @@
 		c.linger()
 	}
 	c.listener.remove(c)
+	c.leave()
 	return c.Conn.Close()
 }
 
@@ -106,8 +119,12 @@
 	return sync.OnceFunc(func() {
 		c.addBusy(-1)
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.begun = false
+		c.scan = headerscan.Scanner{MaxLines: c.listener.MaxHeaderLines}
+		n := c.bodyBytes
+		c.bodyBytes = 0
+		c.mu.Unlock()
+		c.listener.Guard.Finish(c.id, n)
 	})
 }
 
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"siskinrun/internal/base/clientguard"
 	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/headerscan"
 	"siskinrun/internal/base/timer"
 )
 
@@ -18,6 +20,12 @@
 	Timer *timer.Service
 	// Group runs the watchers.
 	Group *group.Group
+	// Guard, if set, is the account of what the callers hold.
+	Guard *clientguard.Guard
+	// ConnBytes is what a connection holds by itself.
+	ConnBytes int64
+	// MaxHeaderLines bounds the lines of a header section, zero for no bound.
+	MaxHeaderLines int
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -27,8 +35,22 @@
 	closed  chan struct{}
 }
 
-// Accept implements net.Listener.Accept.
+// Accept implements net.Listener.Accept. A connection that there is no room for is closed.
 func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		k, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if k.open() {
+			return k, nil
+		}
+		l.remove(k)
+		_ = k.Conn.Close()
+	}
+}
+
+func (l *Listener) accept() (*conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil && l.isStopped() {
 		<-l.done()
@@ -36,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &conn{Conn: c, listener: l, lastUsed: l.Timer.Now()}
+	k := &conn{Conn: c, listener: l, lastUsed: l.Timer.Now(), scan: headerscan.Scanner{MaxLines: l.MaxHeaderLines}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open == nil {
@@ -117,6 +139,7 @@
 		}
 		l.remove(k)
 		_ = k.Conn.Close()
+		k.leave()
 	}
 	return busy
 }
