Keep the control address and submitted jobs on the account of clients

Cause: bodies at the control address were allocated by the HTTP library before they were counted, and descriptors had no bound.

--- a/cmd/siskinrun/client_load_test.go
+++ b/cmd/siskinrun/client_load_test.go
@@ -42,7 +42,9 @@
 type loadFleet struct {
 	*plainFleet
 	host string
-	pid  int
+	// address is where the load is sent.
+	address string
+	pid     int
 }
 
 // newLoadFleet starts a control host, one entry host with little memory and two workers.
@@ -58,7 +60,7 @@
 		f.startPlain(ctx, i, 0)
 	}
 	f.awaitServing(ctx, h)
-	return &loadFleet{plainFleet: f, host: h, pid: p.processes[h].Process.Pid}, ctx
+	return &loadFleet{plainFleet: f, host: h, address: h + ":7443", pid: p.processes[h].Process.Pid}, ctx
 }
 
 // play sends requests at the same time over connections that stay open, and returns when the host has had time for them.
@@ -71,7 +73,7 @@
 			done := sync.OnceFunc(sent.Done)
 			defer done()
 			var d net.Dialer
-			c, err := d.DialContext(ctx, "tcp", f.host+":7443")
+			c, err := d.DialContext(ctx, "tcp", f.address)
 			if err != nil {
 				return nil
 			}
@@ -91,20 +93,32 @@
 // check fails the test unless the host's process lives within its memory and descriptors and serves an ordinary request.
 func (f *loadFleet) check(ctx context.Context) {
 	f.t.Helper()
-	is := is.New(f.t)
-	p := "/proc/" + strconv.Itoa(f.pid)
-	l, err := os.ReadDir(p + "/fd")
-	is.NoErr(err) // the process has ended
-	f.t.Logf("%d descriptors", len(l))
-	is.True(len(l) <= loadDescriptors)
+	n := f.descriptors()
+	f.t.Logf("%d descriptors", n)
+	is.New(f.t).True(n <= loadDescriptors)
 	f.awaitServing(ctx, f.host)
-	b, err := os.ReadFile(p + "/status")
+	f.checkMemory(loadMemory)
+}
+
+// descriptors returns how many descriptors the host's process has open, and fails the test if the process has ended.
+func (f *loadFleet) descriptors() int {
+	f.t.Helper()
+	l, err := os.ReadDir("/proc/" + strconv.Itoa(f.pid) + "/fd")
+	is.New(f.t).NoErr(err)
+	return len(l)
+}
+
+// checkMemory fails the test unless the host's process lives and its resident memory never passed a bound.
+func (f *loadFleet) checkMemory(bound int) {
+	f.t.Helper()
+	is := is.New(f.t)
+	b, err := os.ReadFile("/proc/" + strconv.Itoa(f.pid) + "/status")
 	is.NoErr(err) // the process has ended
 	peak := statusBytes(string(b), "VmHWM:")
 	f.t.Logf("resident memory: %d bytes, peak %d bytes", statusBytes(string(b), "VmRSS:"), peak)
 	is.True(peak > 0) // a process that has ended has no memory
-	if peak > loadMemory {
-		f.t.Errorf("peak resident memory of %d bytes, %d are allowed", peak, loadMemory)
+	if peak > bound {
+		f.t.Errorf("peak resident memory of %d bytes, %d are allowed", peak, bound)
 	}
 }
 
--- a/internal/base/clientguard/listener.go
+++ b/internal/base/clientguard/listener.go
@@ -30,16 +30,26 @@
 // response, and an announced length from the end of the header section, since the HTTP library allocates it then. Of encrypted
 // connections only the bytes count.
 func (g *Guard) Listener(l net.Listener, encrypted bool) net.Listener {
+	return g.listener(l, encrypted, false)
+}
+
+// StreamListener is Listener for a server that reserves the memory of bodies itself.
+func (g *Guard) StreamListener(l net.Listener) net.Listener {
+	return g.listener(l, false, true)
+}
+
+func (g *Guard) listener(l net.Listener, encrypted, streamed bool) net.Listener {
 	if g == nil {
 		return l
 	}
-	return &guarded{Listener: l, guard: g, encrypted: encrypted}
+	return &guarded{Listener: l, guard: g, encrypted: encrypted, streamed: streamed}
 }
 
 type guarded struct {
 	net.Listener
 	guard     *Guard
 	encrypted bool
+	streamed  bool
 }
 
 // Accept implements net.Listener.Accept.
@@ -49,7 +59,7 @@
 		if err != nil {
 			return nil, err
 		}
-		k := &conn{Conn: c, guard: l.guard, encrypted: l.encrypted}
+		k := &conn{Conn: c, guard: l.guard, encrypted: l.encrypted, streamed: l.streamed}
 		var ok bool
 		if k.id, ok = l.guard.Open(Address(c), true, connectionBytes, func() { Cut(c) }); ok {
 			k.reset()
@@ -81,15 +91,41 @@
 	net.Conn
 	guard     *Guard
 	encrypted bool
+	streamed  bool
 	id        uint64
 	once      sync.Once
 
 	mu   sync.Mutex
 	scan headerscan.Scanner
-	// received counts the bytes of the current request, and charged what is held for it.
-	received, charged int64
+	// received counts the bytes of the current request, reserved what its server reserved, and charged what is held for it.
+	received, reserved, charged int64
 }
 
+// Reserve reserves n bytes for the request until its response, and reports whether there is room.
+func (c *conn) Reserve(n int64) bool {
+	if !c.guard.Grow(c.id, n) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reserved += n
+	c.charged += n
+	return true
+}
+
+// Release releases n bytes of those reserved.
+func (c *conn) Release(n int64) {
+	c.mu.Lock()
+	n = min(n, c.reserved)
+	c.reserved -= n
+	c.charged -= n
+	c.mu.Unlock()
+	c.guard.Shrink(c.id, n)
+}
+
+// Complete records that the request has arrived.
+func (c *conn) Complete() { c.guard.Run(c.id) }
+
 // Read implements io.Reader.Read.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -107,7 +143,9 @@
 	}
 	c.received += int64(n)
 	need := c.received * copies
-	if c.scan.Ended() {
+	if c.streamed {
+		need = c.reserved
+	} else if c.scan.Ended() {
 		need = max(need, c.scan.ContentLength())
 	}
 	need += int64(c.scan.Lines()) * lineBytes
@@ -133,7 +171,7 @@
 func (c *conn) reset() {
 	c.mu.Lock()
 	n := c.charged
-	c.received, c.charged, c.scan = 0, 0, headerscan.Scanner{MaxLines: maxLines}
+	c.received, c.reserved, c.charged, c.scan = 0, 0, 0, headerscan.Scanner{MaxLines: maxLines}
 	c.mu.Unlock()
 	c.guard.Shrink(c.id, n)
 	c.guard.Receive(c.id)
--- a/internal/product/server/dialect.go
+++ b/internal/product/server/dialect.go
@@ -86,7 +86,7 @@
 		return nil
 	}
 	return p.server.Dialect.Control(ctx, controldeps.Dependencies{
-		Listener: p.server.clients.Listener(p.controlListener, false),
+		Listener: p.server.clients.StreamListener(p.controlListener),
 		Announce: p.handleAnnouncement,
 		Leave:    p.gossip.EndIncarnation,
 		Install:  p.installConfiguration,
--- a/internal/wire/ingress/hold.go
+++ b/internal/wire/ingress/hold.go
@@ -72,7 +72,7 @@
 		return nil, TooLarge(limit)
 	}
 	most := limit + 1
-	if n >= 0 {
+	if n >= 0 && x.RequestBodyStream() != nil {
 		most = n
 	}
 	b, err := readAll(x, Body(x), most)
