--- a/cmd/siskinrun/client_load_test.go
+++ b/cmd/siskinrun/client_load_test.go
@@ -283,6 +283,7 @@
 		send client
 	}{
 		{"header section", 0, sendAll(0, long)},
+		{"header section of many lines", 0, sendAll(0, fillHead(h+"Content-Length: 0\r\n", "a:b\r\n", largestHeader-len(end))+end)},
 		{"body with a length", largestBody, sendAll(0, fmt.Sprintf("%sContent-Length: %d\r\n%s", h, largestBody, end), body)},
 		{"chunked body", largestBody, func(c net.Conn) error {
 			return sendAll(0, h+"Transfer-Encoding: chunked\r\n"+end, strings.Repeat("20000\r\n"+body[:128<<10]+"\r\n", 32), "0\r\n\r\n")(c)
--- a/internal/base/clientguard/listener.go
+++ b/internal/base/clientguard/listener.go
@@ -15,8 +15,8 @@
 	connectionBytes = 24 << 10
 	// copies is how often a body is held while its request is decoded.
 	copies = 2
-	// maxLines bounds the header lines of upstreams and operators.
-	maxLines = 512
+	// maxLines bounds the header lines of upstreams and operators. It is more than fit into 16 KB; what lines take is on the account.
+	maxLines = 8192
 	// lineBytes is what the HTTP library takes for a header line beyond its bytes.
 	lineBytes = 160
 )
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -24,7 +24,7 @@
 	defaultBodyBytes         = 4 << 20
 	defaultFileBytes         = 256 << 20
 	defaultConcurrency       = 4096
-	defaultHeaderLines       = 512
+	defaultHeaderLines       = 8192
 	defaultReadTimeout       = 30 * time.Second
 	defaultStreamIdleTimeout = 2 * time.Second
 	defaultConnectTimeout    = time.Second
