Mend what the reviews of the parts found

Cause: reviews by engineers who didn't write the parts. Interim responses (100 Continue) made unfinished uploads impossible to evict and reset the account of control connections; forms at the control address were held before they were counted; clients were evicted for others that could not stay either; requests without a body counted as unfinished; long responses were not on the account while a caller read slowly. Batch work at home sent calls to other failure domains; a moment without a permit counted as a lost domain; an upstream that looked slow once got no calls again; runs stayed whole for good after one report, and only on hosts with answers of their own; evacuated slots counted in the forecast; rejected items shortened the average run. Upstreams whose evacuation ended were picked before they warmed up; an older list of upstreams could replace a newer one where rates of cold upstreams change; hosts lost in one step lowered the count that tells a minority. Change: each at its place. Result: tests of the touched packages pass.

--- a/internal/base/clientguard/guard.go
+++ b/internal/base/clientguard/guard.go
@@ -94,6 +94,11 @@
 	g.do(func(a *clientmemory.Account, t time.Time) { a.Receive(id, t) })
 }
 
+// Continue records that a client is to go on sending its request.
+func (g *Guard) Continue(id uint64) {
+	g.do(func(a *clientmemory.Account, t time.Time) { a.Continue(id, t) })
+}
+
 // Run records that the request of a client is complete.
 func (g *Guard) Run(id uint64) { g.do(func(a *clientmemory.Account, t time.Time) { a.Run(id, t) }) }
 
@@ -116,6 +121,9 @@
 	})
 }
 
+// Bounded reports whether the bytes that clients hold are bounded.
+func (g *Guard) Bounded() bool { return g != nil && g.Account.Bytes > 0 }
+
 // Held returns the bytes that all clients hold.
 func (g *Guard) Held() int64 {
 	g.mu.Lock()
--- a/internal/base/clientguard/listener.go
+++ b/internal/base/clientguard/listener.go
@@ -1,6 +1,7 @@
 package clientguard
 
 import (
+	"bytes"
 	"crypto/tls"
 	"net"
 	"sync"
@@ -21,6 +22,9 @@
 	lineBytes = 160
 )
 
+// interimResponse begins a response that asks for the body of the same request.
+var interimResponse = []byte("HTTP/1.1 100 ")
+
 var (
 	errNoRoom       = errors.New("the clients of this host hold too much memory")
 	errTooManyLines = errors.New("the header section has too many lines")
@@ -161,6 +165,9 @@
 
 // Write implements io.Writer.Write.
 func (c *conn) Write(p []byte) (int, error) {
+	if bytes.HasPrefix(p, interimResponse) {
+		return c.Conn.Write(p)
+	}
 	c.guard.Write(c.id)
 	n, err := c.Conn.Write(p)
 	c.reset()
--- a/internal/base/clientmemory/account.go
+++ b/internal/base/clientmemory/account.go
@@ -107,6 +107,9 @@
 	}
 }
 
+// Continue records that a client goes on sending a request after an interim response.
+func (a *Account) Continue(id uint64, now time.Time) { a.enter(id, receiving, now) }
+
 // Run records that the request of a client is complete. It is not evicted until it is answered.
 func (a *Account) Run(id uint64, now time.Time) { a.enter(id, running, now) }
 
@@ -191,12 +194,15 @@
 			continue
 		}
 		l, missing := a.candidates(c, now, o.match), o.missing
-		for i := 0; i < len(l) && missing > 0; i++ {
-			missing -= l[i].held
-			evicted = append(evicted, a.evict(l[i]))
+		n := 0
+		for ; n < len(l) && missing > 0; n++ {
+			missing -= l[n].held
 		}
 		if missing > 0 {
-			return false, evicted
+			return false, evicted // nobody is evicted for a client that can't stay
+		}
+		for _, v := range l[:n] {
+			evicted = append(evicted, a.evict(v))
 		}
 	}
 	// Those that were evicted must have left before much more than the bound is held.
@@ -213,14 +219,19 @@
 // candidates returns the clients that are evicted before c, first those that have held most for longest without progress.
 func (a *Account) candidates(c *client, now time.Time, match func(*client) bool) []*client {
 	own := c.rank(now)
+	ranks := map[*client]float64{}
 	var l []*client
 	for _, o := range a.clients {
-		if o != c && !o.evicted && o.evictable(now) && match(o) && o.rank(now) > own {
+		if o == c || o.evicted || !o.evictable(now) || !match(o) {
+			continue
+		}
+		if r := o.rank(now); r > own {
+			ranks[o] = r
 			l = append(l, o)
 		}
 	}
 	slices.SortFunc(l, func(x, y *client) int {
-		return cmp.Or(cmp.Compare(y.rank(now), x.rank(now)), cmp.Compare(x.id, y.id))
+		return cmp.Or(cmp.Compare(ranks[y], ranks[x]), cmp.Compare(x.id, y.id))
 	})
 	return l
 }
--- a/internal/jobs/executor/run.go
+++ b/internal/jobs/executor/run.go
@@ -66,10 +66,11 @@
 	d.runs.Go("item", func(context.Context) error {
 		defer cancel()
 		a, err := d.Runner.Run(ctx, n, t.item)
-		if err == nil {
+		o := outcomeOf(t.item.Fence, a, err, ctx.Err() != nil)
+		if o.Kind == entry.Outcome_COMPLETE && t.item.NextEvent == 0 {
 			d.observeRunTime(d.Timer.Now().Sub(began))
 		}
-		d.finishTask(t, outcomeOf(t.item.Fence, a, err, ctx.Err() != nil))
+		d.finishTask(t, o)
 		return nil
 	})
 }
--- a/internal/product/server/cold.go
+++ b/internal/product/server/cold.go
@@ -31,6 +31,8 @@
 	if old == nil && len(r) == 0 || old != nil && maps.Equal(*old, r) {
 		return
 	}
+	p.upstreamsMu.Lock()
+	defer p.upstreamsMu.Unlock()
 	p.permits.SetUpstreams(p.gossip.Upstreams())
 }
 
--- a/internal/product/server/evacuation.go
+++ b/internal/product/server/evacuation.go
@@ -134,8 +134,8 @@
 		return
 	}
 	p.evacuationChanges.Add(1)
-	p.reapplyUpstreams(nil)
 	p.picker.Reopen(p.server.timer.Now())
+	p.reapplyUpstreams(nil)
 	metrics.GetOrRegisterGauge("evacuation.domains", p.server.metrics).Update(int64(p.evacuation.Evacuated()))
 	if len(c.Evacuated) > 0 || c.Version > 1 {
 		p.server.Log.Info().Uint64("version", c.Version).Strs("failure-domains", slices.Sorted(maps.Keys(c.Evacuated))).
--- a/internal/product/server/loads.go
+++ b/internal/product/server/loads.go
@@ -53,7 +53,7 @@
 			l.compareCount(l.upstreams[i].Name)
 		}
 		p.inflight.Refresh(l.changed)
-		p.places.observe(l.upstreams, func(n string) int { return p.gossip.Peers(n) + p.picker.OwnRequests(n) }, p.server.timer.Now())
+		p.places.observe(l.upstreams, p.evacuation.Open, func(n string) int { return p.gossip.Peers(n) + p.picker.OwnRequests(n) }, p.server.timer.Now())
 		p.capacity.Update(p.evacuation.Filter(l.upstreams), l.usableSlots, p.gossip.Peers, l.callHosts)
 	}
 }
@@ -96,13 +96,13 @@
 func (l *loadUpdater) applyReport(name string) {
 	if v, t := l.components.gossip.Pace(name); v > 0 {
 		l.components.picker.SetPace(name, v, t)
+		l.components.places.note(name, v, t)
 	}
 	r, at, ok := l.components.gossip.Load(name)
 	if !ok || at.Equal(l.measured[name]) {
 		return
 	}
 	l.measured[name] = at
-	l.components.places.note(r)
 	l.components.picker.Report(r, at)
 	l.components.batchLimiter.Report(r, at)
 }
--- a/internal/product/server/places.go
+++ b/internal/product/server/places.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/forecast"
 )
@@ -17,26 +16,31 @@
 // longer than a phase of high load, and so short that items wait well below the usual due time of 18 s.
 const pressedAfter = 4 * time.Second
 
+// paceTTL is the time for which an upstream counts as one that reports its pace, as for the choice of an upstream.
+const paceTTL = 10 * time.Second
+
 // runPlaces knows which upstreams run batch items whole, and where online calls and runs have room. The zero value knows none.
 type runPlaces struct {
 	mu sync.Mutex
 	// paced are the upstreams that report their pace; forecasts are those of the services with one.
-	paced     map[string]bool
+	paced     map[string]time.Time
 	forecasts map[string]*forecast.Forecast
 	services  map[string]string
 }
 
-// note records an upstream that reports its pace.
-func (r *runPlaces) note(l loadreport.Report) {
-	if l.Pace <= 0 {
+// note records that an upstream reported its pace to any host at a time.
+func (r *runPlaces) note(name string, pace int, at time.Time) {
+	if pace <= 0 {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.paced == nil {
-		r.paced = map[string]bool{}
+		r.paced = map[string]time.Time{}
+	}
+	if at.After(r.paced[name]) {
+		r.paced[name] = at
 	}
-	r.paced[l.Upstream] = true
 }
 
 // runsWhole reports whether runs on an upstream are preempted only for calls that have no other place. That holds for all
@@ -44,7 +48,8 @@
 func (r *runPlaces) runsWhole(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.paced[name] || r.forecasts[r.services[name]] != nil
+	_, ok := r.paced[name]
+	return ok || r.forecasts[r.services[name]] != nil
 }
 
 // any reports whether any upstream reports its pace.
@@ -54,8 +59,11 @@
 	return len(r.paced) > 0
 }
 
-// observe records the online load of each service that has an upstream with a pace.
-func (r *runPlaces) observe(list []upstream.Upstream, online func(name string) int, now time.Time) {
+// observe records the online load of each service that has an upstream with a pace. Only upstreams that are open, which may get
+// work, count.
+func (r *runPlaces) observe(
+	list []upstream.Upstream, open func(u upstream.Upstream) bool, online func(name string) int, now time.Time,
+) {
 	if !r.any() {
 		return
 	}
@@ -67,14 +75,14 @@
 	defer r.mu.Unlock()
 	slots, used, paced := map[string]int{}, map[string]int{}, map[string]bool{}
 	r.services = make(map[string]string, len(list))
-	known := make(map[string]bool, len(r.paced))
+	known := make(map[string]time.Time, len(r.paced))
 	for i, u := range list {
 		r.services[u.Name] = u.Service
-		if r.paced[u.Name] {
-			known[u.Name] = true
+		if t, ok := r.paced[u.Name]; ok && now.Sub(t) <= paceTTL {
+			known[u.Name] = t
+			paced[u.Service] = true
 		}
-		paced[u.Service] = paced[u.Service] || r.paced[u.Name]
-		if !u.Leaving {
+		if !u.Leaving && open(u) {
 			slots[u.Service] += u.Slots
 			used[u.Service] += counts[i]
 		}
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -147,7 +147,7 @@
 
 // applyReport applies a load report that came with an upstream's answer.
 func (p *components) applyReport(r loadreport.Report, at time.Time) {
-	p.places.note(r)
+	p.places.note(r.Upstream, r.Pace, at)
 	p.picker.Report(r, at)
 	p.batchLimiter.Report(r, at)
 	if r.Pace > 0 {
--- a/internal/routing/permits/handover.go
+++ b/internal/routing/permits/handover.go
@@ -52,6 +52,7 @@
 	slices.SortFunc(l, func(a, b host.Host) int { return strings.Compare(a.Name, b.Name) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.countHosts(now) // before the list changes: hosts that are lost now still count for a while
 	if slices.Equal(l, s.hosts) {
 		return
 	}
--- a/internal/routing/picker/finish.go
+++ b/internal/routing/picker/finish.go
@@ -35,6 +35,7 @@
 		return
 	}
 	v := float64(latency) / m.pace.At(at)
+	m.workAt = at
 	if m.work == 0 {
 		m.work = v
 		return
@@ -51,12 +52,18 @@
 	return n + m.unexplained*math.Exp(-float64(max(now.Sub(m.reportTaken), 0))/float64(unexplainedFade))
 }
 
-// lasting returns how long work usually takes at the upstream relative to the median of its pool.
-func (m *member) lasting(median float64) float64 {
+// lasting returns how long work usually takes at the upstream relative to the median of its pool. It drifts to 1 without new
+// samples, so that an upstream that looked slow gets calls again.
+func (m *member) lasting(median float64, now time.Time) float64 {
 	if m.work == 0 || median == 0 {
 		return 1
 	}
-	return min(max(m.work/median, minLasting), maxLasting)
+	r := min(max(m.work/median, minLasting), maxLasting)
+	age := now.Sub(m.workAt)
+	if age <= latencyFreshTime {
+		return r
+	}
+	return 1 + (r-1)*float64(latencyFreshTime)/float64(age)
 }
 
 // updatePaced notes whether an upstream of the pool reports its pace, and the median of the lasting speeds.
@@ -94,5 +101,5 @@
 	if len(d.PrefixHashes) > 0 {
 		s += c.PrefixWeight * uncachedShare(v, len(d.PrefixHashes))
 	}
-	return s * m.lasting(p.medianWork) * m.pace.At(now)
+	return s * m.lasting(p.medianWork, now) * m.pace.At(now)
 }
--- a/internal/routing/picker/member.go
+++ b/internal/routing/picker/member.go
@@ -63,6 +63,8 @@
 	pace paceestimate.Estimate
 	// work is the moving average of the time that answers take at the usual pace, zero if no pace is reported.
 	work float64
+	// workAt is when work was last observed.
+	workAt time.Time
 }
 
 // applyAnnouncement applies the upstream's announcement.
--- a/internal/routing/picker/spill.go
+++ b/internal/routing/picker/spill.go
@@ -22,6 +22,8 @@
 	// networkTime is the longest time that a call and its answer together take longer between domains.
 	networkTime = 2800 * time.Microsecond
 	bytesPerGB  = 1e9
+	// permitWait is how far ahead the next permit of an upstream may be while its slots count as capacity.
+	permitWait = time.Second
 )
 
 // spills reports whether the pool decides on leaving the failure domain.
@@ -57,11 +59,11 @@
 func (c *Picker) updateSpill(p *pool, home string, now time.Time) {
 	p.spill.Begin()
 	for _, m := range p.all {
-		if !c.Ejection.Allowed(m.upstream.Name) || c.closed(m, now) {
+		if !c.Ejection.Allowed(m.upstream.Name) || c.closed(m, now.Add(permitWait)) {
 			continue
 		}
-		slots := m.effectiveSlots(now, c.WarmUp) / (m.lasting(p.medianWork) * m.pace.At(now))
-		p.spill.Add(m.upstream.FailureDomain, slots, m.recentLoad(now)/(m.lasting(p.medianWork)*m.pace.At(now)))
+		slots := m.effectiveSlots(now, c.WarmUp) / (m.lasting(p.medianWork, now) * m.pace.At(now))
+		p.spill.Add(m.upstream.FailureDomain, slots, m.recentLoad(now)/(m.lasting(p.medianWork, now)*m.pace.At(now)))
 	}
 	cost := *c.DomainTraffic * bytesPerCall / bytesPerGB
 	if p.medianWork > 0 {
--- a/internal/routing/picker/whole.go
+++ b/internal/routing/picker/whole.go
@@ -17,10 +17,18 @@
 	if c.RunsWhole == nil || !slices.ContainsFunc(list, whole) {
 		return list
 	}
-	free := func(v candidate) bool { return c.allowed(p, v.member, d, now) && c.freeSlots(v.member, now) >= 1 }
+	members, inDomain := p.all, func(candidate) bool { return true }
+	if c.spills(p) {
+		// Which domain a call goes to is decided by online load alone: batch work at home sends no call away.
+		members = p.domains[c.chosenDomain]
+		inDomain = func(v candidate) bool { return v.member.upstream.FailureDomain == c.chosenDomain }
+	}
+	free := func(v candidate) bool {
+		return inDomain(v) && c.allowed(p, v.member, d, now) && c.freeSlots(v.member, now) >= 1
+	}
 	if !slices.ContainsFunc(list, free) && len(p.all) > maxScan {
 		n := len(list)
-		list = c.addRandom(list, p.all, spareSamples)
+		list = c.addRandom(list, members, spareSamples)
 		if !slices.ContainsFunc(list[n:], free) {
 			return list[:n]
 		}
@@ -52,7 +60,8 @@
 	}
 	d := demand.Demand{Service: o.upstream.Service}
 	for _, m := range p.all {
-		if m != o && c.allowed(p, m, &d, now) && slices.Equal(m.models, o.models) {
+		away := c.spills(p) && m.upstream.FailureDomain != o.upstream.FailureDomain
+		if m != o && !away && c.allowed(p, m, &d, now) && slices.Equal(m.models, o.models) {
 			n += max(int(c.freeSlots(m, now)), 0)
 		}
 	}
--- a/internal/wire/ingress/hold.go
+++ b/internal/wire/ingress/hold.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -22,6 +23,8 @@
 	// largeHeaderShare is the share of the longest header section above which a connection ends after the response, since the
 	// HTTP library keeps what it grew for each line.
 	largeHeaderShare = 4
+	// largeResponse is the length above which a response counts until it is written, since its caller may read slowly.
+	largeResponse = 16 << 10
 )
 
 // errTooManyLines refuses a header section of too many lines.
@@ -63,6 +66,28 @@
 	}
 }
 
+// holdResponse reserves the body of a response until it is written, and then calls done. The response is sent even if there is no
+// room: its caller has waited for it, and those that stall are evicted first.
+func holdResponse(x *fasthttp.RequestCtx, done func()) {
+	b := x.Response.SwapBody(nil)
+	if h, ok := x.Conn().(holder); ok {
+		h.Reserve(int64(len(b)))
+	}
+	x.SetBodyStream(&heldBody{Reader: bytes.NewReader(b), done: done}, len(b))
+}
+
+// heldBody is the body of a response that is on the account.
+type heldBody struct {
+	*bytes.Reader
+	done func()
+}
+
+// Close implements io.Closer.Close.
+func (b *heldBody) Close() error {
+	b.done()
+	return nil
+}
+
 // ReadBody returns the body of a request, or a refusal if it is longer than a limit or there is no memory for it. Its memory
 // is reserved as it arrives.
 func ReadBody(x *fasthttp.RequestCtx, limit int64) ([]byte, error) {
--- a/internal/wire/ingress/ingress.go
+++ b/internal/wire/ingress/ingress.go
@@ -153,7 +153,11 @@
 	}
 	x.SetUserValue(markIdleKey, done)
 	s.checkHeader(x)
-	if !x.Response.IsBodyStream() {
+	switch {
+	case x.Response.IsBodyStream():
+	case len(x.Response.Body()) > largeResponse:
+		holdResponse(x, done)
+	default:
 		done()
 	}
 }
@@ -162,7 +166,7 @@
 // section that it sees begin; this one may have come behind a body.
 func (s *Server) checkHeader(x *fasthttp.RequestCtx) {
 	h := &x.Request.Header
-	if n := len(h.RawHeaders()); s.Guard != nil && n > s.MaxHeaderBytes/largeHeaderShare {
+	if n := len(h.RawHeaders()); s.Guard.Bounded() && n > s.MaxHeaderBytes/largeHeaderShare {
 		x.SetConnectionClose()
 		if s.MaxHeaderLines > 0 && h.Len() > s.MaxHeaderLines {
 			s.Guard.Count("clients-rejected-lines")
@@ -170,7 +174,7 @@
 			return
 		}
 	}
-	if h.ContentLength() == 0 {
+	if x.RequestBodyStream() == nil {
 		Complete(x)
 	}
 	s.Dialect.Handle(x)
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -36,6 +36,8 @@
 	id uint64
 	// scan counts the lines of the header section that arrives; it is used by the reader alone.
 	scan headerscan.Scanner
+	// complete says that the request has arrived whole and is not answered yet.
+	complete bool
 	// lineBytes and bodyBytes are what is held for header lines and bodies.
 	lineBytes, bodyBytes int64
 }
@@ -120,6 +122,7 @@
 		c.addBusy(-1)
 		c.mu.Lock()
 		c.begun = false
+		c.complete = false
 		c.scan = headerscan.Scanner{MaxLines: c.listener.MaxHeaderLines}
 		n := c.bodyBytes
 		c.bodyBytes = 0
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -33,16 +33,19 @@
 	clientguard.Cut(c.Conn)
 }
 
-// written records the end of a write, which is that of a response if its request has ended.
+// written records the end of a write: of a part of a response, of an interim response that asks for the body, or of a response.
 func (c *conn) written() {
 	c.mu.Lock()
-	begun := c.begun
+	complete, begun := c.complete, c.begun
 	c.mu.Unlock()
-	if begun {
+	switch {
+	case complete:
 		c.listener.Guard.Run(c.id)
-		return
+	case begun:
+		c.listener.Guard.Continue(c.id)
+	default:
+		c.listener.Guard.Receive(c.id)
 	}
-	c.listener.Guard.Receive(c.id)
 }
 
 // leave removes the connection from the account.
@@ -106,5 +109,8 @@
 
 // Complete records that the request has arrived, so that the connection is not closed before it is answered.
 func (c *conn) Complete() {
+	c.mu.Lock()
+	c.complete = true
+	c.mu.Unlock()
 	c.listener.Guard.Run(c.id)
 }
