--- a/internal/product/server/places.go
+++ b/internal/product/server/places.go
@@ -21,6 +21,9 @@
 
 // runPlaces knows which upstreams run batch items whole, and where online calls and runs have room. The zero value knows none.
 type runPlaces struct {
+	// enabled says that the settings ask for whole runs.
+	enabled bool
+
 	mu sync.Mutex
 	// paced are the upstreams that report their pace; forecasts are those of the services with one.
 	paced     map[string]time.Time
@@ -30,7 +33,7 @@
 
 // note records that an upstream reported its pace to any host at a time.
 func (r *runPlaces) note(name string, pace int, at time.Time) {
-	if pace <= 0 {
+	if pace <= 0 || !r.enabled {
 		return
 	}
 	r.mu.Lock()
--- a/internal/product/server/places_test.go
+++ b/internal/product/server/places_test.go
@@ -14,7 +14,7 @@
 func TestRoomFollowsTroughsOfPacedServicesOnly(t *testing.T) {
 	is := is.New(t)
 	l := []upstream.Upstream{{Name: "a", Service: "s", Slots: 8}, {Name: "b", Service: "s", Slots: 8}, {Name: "c", Service: "other", Slots: 8}}
-	r := &runPlaces{}
+	r := &runPlaces{enabled: true}
 	var reporting []string
 	play := func() {
 		for at := time.Duration(0); at < 15*time.Second; at += 50 * time.Millisecond {
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -115,6 +115,9 @@
 	// DomainTraffic is the cost of a gigabyte between failure domains in answered calls that are worth as much. If it is there, it
 	// replaces weights.locality for services whose upstreams report their pace.
 	DomainTraffic *float64 `json:"domain-traffic,omitempty"`
+	// WholeBatchRuns keeps batch runs whole at services whose upstreams report their pace: a run is preempted only for a call that
+	// has no other place. Calls wait longer in bursts.
+	WholeBatchRuns bool `json:"whole-batch-runs,omitempty"`
 	// Weights are the weights of the operators' goals.
 	Weights Weights `json:"weights"`
 }
