Let a deputy in each failure domain stand in for the lost owner of rates

A call that was refused without having run had spent its team's rate and spent it again when it came back. Change: the owner leaves the rate divided by the failure domains to a deputy in each while that one does not confirm its replies (packages promise and deputy; fleet.cut-off-rates). Half of the overrun in a bucket's burst is the deputies' for good. Calls that are refused give their units back while the owner has not heard of them (fleet.give-back-rate).

--- a/internal/data/call/call.go
+++ b/internal/data/call/call.go
@@ -83,6 +83,8 @@
 	Upstream upstream.Upstream
 	// Release gives the slot of the call back before the call ends, nil if it has none.
 	Release func()
+	// GiveBack, if set, takes back what the call spent of its team's rate; it is called if the call is refused without having run.
+	GiveBack func()
 	// Sent, if set, is called each time the call is sent to an upstream.
 	Sent func()
 	// Stranded, if set, is told that the current attempt has been silent since its path was lost, so that it takes up nothing
--- a/internal/data/feature/feature.go
+++ b/internal/data/feature/feature.go
@@ -9,8 +9,10 @@
 	Evacuation Set = 1 << 0
 	// ColdUpstreams is how long upstreams of a service are cold and what they bear meanwhile.
 	ColdUpstreams Set = 1 << 1
+	// Deputies is that owners of rates leave a share to a deputy in each failure domain.
+	Deputies Set = 1 << 2
 	// Known holds the features that this build knows.
-	Known = Evacuation | ColdUpstreams
+	Known = Evacuation | ColdUpstreams | Deputies
 )
 
 // Has reports whether a set holds all features of another.
--- a/internal/limits/admission/admission.go
+++ b/internal/limits/admission/admission.go
@@ -19,6 +19,8 @@
 	Limiter limiter
 	// Wait is how long a request waits for units; zero means DefaultWait.
 	Wait time.Duration
+	// GivesBack says that calls which are refused before they run give back what they spent.
+	GivesBack bool
 	// Metrics counts admissions and refusals.
 	Metrics metrics.Registry
 
@@ -31,24 +33,31 @@
 type limiter interface {
 	Spend(team string, cost int64) bool
 	Take(ctx context.Context, team string, cost int64, wait time.Duration) error
+	Reports(team string) uint64
+	GiveBack(team string, cost int64, reports uint64)
 }
 
-// Admit spends the cost of a request or returns a not-run refusal.
-func (a *Controller) Admit(ctx context.Context, team string, cost int64) error {
+// Admit spends the cost of a request or returns a not-run refusal. If the request is refused later without having run, giveBack takes
+// back what it spent, as far as that is still possible; it is nil if nothing can be given back.
+func (a *Controller) Admit(ctx context.Context, team string, cost int64) (giveBack func(), err error) {
 	a.once.Do(a.init)
 	if cost < 0 {
-		return refusal.NewNotRun(400, "invalid-cost", "the cost of a request cannot be negative")
+		return nil, refusal.NewNotRun(400, "invalid-cost", "the cost of a request cannot be negative")
+	}
+	if a.GivesBack {
+		reports := a.Limiter.Reports(team)
+		giveBack = func() { a.Limiter.GiveBack(team, cost, reports) }
 	}
 	if a.Limiter.Spend(team, cost) {
 		a.admitted.Inc(1)
-		return nil
+		return giveBack, nil
 	}
 	if err := a.Limiter.Take(ctx, team, cost, a.Wait); err != nil {
 		a.refused.Inc(1)
-		return err
+		return nil, err
 	}
 	a.admitted.Inc(1)
-	return nil
+	return giveBack, nil
 }
 
 func (a *Controller) init() {
--- a/internal/limits/allowance/allowance.go
+++ b/internal/limits/allowance/allowance.go
@@ -52,8 +52,10 @@
 	settling      bool
 	draining      bool
 	unreported    int64
-	rate          int64
-	burst         int64
+	// reports counts the requests, each of which tells the owner what was spent.
+	reports uint64
+	rate    int64
+	burst   int64
 }
 
 type grant struct {
@@ -61,6 +63,8 @@
 	number   uint64
 	left     int64
 	returned int64
+	// drawn is what was spent since the last request.
+	drawn int64
 	// reportedIn is the sequence number of the request that first reported the grant as spent, or zero.
 	reportedIn uint64
 	expires    time.Time
@@ -86,6 +90,7 @@
 		g := &a.grants[i]
 		n := min(g.left, cost)
 		g.left -= n
+		g.drawn += n
 		cost -= n
 		if cost == 0 {
 			break
@@ -94,6 +99,30 @@
 	return true
 }
 
+// Reports returns the number of requests so far. Return takes it to tell whether the owner has heard of a spending.
+func (a *Allowance) Reports() uint64 {
+	return a.reports
+}
+
+// Return takes back units that were spent after the given number of requests, for a call that has not run, and returns how many.
+// Units that the owner has heard of, and those of expired grants, stay spent.
+func (a *Allowance) Return(now time.Time, cost int64, reports uint64) int64 {
+	a.dropExpired(now)
+	if reports != a.reports {
+		return 0
+	}
+	var back int64
+	for i := range a.grants {
+		g := &a.grants[i]
+		n := min(g.drawn, cost-back)
+		g.drawn -= n
+		g.left += n
+		back += n
+	}
+	a.unreported -= back
+	return back
+}
+
 // RecordDemand adds the cost of a request to the measured demand.
 func (a *Allowance) RecordDemand(now time.Time, cost int64) {
 	if a.lastUsed.IsZero() {
@@ -128,6 +157,7 @@
 	q.Sequence = a.nextSequence(now, q.Want)
 	q.Balances = a.balances(q.Sequence)
 	q.Earlier = a.earlierTerms(a.term)
+	a.report()
 	return q, true
 }
 
@@ -164,6 +194,7 @@
 		a.term = term
 		a.pending = pending{}
 	}
+	a.report()
 	return a.earlierTerms(term)
 }
 
@@ -284,6 +315,14 @@
 	return l
 }
 
+// report counts a request. What was spent before it can't be taken back any more.
+func (a *Allowance) report() {
+	a.reports++
+	for i := range a.grants {
+		a.grants[i].drawn = 0
+	}
+}
+
 // earlierTerms returns the units that may still be spent of terms before the given one.
 func (a *Allowance) earlierTerms(term uint64) int64 {
 	var n int64
--- a/internal/limits/audit/audit.go
+++ b/internal/limits/audit/audit.go
@@ -65,6 +65,12 @@
 	return errors.Newf("audit: admitted %d nanounits more than rate and burst allow", n)
 }
 
+// Return takes back part of an admission that came to nothing.
+func (a *Auditor) Return(cost int64) {
+	_, b := a.largest()
+	a.level = min(a.level+cost*nanosPerUnit, b*nanosPerUnit)
+}
+
 // advance accrues up to now, in one step between every two changes of the limits.
 func (a *Auditor) advance(now time.Time) {
 	for {
--- /dev/null
+++ b/internal/limits/deputy/deputy.go
@@ -0,0 +1,99 @@
+package deputy
+
+import (
+	"time"
+
+	"siskinrun/internal/limits/grantreply"
+	"siskinrun/internal/limits/grantrequest"
+	"siskinrun/internal/limits/rate"
+)
+
+const (
+	// AnswerTime is the time after the sending of a request in which its reply counts.
+	AnswerTime = 300 * time.Millisecond
+	// TTL is how long a host may spend a grant of a deputy.
+	TTL = 500 * time.Millisecond
+
+	shortTTL = TTL / 2
+	// startAfter is the time after the sending of the last answered request from which on a deputy grants. The owner has stopped by
+	// then: it sent the reply within AnswerTime and stops promise.SilentAfter later. Clocks may drift.
+	startAfter = 750 * time.Millisecond
+	// endAfter is when the deputy stops, earlier than the owner begins again. Hosts that are cut off serve no keyed calls by then.
+	endAfter = 3600 * time.Millisecond
+)
+
+// Deputy is the state of a host that may have the promise of the owner of one group.
+type Deputy struct {
+	held bool
+	term uint64
+	// stamp is that of the last reply, and sent when its request was sent.
+	stamp int64
+	sent  time.Time
+	// buckets are those since the owner was lost, by team.
+	buckets map[string]*rate.Bucket
+}
+
+// Apply applies a reply of the owner of a term to a request that was sent at the given time.
+func (d *Deputy) Apply(now, sent time.Time, term uint64, stamp int64, promised bool) {
+	if term < d.term || now.Sub(sent) > AnswerTime || !sent.After(d.sent) {
+		return
+	}
+	*d = Deputy{held: promised, term: term, stamp: stamp, sent: sent}
+}
+
+// Drop ends the promises of terms before the given one and reports whether there was one.
+func (d *Deputy) Drop(now time.Time, term uint64) bool {
+	if term <= d.term {
+		return false
+	}
+	held := d.held && now.Sub(d.sent) < endAfter
+	*d = Deputy{term: term}
+	return held
+}
+
+// Resign ends the promise for good: replies that come later for requests that were sent earlier are ignored.
+func (d *Deputy) Resign(now time.Time) {
+	*d = Deputy{term: d.term, sent: now}
+}
+
+// Confirmed returns the term and the stamp of the last reply that was applied, zero if there is no promise.
+func (d *Deputy) Confirmed() (term uint64, stamp int64) {
+	if !d.held {
+		return 0, 0
+	}
+	return d.term, d.stamp
+}
+
+// Active reports whether the owner has been lost for so long that the deputy grants.
+func (d *Deputy) Active(now time.Time) bool {
+	return d.held && !now.Before(d.start()) && now.Sub(d.sent) < endAfter
+}
+
+// start returns when the deputy begins to accrue.
+func (d *Deputy) start() time.Time {
+	return rate.ExpiredEverywhere(d.sent, startAfter)
+}
+
+// Handle answers a request of a host of the domain, given the deputy's share of the team's rate and its burst. It reports whether
+// the deputy grants now.
+func (d *Deputy) Handle(now time.Time, a grantrequest.Request, unitsPerSecond, burst int64) (grantreply.Reply, bool) {
+	if !d.Active(now) {
+		return grantreply.Reply{}, false
+	}
+	b := d.buckets[a.Team]
+	if b == nil {
+		b = rate.NewBucket(d.Epoch(), unitsPerSecond, burst, d.start())
+		b.TTL, b.ShortTTL = TTL, shortTTL
+		if d.buckets == nil {
+			d.buckets = map[string]*rate.Bucket{}
+		}
+		d.buckets[a.Team] = b
+	}
+	b.SetLimits(now, unitsPerSecond, burst)
+	return b.Handle(now, a), true
+}
+
+// Epoch fences the grants of one loss of the owner from those of the next.
+func (d *Deputy) Epoch() uint64 {
+	return uint64(d.sent.UnixNano())
+}
--- a/internal/limits/grant/limiter.go
+++ b/internal/limits/grant/limiter.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/host"
 	leadership1 "siskinrun/internal/base/leadership"
 	"siskinrun/internal/base/rpc"
 	"siskinrun/internal/base/timer"
@@ -57,6 +58,17 @@
 	Window time.Duration
 	// Slack is the number of units by which a team may exceed them in addition.
 	Slack int64
+	// Domains are the failure domains whose deputies stand in for owners that are lost; with fewer than two, none does. All hosts
+	// must have the same.
+	Domains []string
+	// FailureDomain is that of this host.
+	FailureDomain string
+	// Candidates, if set, returns the hosts that may be deputies, dead ones included.
+	Candidates func() []host.Host
+	// Alive reports whether a host is believed to be alive. It is needed with Candidates, as is MayPromise.
+	Alive func(name string) bool
+	// MayPromise reports whether all hosts that may own a group know of deputies.
+	MayPromise func() bool
 	// Groups is the number of replica groups among which the teams are divided.
 	Groups int
 	// Timer tells the time.
@@ -81,6 +93,7 @@
 	ticks        int
 	owners       []*owner
 	wakes        []chan struct{}
+	deputies     []*groupDeputy
 }
 
 // peers calls other hosts.
@@ -115,6 +128,7 @@
 	g.init()
 	g.Link.Handle(methodRequest, g.handleRequests)
 	g.Link.Handle(methodFence, g.handleFence)
+	g.Link.Handle(methodDeputy, g.handleDeputy)
 }
 
 // Run prefetches units from the owners, and acts as owner of the groups that this host leads, until ctx ends.
@@ -126,6 +140,7 @@
 	for i := range g.wakes {
 		r.Go("ask", func(ctx context.Context) error { return g.runGroup(ctx, i) })
 		r.Go("adopt", func(ctx context.Context) error { return g.runTakeovers(ctx, g.owners[i]) })
+		r.Go("deputy", func(ctx context.Context) error { return g.runDeputy(ctx, i) })
 	}
 	return r.Wait()
 }
@@ -158,9 +173,21 @@
 	}
 }
 
+// Reports returns the number of requests for units of a team so far, for GiveBack.
+func (g *Limiter) Reports(team string) uint64 {
+	return g.limiterFor(team).reports()
+}
+
+// GiveBack takes back what a call that has not run spent, given the value of Reports from before. Units that the owner has heard
+// of stay spent, since it may have granted them again.
+func (g *Limiter) GiveBack(team string, cost int64, reports uint64) {
+	g.limiterFor(team).giveBack(g.Timer.Now(), cost, reports)
+}
+
 // ReturnAll returns all units of this host to the owners. A host that stops calls it once it admits no more requests.
 func (g *Limiter) ReturnAll(ctx context.Context) {
 	g.init()
+	g.resign()
 	for i := range g.wakes {
 		for _, t := range g.groupTeams(uint64(i) + 1) {
 			t.drain()
@@ -184,6 +211,7 @@
 			g.terms = append(g.terms, 0)
 			g.byGroup = append(g.byGroup, map[*teamLimiter]struct{}{})
 			g.wakes = append(g.wakes, make(chan struct{}, 1))
+			g.deputies = append(g.deputies, &groupDeputy{wake: make(chan struct{}, 1)})
 		}
 	})
 }
@@ -193,8 +221,13 @@
 // The allowed overrun raises the burst, from which hosts prefetch units that outlast a change of owner. A part
 // of the overrun is left out to cover the time between admission and upstream.
 func (g *Limiter) bucketLimits(t team.Team) (rate, burst int64) {
-	overrun := g.Overrun*(float64(t.Rate)*g.Window.Seconds()+float64(t.Burst)) + float64(g.Slack)
-	return t.Rate, t.Burst + int64(overrunShare*overrun)
+	overrun := g.overrun(t)
+	return t.Rate, t.Burst + int64(overrun) - int64(len(g.Domains))*g.deputyBurst(overrun)
+}
+
+// overrun returns by how much the bursts of a team's buckets together exceed its own.
+func (g *Limiter) overrun(t team.Team) float64 {
+	return overrunShare * (g.Overrun*(float64(t.Rate)*g.Window.Seconds()+float64(t.Burst)) + float64(g.Slack))
 }
 
 // hosts returns the names of all hosts, this one first.
@@ -218,6 +251,9 @@
 	case g.wakes[group-1] <- struct{}{}:
 	default:
 	}
+	if g.sharesRates() {
+		g.deputies[group-1].signal()
+	}
 }
 
 // tick wakes the groups of which this host limits teams, and every idleGroupTicks ticks all groups.
@@ -266,6 +302,9 @@
 	}
 	o := OwnerGroup(team, g.Groups)
 	t = newTeamLimiter(allowance.Allowance{Team: team, Host: g.Name, Boot: g.Boot, Sequence: g.lastSequence}, o)
+	if c := g.Configuration.View(); c != nil {
+		t.deputyBurst = g.deputyBurst(g.overrun(c.Teams[team]))
+	}
 	t.allowance.Fence(g.Timer.Now(), g.terms[o-1])
 	g.teams[team] = t
 	g.byGroup[o-1][t] = struct{}{}
--- a/internal/limits/grant/owner.go
+++ b/internal/limits/grant/owner.go
@@ -13,6 +13,7 @@
 	"siskinrun/internal/data/configuration"
 	"siskinrun/internal/limits/grantreply"
 	"siskinrun/internal/limits/grantrequest"
+	"siskinrun/internal/limits/promise"
 	"siskinrun/internal/limits/rate"
 	"siskinrun/internal/limits/refill"
 	"siskinrun/pkg/refusal"
@@ -43,7 +44,12 @@
 	// unanswered holds the hosts that have not reported what they hold of earlier terms.
 	unanswered map[string]bool
 	// remainders holds the units of earlier terms that hosts reported, by team.
-	remainders    map[string][]remainder
+	remainders map[string][]remainder
+	// promises are those to the deputies of the failure domains, nil if there are none.
+	promises *promise.Book
+	// withheld is the number of shares that the buckets do not accrue, and fenced holds the hosts that know of the term.
+	withheld      int
+	fenced        map[string]bool
 	lastPruned    time.Time
 	configuration *configuration.Configuration
 	buckets       map[string]*rate.Bucket
@@ -60,9 +66,15 @@
 }
 
 // startTerm starts a new term. Nothing is granted until the grants of earlier terms are counted.
-func (o *owner) startTerm(now time.Time, term uint64) {
+func (o *owner) startTerm(now time.Time, term uint64, domains []string) {
 	o.term = term
 	o.leadingSince = now
+	o.promises, o.withheld = nil, 0
+	o.fenced = map[string]bool{}
+	if len(domains) > 0 {
+		o.promises = promise.NewBook(now, domains)
+		o.withheld, _ = o.promises.Withheld(now)
+	}
 	o.opened = false
 	o.buckets = map[string]*rate.Bucket{}
 	o.remainders = map[string][]remainder{}
@@ -96,6 +108,7 @@
 		return nil, refusal.NewNotRun(503, "not-leader", l.Leader)
 	}
 	p := &refill.Reply{Term: o.term}
+	g.promiseShare(o, now, q, p)
 	for _, a := range q.Requests {
 		p.Replies = append(p.Replies, encodeReply(o.handleRequest(now, decodeRequest(q, a))))
 	}
@@ -124,9 +137,10 @@
 			o.hosts = g.hosts()
 			o.hostsUnknown = g.hostsMayBeUnknown()
 		}
-		o.startTerm(now, l.Term)
+		o.startTerm(now, l.Term, g.deputyDomains())
 		g.Log.Info().Uint64("group", o.group).Uint64("term", o.term).Msg("owns the rates of a group")
 	}
+	o.withhold(now)
 	if c := g.Configuration.View(); o.opened && c != o.configuration && c != nil {
 		o.configure(now, c, g)
 	}
@@ -158,6 +172,9 @@
 		b := rate.NewBucket(o.term, unitsPerSecond, burst, o.start)
 		b.TTL = TTL
 		b.ShortTTL = ShortTTL
+		if o.promises != nil {
+			b.Withhold(now, o.withheld, o.promises.Domains())
+		}
 		o.addOutstanding(n, burst, b)
 		o.buckets[n] = b
 	}
--- a/internal/limits/grant/takeover.go
+++ b/internal/limits/grant/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -12,6 +13,9 @@
 	"siskinrun/pkg/refusal"
 )
 
+// fenceInterval is the time between two rounds of fences to hosts that may hold a promise of an earlier term.
+const fenceInterval = 500 * time.Millisecond
+
 // remainder holds the units that a host may still spend for one team from grants of earlier terms.
 type remainder struct {
 	host    string
@@ -27,16 +31,45 @@
 			return ctx.Err()
 		case <-o.termStarted:
 		}
-		g.takeOver(ctx, o)
+		term := g.takeOver(ctx, o)
+		if err := g.fenceDeputies(ctx, o, term); err != nil {
+			return err
+		}
+	}
+}
+
+// fenceDeputies fences the hosts that may hold a promise of an earlier term until each has answered or its promise has ended.
+func (g *Limiter) fenceDeputies(ctx context.Context, o *owner, term uint64) error {
+	for {
+		l := g.unfenced(o, g.Timer.Now(), term)
+		if len(l) == 0 {
+			return nil
+		}
+		if err := g.Timer.Sleep(ctx, fenceInterval); err != nil {
+			return err
+		}
+		g.fenceHosts(ctx, o, term, l)
 	}
 }
 
 // takeOver fences every host, which reports what it may still spend of earlier terms, and opens the buckets.
-func (g *Limiter) takeOver(ctx context.Context, o *owner) {
+func (g *Limiter) takeOver(ctx context.Context, o *owner) uint64 {
 	o.mu.Lock()
 	term := o.term
-	l := o.hosts
+	l := slices.Clone(o.hosts)
 	o.mu.Unlock()
+	for _, h := range g.unfenced(o, g.Timer.Now(), term) {
+		if !slices.Contains(l, h) {
+			l = append(l, h)
+		}
+	}
+	g.fenceHosts(ctx, o, term, l)
+	o.open(g.Timer.Now(), term)
+	return term
+}
+
+// fenceHosts sends the fence of a term to hosts and records what they answer.
+func (g *Limiter) fenceHosts(ctx context.Context, o *owner, term uint64, hosts []string) {
 	b, err := proto.Marshal(&refill.Fence{Group: o.group, Term: term})
 	if err != nil {
 		return
@@ -44,18 +77,18 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r := group.NewGroup(ctx)
-	for _, h := range l {
+	for _, h := range hosts {
 		r.Go("fence", func(ctx context.Context) error {
 			b, err := g.Link.Call(ctx, h, methodFence, b)
 			p := &refill.Fenced{}
 			if err == nil && proto.Unmarshal(b, p) == nil {
 				o.recordRemainders(g.Timer.Now(), term, h, p)
+				g.recordDeputy(o, g.Timer.Now(), term, h, p)
 			}
 			return nil
 		})
 	}
 	_ = r.Wait()
-	o.open(g.Timer.Now(), term)
 }
 
 // hostsMayBeUnknown reports whether this host started too recently to know all hosts that hold grants.
@@ -76,7 +109,7 @@
 	if !g.advanceTerm(q.Group, q.Term) {
 		return nil, refusal.NewNotRun(409, "stale-term", "a later owner is known")
 	}
-	p := &refill.Fenced{}
+	p := &refill.Fenced{Deputy: g.dropPromise(q.Group, q.Term)}
 	for _, t := range g.groupTeams(q.Group) {
 		if n := t.fence(g.Timer.Now(), q.Term); n > 0 {
 			p.Remainders = append(p.Remainders, &refill.Remainder{Team: t.team, Left: n})
--- a/internal/limits/grant/team_limiter.go
+++ b/internal/limits/grant/team_limiter.go
@@ -19,8 +19,11 @@
 	team  string
 	group uint64
 
-	mu          sync.Mutex
-	allowance   allowance.Allowance
+	mu        sync.Mutex
+	allowance allowance.Allowance
+	// deputy holds the grants of the deputy of this host's failure domain, and deputyBurst is the burst of a deputy.
+	deputy      allowance.Allowance
+	deputyBurst int64
 	waiters     []*waiter
 	waitingCost int64
 	unreachable bool
@@ -41,7 +44,7 @@
 }
 
 func newTeamLimiter(a allowance.Allowance, group uint64) *teamLimiter {
-	return &teamLimiter{team: a.Team, group: group, allowance: a, auditor: newAuditor()}
+	return &teamLimiter{team: a.Team, group: group, allowance: a, deputy: a, auditor: newAuditor()}
 }
 
 // spend spends the cost and reports whether it did; it does not while other requests wait.
@@ -52,13 +55,33 @@
 	if t.forgotten || len(t.waiters) > 0 || !t.spendAudited(n, cost) {
 		return false
 	}
-	t.allowance.RecordDemand(n, cost)
+	t.recordDemand(n, cost)
 	return true
 }
 
+func (t *teamLimiter) recordDemand(now time.Time, cost int64) {
+	t.allowance.RecordDemand(now, cost)
+	t.deputy.RecordDemand(now, cost)
+}
+
+// reports returns the number of requests to the owner so far.
+func (t *teamLimiter) reports() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.allowance.Reports()
+}
+
+// giveBack takes back what a call that has not run spent after the given number of requests.
+func (t *teamLimiter) giveBack(now time.Time, cost int64, reports uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.auditor.Return(t.allowance.Return(now, cost, reports))
+	t.admitWaiting(now)
+}
+
 // spendAudited spends the cost and checks that this host by itself stays within the team's rate and burst.
 func (t *teamLimiter) spendAudited(now time.Time, cost int64) bool {
-	if !t.allowance.Spend(now, cost) {
+	if !t.allowance.Spend(now, cost) && !t.deputy.Spend(now, cost) {
 		return false
 	}
 	if err := t.auditor.Admit(now, cost); err != nil {
@@ -99,7 +122,7 @@
 	if t.forgotten {
 		return nil, errForgotten
 	}
-	t.allowance.RecordDemand(now, cost)
+	t.recordDemand(now, cost)
 	if b := t.allowance.Burst(); b > 0 && cost > b {
 		return nil, refusal.NewNotRun(429, "cost-exceeds-burst", "the request costs more than the team's burst")
 	}
@@ -118,6 +141,7 @@
 func (t *teamLimiter) timeOut(now time.Time, p *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.admitWaiting(now)
 	if p.finished {
 		return
 	}
@@ -150,7 +174,7 @@
 	t.replied = true
 	t.allowance.ApplyReply(now, a)
 	if a.Burst > 0 {
-		t.setLimits(now, a.Rate, a.Burst)
+		t.setLimits(now, a.Rate, a.Burst+t.deputyBurst)
 	}
 	t.admitWaiting(now)
 }
@@ -178,6 +202,33 @@
 	}
 }
 
+// nextDeputyRequest returns the next request for the deputy, if one is due.
+func (t *teamLimiter) nextDeputyRequest(now time.Time) (grantrequest.Request, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var least int64
+	if len(t.waiters) > 0 {
+		least = t.waiters[0].cost
+	}
+	held := t.allowance.Balance(now)
+	return t.deputy.NextRequest(now, max(t.waitingCost-held, 0), max(least-held, 0))
+}
+
+// applyDeputyReply applies a reply of the deputy and admits the waiting requests that it covers.
+func (t *teamLimiter) applyDeputyReply(now time.Time, a grantreply.Reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.deputy.ApplyReply(now, a)
+	t.admitWaiting(now)
+}
+
+// markDeputyLost records that the deputy did not answer a request, if it is still pending.
+func (t *teamLimiter) markDeputyLost(sequence uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.deputy.MarkLost(sequence)
+}
+
 // idle reports whether the team limiter can be forgotten.
 func (t *teamLimiter) idle(now time.Time) bool {
 	t.mu.Lock()
@@ -191,7 +242,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgotten = len(t.waiters) == 0 && t.allowance.Idle(now)
-	return t.allowance.Sequence, t.forgotten
+	return max(t.allowance.Sequence, t.deputy.Sequence), t.forgotten
 }
 
 func (t *teamLimiter) admitWaiting(now time.Time) {
--- a/internal/limits/grant/wire.go
+++ b/internal/limits/grant/wire.go
@@ -21,8 +21,8 @@
 
 // sendRequests sends the requests that are due to the owner of a group and applies its reply.
 func (g *Limiter) sendRequests(ctx context.Context, group uint64) {
-	q, l := g.collectRequests(group)
-	if len(q.Requests) == 0 {
+	q, l, sent := g.collectRequests(group)
+	if q == nil {
 		return
 	}
 	b, err := proto.Marshal(q)
@@ -40,14 +40,17 @@
 	if err != nil {
 		metrics.GetOrRegisterMeter("rate-asks-lost", g.Metrics).Mark(int64(len(q.Requests)))
 		g.markLost(q, l)
+		g.setLost(group, true)
 		return
 	}
-	g.applyReply(group, p)
+	g.applyReply(q, sent, p)
 	g.markLost(q, l)
+	g.setLost(group, false)
 }
 
-// collectRequests collects the requests of a group that are due, reports violations of limits and forgets idle teams.
-func (g *Limiter) collectRequests(group uint64) (*refill.Request, []*teamLimiter) {
+// collectRequests collects the requests of a group that are due, reports violations of limits and forgets idle teams. It returns no
+// request if there is nothing to send, and the time from which on the answer is counted.
+func (g *Limiter) collectRequests(group uint64) (*refill.Request, []*teamLimiter, time.Time) {
 	q := &refill.Request{Group: group, Host: g.Name, Boot: g.Boot}
 	var l []*teamLimiter
 	n := g.Timer.Now()
@@ -69,7 +72,11 @@
 			g.forgetIdle(t)
 		}
 	}
-	return q, l
+	if due := g.addDeputy(q, n); !due && len(l) == 0 {
+		return nil, nil, n
+	}
+	g.noteAsked(group, n)
+	return q, l, n
 }
 
 func (g *Limiter) groupTeams(group uint64) []*teamLimiter {
@@ -84,11 +91,12 @@
 }
 
 // applyReply applies the replies of a reply unless a later term is known.
-func (g *Limiter) applyReply(group uint64, p *refill.Reply) {
+func (g *Limiter) applyReply(q *refill.Request, sent time.Time, p *refill.Reply) {
 	n := g.Timer.Now()
-	if !g.advanceTerm(group, p.Term) {
+	if !g.advanceTerm(q.Group, p.Term) {
 		return
 	}
+	g.applyPromise(q, sent, p)
 	for _, a := range p.Replies {
 		g.mu.RLock()
 		t := g.teams[a.Team]
--- a/internal/limits/rate/bucket.go
+++ b/internal/limits/rate/bucket.go
@@ -46,9 +46,12 @@
 	outstanding  int64
 	demand       int64
 	accruedUntil time.Time
-	lastGrant    uint64
-	holders      map[string]*holder
-	byExpiry     []*grant
+	// withheld of shares equal shares of the rate do not accrue.
+	withheld  int
+	shares    int
+	lastGrant uint64
+	holders   map[string]*holder
+	byExpiry  []*grant
 }
 
 // NewBucket returns an empty bucket that accrues units from start on.
@@ -103,6 +106,15 @@
 	b.capAvailable()
 }
 
+// Withhold lets some of a number of equal shares of the rate not accrue, since others accrue them.
+func (b *Bucket) Withhold(now time.Time, withheld, shares int) {
+	if withheld < b.withheld {
+		b.advance(now)
+	}
+	// Otherwise it also holds for what has not accrued yet: the other holders may have begun at any time since.
+	b.withheld, b.shares = withheld, shares
+}
+
 // Handle applies the balances that a request reports and grants what it asks for, as far as the bucket allows.
 func (b *Bucket) Handle(now time.Time, a grantrequest.Request) grantreply.Reply {
 	b.advance(now)
@@ -222,13 +234,21 @@
 	b.accruedUntil = now
 	d -= (d*MaxDriftPPM + million - 1) / million
 	if d >= time.Hour || int64(d) > (MaxBurst*nanosPerUnit)/max(b.rate, 1) {
-		b.available = MaxBurst * nanosPerUnit
+		b.available += b.accruing(MaxBurst*nanosPerUnit - b.available)
 	} else {
-		b.available += int64(d) * b.rate
+		b.available += b.accruing(int64(d) * b.rate)
 	}
 	b.capAvailable()
 }
 
+// accruing returns what is left of accrued nanounits without the shares that are withheld, rounded down.
+func (b *Bucket) accruing(n int64) int64 {
+	if b.withheld == 0 {
+		return n
+	}
+	return max(n-(n/int64(b.shares)+1)*int64(b.withheld), 0)
+}
+
 // capAvailable limits the available units to the burst less the outstanding units.
 func (b *Bucket) capAvailable() {
 	b.available = min(b.available, max(b.burst-b.outstanding, 0)*nanosPerUnit)
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -100,6 +100,35 @@
 	return l
 }
 
+// deputyCandidates returns the hosts that may stand in for the owners of rates in their failure domains, dead ones included: those
+// that keep ledgers, and all hosts of a domain without any.
+func (p *components) deputyCandidates() []host.Host {
+	l := p.gossip.Hosts()
+	ledgers := map[string]bool{}
+	for _, h := range l {
+		if h.Ledgers {
+			ledgers[h.FailureDomain] = true
+		}
+	}
+	var c []host.Host
+	for _, h := range l {
+		if !h.Control && (h.Ledgers || !ledgers[h.FailureDomain]) || !p.server.Settings.UsesSeeds() {
+			c = append(c, host.Host{Name: h.Name, FailureDomain: h.FailureDomain})
+		}
+	}
+	return c
+}
+
+// knowsDeputies reports whether all hosts that may own the rates of a group know of deputies, dead ones included.
+func (p *components) knowsDeputies() bool {
+	for _, h := range p.gossip.Hosts() {
+		if (h.Ledgers || !p.server.Settings.UsesSeeds()) && !h.Features.Has(feature.Deputies) {
+			return false
+		}
+	}
+	return true
+}
+
 // callHostCount returns the number of hosts that take calls.
 func (p *components) callHostCount() int {
 	if !p.server.Settings.UsesSeeds() {
--- a/internal/product/server/limits.go
+++ b/internal/product/server/limits.go
@@ -86,6 +86,13 @@
 	if s.Settings.UsesSeeds() {
 		p.rateLimiter.Hosts = p.callHosts
 	}
+	if s.Settings.Fleet.CutOffRates {
+		p.rateLimiter.Domains = s.Settings.DomainNames()
+		p.rateLimiter.FailureDomain = p.host.FailureDomain
+		p.rateLimiter.Candidates = p.deputyCandidates
+		p.rateLimiter.Alive = p.gossip.Alive
+		p.rateLimiter.MayPromise = p.knowsDeputies
+	}
 	p.rateLimiter.Register()
 	p.answers = &answertime.Estimates{}
 	p.capacity = &capacity.Controller{Timer: s.timer, Metrics: s.metrics, Answers: p.answers}
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -37,7 +37,7 @@
 		FinishWithdrawn: s.Settings.Fleet.FinishWithdrawn,
 
 		Rollout:        p.rollout,
-		Admission:      &admission.Controller{Limiter: p.rateLimiter, Metrics: p.childMetrics("admit")},
+		Admission:      &admission.Controller{Limiter: p.rateLimiter, GivesBack: s.Settings.Fleet.GiveBackRate, Metrics: p.childMetrics("admit")},
 		Queue:          p.capacity,
 		Lane:           p.lane,
 		Answers:        p.answers,
--- a/internal/product/settings/hosts.go
+++ b/internal/product/settings/hosts.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"sort"
@@ -44,6 +45,17 @@
 	return n
 }
 
+// DomainNames returns the names of the failure domains that fleet.failure-domains lists, in order.
+func (s *Settings) DomainNames() []string {
+	m := map[string]bool{}
+	for _, t := range s.Fleet.FailureDomains {
+		for n := range t {
+			m[n] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(m))
+}
+
 // FailureDomains returns the failure domain of each host.
 func (s *Settings) FailureDomains() map[string]string {
 	m := map[string]string{}
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -112,6 +112,11 @@
 	DrainTime duration.Duration `json:"drain"`
 	// TLS names the certificates of each kind of address.
 	TLS TLS `json:"tls"`
+	// CutOffRates lets a deputy in each of FailureDomains grant a share of the teams' rates while their owner can't be reached, if
+	// there are two domains or more. The hosts of a fleet must agree on it and on FailureDomains.
+	CutOffRates bool `json:"cut-off-rates,omitempty"`
+	// GiveBackRate gives back what a call that is refused without having run spent of its team's rate.
+	GiveBackRate bool `json:"give-back-rate,omitempty"`
 	// DomainTraffic is the cost of a gigabyte between failure domains in answered calls that are worth as much. If it is there, it
 	// replaces weights.locality for services whose upstreams report their pace.
 	DomainTraffic *float64 `json:"domain-traffic,omitempty"`
--- a/internal/wire/pipeline/identify.go
+++ b/internal/wire/pipeline/identify.go
@@ -40,5 +40,7 @@
 	m := p.Configuration().Teams[c.Team]
 	c.Weight = m.Weight
 	c.Rank = m.RankOn(c.RouteConfig.Rank)
-	return p.Admission.Admit(ctx, c.Team, c.Cost)
+	giveBack, err := p.Admission.Admit(ctx, c.Team, c.Cost)
+	c.GiveBack = giveBack
+	return err
 }
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -30,7 +30,7 @@
 
 // admission spends units of a team's rate.
 type admission interface {
-	Admit(ctx context.Context, team string, cost int64) error
+	Admit(ctx context.Context, team string, cost int64) (giveBack func(), err error)
 }
 
 // queue waits for a free slot.
--- a/internal/wire/pipeline/tracker.go
+++ b/internal/wire/pipeline/tracker.go
@@ -72,6 +72,9 @@
 			e()
 		}
 		t.cancel(nil)
+		if f != nil && f.Verdict == verdict.NotRun && t.call.GiveBack != nil {
+			t.call.GiveBack()
+		}
 		t.observeAnswer(f)
 		r := &t.call.Record
 		r.ID = t.call.ID
