Ask hosts for their claims after a change of leader

Cause: after a loss of power of all hosts batch work stood still for 4.5 s longer than calls: a new leader of the ledgers granted no claim for 5.1 s, as claims of earlier leaders might still hold. Change: the wait is as long as the longest claim that any build asks for (3 s), and ends once all hosts have said which claims they hold or have asked for.

--- a/internal/jobs/batch/batch.go
+++ b/internal/jobs/batch/batch.go
@@ -13,6 +13,7 @@
 
 	"siskinrun/internal/base/leadership"
 	"siskinrun/internal/base/rpc"
+	"siskinrun/internal/base/signal"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/team"
 	"siskinrun/internal/jobs/lease"
@@ -30,8 +31,8 @@
 	MaxWindow = 6 * 24 * time.Hour
 	// CallRetention is how long the answer of an online call that may not be repeated is kept.
 	CallRetention = 24 * time.Hour
-	// MaxClaimTTL is the longest lease on a claimed name.
-	MaxClaimTTL = 5 * time.Second
+	// MaxClaimTTL is the longest lease on a claimed name: that of an upstream, which no build has asked for longer.
+	MaxClaimTTL = 3 * time.Second
 
 	// claimClockDrift allows for the clocks of former and new leaders running at different rates.
 	claimClockDrift = 100 * time.Millisecond
@@ -76,24 +77,33 @@
 	Timer *timer.Service
 	// Random is the source of IDs.
 	Random *rand.Rand
+	// ClaimHosts, if set, returns the hosts that may hold claims. A new leader asks them which they hold and so need not wait for
+	// leases of former leaders to end.
+	ClaimHosts func() []string
+	// Held, if set, returns the name under which this host claims, and the names that it has claimed or is about to claim.
+	Held func() (holder string, names []string)
 	// Log receives the failures of background work.
 	Log zerolog.Logger
 
 	mu        sync.Mutex
 	claims    map[uint32]*lease.Table
 	lastSweep map[uint32]time.Time
+	// waiting is signalled when a claim is refused since leases of former leaders may still be valid.
+	waiting signal.Signal
 }
 
 // Register registers the handlers of calls from other hosts. It must be called before Run.
 func (b *Service) Register() {
 	b.claims = map[uint32]*lease.Table{}
 	b.lastSweep = map[uint32]time.Time{}
+	b.waiting = signal.NewSignal()
 	for g := range b.Ledgers {
 		b.claims[g] = lease.NewTable(MaxClaimTTL, claimClockDrift)
 	}
 	b.Peers.Handle(methodCommand, b.handleCommand)
 	b.Peers.Handle(methodQuery, b.handleQuery)
 	b.Peers.Handle(methodClaim, b.handleClaim)
+	b.Peers.Handle(methodHeld, b.handleHeld)
 }
 
 // GroupOf returns the group of a name, by its hash.
--- a/internal/jobs/batch/fake_test.go
+++ b/internal/jobs/batch/fake_test.go
@@ -31,6 +31,10 @@
 	dropAnswer func(method string) bool
 	// unreachable makes the leaders unreachable.
 	unreachable bool
+	// ledSince, if set, is when the host became the leader of all groups.
+	ledSince time.Time
+	// silent is the host that answers no calls of peers.
+	silent string
 }
 
 func newControl(t *testing.T) *fakeControl {
@@ -71,10 +75,17 @@
 }
 
 func (c *fakeControl) Lead(uint32) leadership.Status {
-	return leadership.Status{Leading: true, Term: 1, Since: time.Now().Add(-time.Hour), Until: time.Now().Add(time.Hour)}
+	since := time.Now().Add(-time.Hour)
+	if !c.ledSince.IsZero() {
+		since = c.ledSince
+	}
+	return leadership.Status{Leading: true, Term: 1, Since: since, Until: time.Now().Add(time.Hour)}
 }
 
-func (c *fakeControl) Call(ctx context.Context, _, method string, body []byte) ([]byte, error) {
+func (c *fakeControl) Call(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+	if to != "" && to == c.silent {
+		return nil, refusal.NewNotRun(503, "peer-unreachable", "")
+	}
 	return c.handlers[method](ctx, "", body)
 }
 
--- a/internal/jobs/batch/serve.go
+++ b/internal/jobs/batch/serve.go
@@ -7,8 +7,10 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/leadership"
 	"siskinrun/internal/jobs/entry"
+	"siskinrun/internal/jobs/lease"
 	"siskinrun/internal/jobs/ledger"
 	"siskinrun/pkg/refusal"
 )
@@ -24,8 +26,18 @@
 	maxLeasedLineBytes = 8 << 20
 )
 
-// Run sweeps the ledgers that this host leads until ctx ends, which expires leases, jobs, files and keys.
+// Run sweeps the ledgers that this host leads until ctx ends, which expires leases, jobs, files and keys, and asks hosts for their
+// claims where a new leader needs to know them.
 func (b *Service) Run(ctx context.Context) error {
+	g := group.NewGroup(ctx)
+	g.Go("sweep", b.runSweeps)
+	if b.ClaimHosts != nil {
+		g.Go("held-claims", b.runHeldClaims)
+	}
+	return g.Wait()
+}
+
+func (b *Service) runSweeps(ctx context.Context) error {
 	for {
 		if err := b.Timer.Sleep(ctx, sweepCheckInterval); err != nil {
 			return err
@@ -128,6 +140,9 @@
 		return nil, nil
 	}
 	term, seq, err := t.Grant(n, c.Name, c.Holder, time.Duration(c.LengthNanoseconds), c.Held)
+	if errors.Is(err, lease.ErrWaiting) {
+		b.waiting.Set()
+	}
 	if err != nil {
 		return nil, refusal.NewNotRun(409, "claim-refused", err.Error())
 	}
--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -256,7 +256,9 @@
 	sent := d.Timer.Now()
 	d.mu.Lock()
 	held := sent.Before(d.claims[u.Name])
+	d.claiming[u.Name] = true
 	d.mu.Unlock()
+	defer d.claimEnded(u.Name)
 	_, _, err := d.Ledgers.Claim(ctx, claimPrefix+u.Name, d.holder(), claimTTL, held)
 	if err != nil {
 		d.Log.Warn().Err(err).Str("upstream", u.Name).Bool("held", held).Msg("upstream not claimed")
@@ -272,6 +274,30 @@
 	c.software = streamstart.Start{Service: u.Service, Version: u.Version}
 }
 
+func (d *Executor) claimEnded(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.claiming, name)
+}
+
+// Held returns the name under which this host claims upstreams, and the claimed names that it relies on or has asked for.
+func (d *Executor) Held() (holder string, names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.Timer.Now()
+	for u, until := range d.claims {
+		if n.Before(until) || d.claiming[u] {
+			names = append(names, claimPrefix+u)
+		}
+	}
+	for u := range d.claiming {
+		if _, ok := d.claims[u]; !ok {
+			names = append(names, claimPrefix+u)
+		}
+	}
+	return d.holder(), names
+}
+
 // releaseOthers expires the claims on upstreams that are no longer assigned to this host and releases those
 // without a started item.
 func (d *Executor) releaseOthers(ctx context.Context, mine map[string]upstream.Upstream) {
--- a/internal/jobs/executor/executor.go
+++ b/internal/jobs/executor/executor.go
@@ -109,7 +109,9 @@
 	mu        sync.Mutex
 	scheduler *scheduler
 	// claims maps an upstream to the time until which this host relies on its claim.
-	claims        map[string]time.Time
+	claims map[string]time.Time
+	// claiming are the upstreams whose claims are under way.
+	claiming      map[string]bool
 	exchangeWake  map[uint32]chan struct{}
 	reconcileWake chan struct{}
 	runs          *group.Group
@@ -129,8 +131,9 @@
 	d.scheduler = newScheduler(d.Groups)
 	d.scheduler.routeOf = d.Routes.RouteOf
 	d.scheduler.metrics = d.Metrics
-	d.mu.Unlock()
 	d.claims = map[string]time.Time{}
+	d.claiming = map[string]bool{}
+	d.mu.Unlock()
 	d.exchangeWake = map[uint32]chan struct{}{}
 	d.reconcileWake = make(chan struct{}, 1)
 	d.runs = group.NewGroup(inner)
--- a/internal/jobs/lease/table.go
+++ b/internal/jobs/lease/table.go
@@ -32,7 +32,9 @@
 	term      uint64
 	termStart time.Time
 	sequence  uint64
-	grants    map[string]grant
+	// complete says that all leases of former leaders that may still be valid are among the grants.
+	complete bool
+	grants   map[string]grant
 }
 
 // NewTable returns a table that grants leases of at most maxLength.
@@ -48,6 +50,7 @@
 	t.term = term
 	t.termStart = start
 	t.sequence = 0
+	t.complete = false
 	clear(t.grants)
 }
 
@@ -60,7 +63,7 @@
 		return 0, 0, ErrTooLong
 	}
 	g, ok := t.grants[name]
-	if now.Before(t.termStart.Add(t.MaxLength+t.Drift)) && !held && !ok {
+	if t.Waiting(now) && !held && !ok {
 		return 0, 0, ErrWaiting
 	}
 	live := ok && now.Before(g.expires)
@@ -79,6 +82,26 @@
 	return g.term, g.sequence, nil
 }
 
+// Waiting reports whether leases of a former leader may still be valid that the table does not hold.
+func (t *Table) Waiting(now time.Time) bool {
+	return !t.complete && now.Before(t.termStart.Add(t.MaxLength+t.Drift))
+}
+
+// Complete ends the wait for leases of former leaders in a term: all hosts have said which names they hold.
+func (t *Table) Complete(now time.Time, term uint64, holders map[string]string) {
+	if term != t.term || !t.Waiting(now) {
+		return
+	}
+	for n, h := range holders {
+		if _, ok := t.grants[n]; ok {
+			continue
+		}
+		t.sequence++
+		t.grants[n] = grant{holder: h, term: t.term, sequence: t.sequence, expires: now.Add(t.MaxLength + t.Drift)}
+	}
+	t.complete = true
+}
+
 // Release ends a lease early and reports whether holder had it.
 func (t *Table) Release(name, holder string) bool {
 	g, ok := t.grants[name]
--- a/internal/jobs/lease/table_test.go
+++ b/internal/jobs/lease/table_test.go
@@ -80,3 +80,24 @@
 	_, _, err = x.Grant(at, "v", "b", maxLength, false)
 	is.Equal(err, ErrWaiting)
 }
+
+// TestNewLeaderNeedNotWaitForKnownHolders guards against leases that are granted twice, or not for seconds, where all hosts have said
+// what they hold.
+func TestNewLeaderNeedNotWaitForKnownHolders(t *testing.T) {
+	is := is.New(t)
+	x := NewTable(maxLength, drift)
+	x.StartTerm(2, start)
+	_, _, err := x.Grant(start, "u", "b", maxLength, false)
+	is.Equal(err, ErrWaiting)
+	x.Complete(start, 1, nil) // an answer to questions of an earlier term
+	is.True(x.Waiting(start))
+	x.Complete(start, 2, map[string]string{"v": "a"})
+	_, _, err = x.Grant(start, "u", "b", maxLength, false)
+	is.NoErr(err)
+	_, _, err = x.Grant(start, "v", "b", maxLength, false)
+	is.Equal(err, ErrHeld)
+	_, _, err = x.Grant(start, "v", "a", maxLength, true)
+	is.NoErr(err)
+	x.StartTerm(3, start.Add(time.Second))
+	is.True(x.Waiting(start.Add(time.Second)))
+}
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -144,6 +144,21 @@
 	})
 }
 
+// claimSettle is the time after its start in which a host may not know all hosts that hold claims.
+const claimSettle = 2 * time.Second
+
+// claimHosts returns the hosts that may hold claims on upstreams, dead ones included, or none if this host may not know all.
+func (p *components) claimHosts() []string {
+	if p.server.timer.Now().Sub(p.started) < claimSettle {
+		return nil
+	}
+	var l []string
+	for _, h := range p.entryHosts(func(gossipmessage.Host) bool { return true }) {
+		l = append(l, h.Name)
+	}
+	return l
+}
+
 // gatewayHosts returns the hosts through which this one may reach upstreams.
 func (p *components) gatewayHosts() []host.Host {
 	return slices.DeleteFunc(p.batchHosts(), func(h host.Host) bool { return h.Name == p.server.Name })
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -54,6 +54,7 @@
 	}
 	p.planner = p.newPlanner(x)
 	p.executor = p.newExecutor()
+	p.batch.ClaimHosts, p.batch.Held = p.claimHosts, p.executor.Held
 }
 
 // newTransport returns the transport to upstreams.
