Lease batch items in the order of their jobs' deadlines

Cause: within a route teams take turns of 8 items, so a large job waits behind small jobs with later deadlines, and overdue jobs take slots from jobs that can still meet theirs.

The ledger then leases the items of the job with the earliest deadline first, one in eight to overdue jobs while others are in time, and by turns of the teams while a job with items that never ran has waited for half of its time. The leader says so only while all members of the group, alive or not, have reported feature.JobsByDeadline. Configurations are still relayed by hosts of the previous build that know all features of the configuration.

No deployment was measured.

--- a/internal/data/feature/feature.go
+++ b/internal/data/feature/feature.go
@@ -1,6 +1,6 @@
 package feature
 
-// Set is a set of features of the replicated configuration, each a bit. The bits are part of the gossip: one that is retired
+// Set is a set of features of the replicated configuration and of batch ledgers, each a bit. The bits are part of the gossip: one that is retired
 // isn't used again.
 type Set uint64
 
@@ -9,8 +9,12 @@
 	Evacuation Set = 1 << 0
 	// ColdUpstreams is how long upstreams of a service are cold and what they bear meanwhile.
 	ColdUpstreams Set = 1 << 1
+	// JobsByDeadline is the leasing of batch items in the order of their jobs' deadlines, which ledgers apply.
+	JobsByDeadline Set = 1 << 3
+	// Configuration holds the features of the replicated configuration that this build knows.
+	Configuration = Evacuation | ColdUpstreams
 	// Known holds the features that this build knows.
-	Known = Evacuation | ColdUpstreams
+	Known = Configuration | JobsByDeadline
 )
 
 // Has reports whether a set holds all features of another.
--- a/internal/jobs/batch/batch.go
+++ b/internal/jobs/batch/batch.go
@@ -72,6 +72,9 @@
 	Peers peers
 	// Directory looks up teams and routes.
 	Directory directory
+	// CompletionTime returns the time from a job's creation to its deadline if the items of a target are leased by deadline, or
+	// 0 if teams take turns. It is asked on the leader of the group; nil means that teams take turns.
+	CompletionTime func(group uint32, target string) time.Duration
 	// Timer provides the clock and sleeps.
 	Timer *timer.Service
 	// Random is the source of IDs.
@@ -82,12 +85,15 @@
 	mu        sync.Mutex
 	claims    map[uint32]*lease.Table
 	lastSweep map[uint32]time.Time
+	// starts counts the items that this host, as the leader, was asked to lease by deadline.
+	starts map[groupTarget]uint64
 }
 
 // Register registers the handlers of calls from other hosts. It must be called before Run.
 func (b *Service) Register() {
 	b.claims = map[uint32]*lease.Table{}
 	b.lastSweep = map[uint32]time.Time{}
+	b.starts = map[groupTarget]uint64{}
 	for g := range b.Ledgers {
 		b.claims[g] = lease.NewTable(MaxClaimTTL, claimClockDrift)
 	}
--- a/internal/jobs/batch/serve.go
+++ b/internal/jobs/batch/serve.go
@@ -89,8 +89,12 @@
 	if l == nil {
 		return nil, notLeader("")
 	}
+	t := k.Command.GetTake()
+	if t != nil && b.lead(k.Group).Leading {
+		b.setOrder(k.Group, t)
+	}
 	m, err := b.propose(ctx, k.Group, k.Command)
-	if err != nil || k.Command.GetTake() == nil {
+	if err != nil || t == nil {
 		return m, err
 	}
 	return addLines(l, m)
--- a/internal/jobs/executor/simulation_test.go
+++ b/internal/jobs/executor/simulation_test.go
@@ -153,11 +153,18 @@
 	return time.Duration(1+w.random.IntN(20)) * time.Millisecond
 }
 
-// propose adds the term and time to a command, commits it and applies it at the leader.
+// propose adds the term and time to a command, commits it and applies it at the leader. Every other leader has items leased by
+// deadline.
 func (w *simulation) propose(c *entry.Command) *entry.Answer {
 	s := proto.Clone(c).(*entry.Command)
 	s.Term = w.term
 	s.Now = w.time().Add(w.skew).UnixNano()
+	for _, x := range s.GetTake().GetWants() {
+		if w.term%2 == 0 {
+			x.CompletionNanoseconds = int64(time.Second)
+			x.Starts = uint64(len(w.log))
+		}
+	}
 	b, err := proto.Marshal(s)
 	if err != nil {
 		w.fail("marshal: %v", err)
--- a/internal/jobs/ledger/fuzz_test.go
+++ b/internal/jobs/ledger/fuzz_test.go
@@ -15,6 +15,7 @@
 func FuzzApply(f *testing.F) {
 	for _, c := range []*entry.Command{
 		{Kind: &entry.Command_Take{Take: &entry.Take{Holder: "h", Sequence: 1, Wants: []*entry.Want{{Target: "m", Count: 2}}}}},
+		takeByDeadline("h", 1, 2, 7),
 		{Kind: &entry.Command_Finish{Finish: &entry.Finish{Holder: "h", Outcomes: []*entry.Outcome{complete(1)}}}},
 		{Kind: &entry.Command_Chunk{Chunk: &entry.Chunk{File: "file-j", Data: []byte("a\n")}}},
 		{Kind: &entry.Command_Accept{Accept: &entry.Accept{Job: "k", Team: "t", File: "file-j"}}},
--- a/internal/jobs/ledger/lease.go
+++ b/internal/jobs/ledger/lease.go
@@ -50,7 +50,12 @@
 		s.lastFences = nil
 		l.releaseDeferred()
 		for _, w := range t.Wants {
-			l.leaseItems(s, w.Target, int(min(w.Count, maxTakeItems)))
+			n := int(min(w.Count, maxTakeItems))
+			if w.CompletionNanoseconds > 0 {
+				l.leaseByDeadline(s, w, n)
+				continue
+			}
+			l.leaseItems(s, w.Target, n)
 		}
 	}
 	return &entry.Answer{Taken: l.lastTaken(s)}
--- a/internal/jobs/ledger/ledger_test.go
+++ b/internal/jobs/ledger/ledger_test.go
@@ -17,10 +17,12 @@
 type harness struct {
 	ledger *Ledger
 	store  *filestore.Store
-	index  uint64
-	term   uint64
-	now    time.Duration
-	bytes  int
+	// replica, if set, applies the same commands and must give the same answers.
+	replica *Ledger
+	index   uint64
+	term    uint64
+	now     time.Duration
+	bytes   int
 }
 
 func newHarness(t testing.TB) *harness {
@@ -40,9 +42,13 @@
 	}
 	b.bytes += len(m)
 	a := &entry.Answer{}
-	if err := proto.Unmarshal(b.ledger.Apply(b.index, m), a); err != nil {
+	r := b.ledger.Apply(b.index, m)
+	if err := proto.Unmarshal(r, a); err != nil {
 		panic(err)
 	}
+	if b.replica != nil && !bytes.Equal(b.replica.Apply(b.index, m), r) {
+		panic("two replicas answer differently")
+	}
 	return a
 }
 
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -203,6 +203,10 @@
 		Random:    mathrand.New(mathrand.NewPCG(p.seed, newSeed())),
 		Log:       s.Log,
 	}
+	if s.Settings.Fleet.JobsByDeadline {
+		d := &deadlines{components: p, registry: p.childMetrics("jobs-by-deadline")}
+		p.batch.CompletionTime = d.completionTime
+	}
 	p.batch.Register()
 	return nil
 }
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -243,7 +243,7 @@
 		if h.Dead {
 			continue
 		}
-		if !h.Control && !h.Features.Has(feature.Known) {
+		if !h.Control && !h.Features.Has(feature.Configuration) {
 			continue // an older build passes configurations on without what it doesn't know
 		}
 		domains[h.Name] = h.FailureDomain
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -118,6 +118,8 @@
 	// WholeBatchRuns keeps batch runs whole at services whose upstreams report their pace: a run is preempted only for a call that
 	// has no other place. Calls wait longer in bursts.
 	WholeBatchRuns bool `json:"whole-batch-runs,omitempty"`
+	// JobsByDeadline has batch items leased in the order of their jobs' deadlines, on routes with a completion target.
+	JobsByDeadline bool `json:"jobs-by-deadline,omitempty"`
 	// Weights are the weights of the operators' goals.
 	Weights Weights `json:"weights"`
 }
