Take a list of services or "all" for whole-batch-runs

Cause: whole batch runs depended on upstreams that report a pace; deployments whose upstreams report three figures could not use them.

Change: fleet.whole-batch-runs takes false, true (where upstreams report a pace, as before), "all" or a list of services. The settings decoder lets types decode their own JSON for that. It stays off by default and in deploy/settings.jsonc.

--- a/internal/product/jsonc/decode.go
+++ b/internal/product/jsonc/decode.go
@@ -1,9 +1,11 @@
 package jsonc
 
 import (
+	"bytes"
 	"encoding"
 	"encoding/json"
 	"reflect"
+	"slices"
 	"strings"
 
 	"siskinrun/internal/product/diagnostic"
@@ -37,6 +39,12 @@
 		c.decodeText(d, t, path)
 		return
 	}
+	if t, ok := v.Addr().Interface().(json.Unmarshaler); ok {
+		if err := t.UnmarshalJSON(d.json()); err != nil {
+			c.diagnostics.Add(d.File, d.Line, path, "%v", err)
+		}
+		return
+	}
 	switch v.Kind() {
 	case reflect.Struct:
 		c.decodeObject(d, v, path)
@@ -59,6 +67,21 @@
 	}
 }
 
+// json returns a list or a scalar as JSON. Types that decode themselves have no objects.
+func (d *Node) json() []byte {
+	switch d.kind {
+	case '{':
+		return []byte("{}")
+	case '[':
+		l := make([][]byte, 0, len(d.elements))
+		for _, e := range d.elements {
+			l = append(l, e.json())
+		}
+		return slices.Concat([]byte("["), bytes.Join(l, []byte(",")), []byte("]"))
+	}
+	return d.literal
+}
+
 func (c *decoder) decodeObject(d *Node, v reflect.Value, path string) {
 	if d.kind != '{' {
 		c.addMismatch(d, path, "an object")
--- a/internal/product/server/places.go
+++ b/internal/product/server/places.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"siskinrun/internal/data/upstream"
+	"siskinrun/internal/data/wholeruns"
 	"siskinrun/internal/routing/forecast"
 )
 
@@ -21,11 +22,11 @@
 
 // runPlaces knows which upstreams run batch items whole, and where online calls and runs have room. The zero value knows none.
 type runPlaces struct {
-	// enabled says that the settings ask for whole runs.
-	enabled bool
+	// scope holds the services for which the settings ask for whole runs.
+	scope wholeruns.Scope
 
 	mu sync.Mutex
-	// paced are the upstreams that report their pace; forecasts are those of the services with one.
+	// paced are the upstreams that report their pace; forecasts are those of the services with whole runs.
 	paced     map[string]time.Time
 	forecasts map[string]*forecast.Forecast
 	services  map[string]string
@@ -33,7 +34,7 @@
 
 // note records that an upstream reported its pace to any host at a time.
 func (r *runPlaces) note(name string, pace int, at time.Time) {
-	if pace <= 0 || !r.enabled {
+	if pace <= 0 || !r.scope.Paced {
 		return
 	}
 	r.mu.Lock()
@@ -47,7 +48,7 @@
 }
 
 // runsWhole reports whether runs on an upstream are preempted only for calls that have no other place. That holds for all
-// upstreams of a service of which one reports its pace, as for the choice of an upstream.
+// upstreams of a service that the settings name, or of which one reports its pace, as for the choice of an upstream.
 func (r *runPlaces) runsWhole(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -55,14 +56,14 @@
 	return ok || r.forecasts[r.services[name]] != nil
 }
 
-// any reports whether any upstream reports its pace.
+// any reports whether any service may have whole runs.
 func (r *runPlaces) any() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.paced) > 0
+	return r.scope.NamesAny() || len(r.paced) > 0
 }
 
-// observe records the online load of each service that has an upstream with a pace. Only upstreams that are open, which may get
+// observe records the online load of each service with whole runs. Only upstreams that are open, which may get
 // work, count.
 func (r *runPlaces) observe(
 	list []upstream.Upstream, open func(u upstream.Upstream) bool, online func(name string) int, now time.Time,
@@ -76,14 +77,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	slots, used, paced := map[string]int{}, map[string]int{}, map[string]bool{}
+	slots, used, whole := map[string]int{}, map[string]int{}, map[string]bool{}
 	r.services = make(map[string]string, len(list))
 	known := make(map[string]time.Time, len(r.paced))
 	for i, u := range list {
 		r.services[u.Name] = u.Service
 		if t, ok := r.paced[u.Name]; ok && now.Sub(t) <= paceTTL {
 			known[u.Name] = t
-			paced[u.Service] = true
+			whole[u.Service] = true
+		}
+		if r.scope.Names(u.Service) {
+			whole[u.Service] = true
 		}
 		if !u.Leaving && open(u) {
 			slots[u.Service] += u.Slots
@@ -94,7 +98,7 @@
 	old := r.forecasts
 	r.forecasts = map[string]*forecast.Forecast{}
 	for s, n := range slots {
-		if !paced[s] || n == 0 {
+		if !whole[s] || n == 0 {
 			continue
 		}
 		f := old[s]
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -21,7 +21,7 @@
 	p.picker = picker.NewPicker(p.seed)
 	p.picker.LocalityWeight = s.Settings.Fleet.Weights.Locality
 	p.picker.DomainTraffic = s.Settings.Fleet.DomainTraffic
-	p.places.enabled = s.Settings.Fleet.WholeBatchRuns
+	p.places.scope = s.Settings.Fleet.WholeBatchRuns
 	p.picker.Limits = p.permits
 	p.picker.VersionTTL = heartbeatsPerVersionTTL * s.Settings.Fleet.HeartbeatInterval.Duration()
 	p.picker.HeardAt = p.gossip.HeardAt
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -11,6 +11,7 @@
 	"siskinrun/internal/data/model"
 	"siskinrun/internal/data/route"
 	"siskinrun/internal/data/team"
+	"siskinrun/internal/data/wholeruns"
 	"siskinrun/internal/product/jsonc"
 )
 
@@ -115,9 +116,9 @@
 	// DomainTraffic is the cost of a gigabyte between failure domains in answered calls that are worth as much. If it is there, it
 	// replaces weights.locality for services whose upstreams report their pace.
 	DomainTraffic *float64 `json:"domain-traffic,omitempty"`
-	// WholeBatchRuns keeps batch runs whole at services whose upstreams report their pace: a run is preempted only for a call that
-	// has no other place. Calls wait longer in bursts.
-	WholeBatchRuns bool `json:"whole-batch-runs,omitempty"`
+	// WholeBatchRuns holds the services that keep batch runs whole: a run is preempted only for a call that has no other place. Calls
+	// wait longer in bursts.
+	WholeBatchRuns wholeruns.Scope `json:"whole-batch-runs,omitzero"`
 	// JobsByDeadline has batch items leased in the order of their jobs' deadlines, on routes with a completion target.
 	JobsByDeadline bool `json:"jobs-by-deadline,omitempty"`
 	// Weights are the weights of the operators' goals.
--- a/internal/product/settings/settings_test.go
+++ b/internal/product/settings/settings_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/data/wholeruns"
 	"siskinrun/internal/product/settings"
 )
 
@@ -43,6 +44,7 @@
 		{"wrong type", "{\"limits\":\n{\"concurrency\": \"x\"}}", []string{"o.jsonc:2: limits.concurrency: must be a whole number"}},
 		{"range", "{\"fleet\": {\n\n\"ledger-groups\": 65}}", []string{"o.jsonc:3: fleet.ledger-groups: is 65, not 1 to 64"}},
 		{"negative domain traffic", "{\"fleet\": {\"domain-traffic\": -1}}", []string{"o.jsonc:1: fleet.domain-traffic: is -1, not 0 to 100000"}},
+		{"unknown scope of whole runs", "{\"fleet\": {\n\"whole-batch-runs\": \"some\"}}", []string{"o.jsonc:2: fleet.whole-batch-runs: must be true, false, \"all\" or a list of services"}},
 		{"duplicate name", "{\"teams\": {\"x\": {\"rate\": 1, \"burst\": 1, \"weight\": 1},\n\"x\": {}}}", []string{"o.jsonc:2: teams.x: is given twice, first on line 1"}},
 		{"missing model", "{\"routes\": {\"q\": {\"model\": \"zz\", \"service\": \"e\", \"price\": 1,\n\"timeout\": \"1s\"}}}", []string{"o.jsonc:1: routes.q.model: no model is named \"zz\""}},
 		{"route clash", "{\"routes\": {\"z\": {\"model\": \"m\", \"service\": \"e\", \"price\": 1, \"timeout\": \"1s\"}}}", []string{"o.jsonc:1: routes.z.model: \"m\" is that of route r"}},
@@ -150,3 +152,21 @@
 		is.Equal(n, want)
 	}
 }
+
+// TestWholeBatchRuns guards against values of the setting that are not read or change when the settings are printed.
+func TestWholeBatchRuns(t *testing.T) {
+	for text, want := range map[string]wholeruns.Scope{
+		`true`: {Paced: true}, `false`: {}, `"all"`: {All: true}, `["e", "f"]`: {Services: []string{"e", "f"}},
+	} {
+		is := is.New(t)
+		overlay := writeFile(t, "o.jsonc", `{"fleet": {"whole-batch-runs": `+text+`}}`)
+		s, err := settings.Load(writeFile(t, "b.jsonc", baseJSON), overlay)
+		is.NoErr(err)
+		is.Equal(s.Fleet.WholeBatchRuns, want)
+		b, err := s.Print()
+		is.NoErr(err)
+		s, err = settings.Load(writeFile(t, "p.jsonc", string(b)), "")
+		is.NoErr(err)
+		is.Equal(s.Fleet.WholeBatchRuns, want)
+	}
+}
