picker: explain a choice without making it

Operators could not see why a request goes to an upstream. Pick is split into choose, which decides, and what records the decision.

--- /dev/null
+++ b/internal/data/choice/doc.go
@@ -0,0 +1,2 @@
+// Package choice describes how the upstream of a request would be chosen.
+package choice
--- a/internal/routing/picker/member.go
+++ b/internal/routing/picker/member.go
@@ -140,12 +140,8 @@
 
 // effectiveSlots returns the slots to count on, which start low and rise while a new upstream warms up.
 func (m *member) effectiveSlots(now time.Time, warm time.Duration) float64 {
-	if !m.warming {
-		return m.slots
-	}
 	age := now.Sub(m.added)
-	if age >= warm {
-		m.warming = false
+	if !m.warming || age >= warm {
 		return m.slots
 	}
 	return m.slots * (minWarmUpShare + (1-minWarmUpShare)*float64(age)/float64(warm))
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -93,19 +93,18 @@
 	return append(list, candidate{member: m, blocks: blocks})
 }
 
-// best returns the allowed candidate with the least score, a random one of equals, and records the prompt as sent to it.
-func (c *Picker) best(p *pool, list []candidate, d *demand.Demand, now time.Time) *member {
-	var best *member
-	least, prompts := 0.0, 0.0
+// best returns the allowed candidate with the least score, a random one of equals.
+func (c *Picker) best(p *pool, list []candidate, d *demand.Demand, now time.Time) candidate {
+	var best candidate
+	least := 0.0
 	ties := 0
 	for _, v := range list {
 		if !c.allowed(p, v.member, d, now) {
 			continue
 		}
 		s := c.score(v, d, p, now)
-		if best == nil || s < least {
-			best, least, ties = v.member, s, 1
-			prompts = v.uncachedPrompts(d)
+		if best.member == nil || s < least {
+			best, least, ties = v, s, 1
 			continue
 		}
 		if s > least {
@@ -113,27 +112,49 @@
 		}
 		ties++
 		if c.random.IntN(ties) == 0 {
-			best = v.member
-			prompts = v.uncachedPrompts(d)
+			best = v
 		}
 	}
-	if best != nil {
-		best.addPrompts(prompts, now)
-	}
 	return best
 }
 
 // allowed reports whether an upstream may get a request now.
 func (c *Picker) allowed(p *pool, m *member, d *demand.Demand, now time.Time) bool {
-	return c.eligible(m, d, now) && !c.closed(m, now) && !c.overfilled(p, m, now)
+	return c.barred(p, m, d, now) == ""
+}
+
+// barred returns why an upstream may get no request now, empty if it may.
+func (c *Picker) barred(p *pool, m *member, d *demand.Demand, now time.Time) string {
+	r := c.ineligible(m, d, now)
+	switch {
+	case r != "":
+		return r
+	case c.closed(m, now):
+		return "limited"
+	case c.overfilled(p, m, now):
+		return "full"
+	}
+	return ""
 }
 
 // eligible reports whether an upstream may get a request once it has a permit.
 func (c *Picker) eligible(m *member, d *demand.Demand, now time.Time) bool {
-	if d.Version != "" && !c.versionCertain(m, now) {
-		return false
+	return c.ineligible(m, d, now) == ""
+}
+
+// ineligible returns why an upstream may get no request even with a permit, empty if it may.
+func (c *Picker) ineligible(m *member, d *demand.Demand, now time.Time) string {
+	switch {
+	case d.Version != "" && !c.versionCertain(m, now):
+		return "version-uncertain"
+	case slices.Contains(d.Tried, m.upstream.Name):
+		return "tried"
+	case c.Ejection.Allowed(m.upstream.Name):
+		return ""
+	case c.Ejection.Reachable(m.upstream.Name):
+		return "ejected"
 	}
-	return !slices.Contains(d.Tried, m.upstream.Name) && c.Ejection.Allowed(m.upstream.Name)
+	return "unreachable"
 }
 
 // score returns the expected cost of one more request as a share of the upstream's slots.
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -95,7 +95,9 @@
 	// Paths, if set, tells which upstreams this host reaches by itself.
 	Paths paths
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// source is the state of random.
+	source     *rand.PCG
 	random     *rand.Rand
 	members    map[string]*member
 	tombstones map[string]*tombstone
@@ -114,6 +116,7 @@
 
 // NewPicker returns a Picker without upstreams; seed seeds its random samples.
 func NewPicker(seed uint64) *Picker {
+	s := rand.NewPCG(seed, seed)
 	return &Picker{
 		PrefixWeight:   DefaultPrefixWeight,
 		LocalityWeight: DefaultLocalityWeight,
@@ -129,7 +132,8 @@
 		ReportTTL:  DefaultReportTTL,
 		Ejection:   ejection.NewDetector(),
 		Affinity:   affinity.NewIndex(),
-		random:     rand.New(rand.NewPCG(seed, seed)),
+		source:     s,
+		random:     rand.New(s),
 		members:    make(map[string]*member),
 		tombstones: make(map[string]*tombstone),
 		pools:      make(map[poolKey]*pool),
@@ -141,27 +145,15 @@
 func (c *Picker) Pick(now time.Time, d demand.Demand) (upstream.Upstream, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.advance(now)
-	c.sweep(now)
-	p, ok := c.pools[poolOf(&d)]
+	v, ok := c.choose(now, &d, nil)
 	if !ok {
 		return upstream.Upstream{}, false
 	}
-	m := c.probe(p, &d, now)
-	c.chosenDomain = d.FailureDomain
-	if c.spills(p) {
-		c.chosenDomain = c.target(p, &d, now)
-	}
-	if m == nil {
-		m = c.best(p, c.vacant(p, c.sparing(p, c.sample(p, &d), &d, now), &d, now), &d, now)
-	}
-	if m == nil {
-		m = c.scan(p, &d, now)
+	m := v.member
+	if v.scored {
+		m.addPrompts(v.uncachedPrompts(&d), now)
 	}
-	if m == nil {
-		return upstream.Upstream{}, false
-	}
-	if c.spills(p) {
+	if c.spills(v.pool) {
 		c.departures[m.upstream.FailureDomain]++
 	}
 	if d.Model != "" {
@@ -170,6 +162,51 @@
 	return m.upstream, true
 }
 
+// chosen is the upstream that choose has found.
+type chosen struct {
+	candidate
+	pool *pool
+	// scored says that the upstream is the best of the candidates, probe that it is ejected and due a probe.
+	scored bool
+	probe  bool
+}
+
+// choose decides on the upstream for a request. It changes nothing that stands for the request itself: a caller that sends it
+// records that. If stage is set, it is told the candidates after each step that leaves some out.
+func (c *Picker) choose(now time.Time, d *demand.Demand, stage func(name string, list []candidate)) (v chosen, ok bool) {
+	c.advance(now)
+	c.sweep(now)
+	p, ok := c.pools[poolOf(d)]
+	if !ok {
+		return v, false
+	}
+	v.pool = p
+	v.member = c.probe(p, d, now)
+	c.chosenDomain = d.FailureDomain
+	if c.spills(p) {
+		c.chosenDomain = c.target(p, d, now)
+	}
+	if v.member != nil {
+		v.probe = true
+		return v, true
+	}
+	if stage == nil {
+		stage = func(string, []candidate) {}
+	}
+	l := c.sample(p, d)
+	stage(stageSampled, l)
+	l = c.sparing(p, l, d, now)
+	stage(stageSparing, l)
+	l = c.vacant(p, l, d, now)
+	stage(stageVacant, l)
+	if v.candidate = c.best(p, l, d, now); v.member != nil {
+		v.scored = true
+		return v, true
+	}
+	v.member = c.scan(p, d, now)
+	return v, v.member != nil
+}
+
 // advance keeps the latest time that any caller passed.
 func (c *Picker) advance(now time.Time) {
 	if now.After(c.latest) {
--- a/internal/routing/picker/recorded_test.go
+++ b/internal/routing/picker/recorded_test.go
@@ -22,7 +22,8 @@
 func (gateways) Direct(n string) bool { return number(n)%7 != 3 }
 
 // recordedDecisions plays random calls, counts and reports of three figures against a picker and returns a hash of its choices.
-func recordedDecisions(upstreams int) uint64 {
+// pick makes one choice.
+func recordedDecisions(upstreams int, pick func(p *picker.Picker, now time.Time, d demand.Demand) (upstream.Upstream, bool)) uint64 {
 	r := rand.New(rand.NewPCG(uint64(upstreams), 9))
 	p := picker.NewPicker(3)
 	p.LocalityWeight = 0.3
@@ -50,7 +51,7 @@
 			for b := range r.IntN(24) {
 				d.PrefixHashes = append(d.PrefixHashes, uint64(r.IntN(40)*64+b+1)*0x9e3779b97f4a7c15)
 			}
-			c, ok := p.Pick(now, d)
+			c, ok := pick(p, now, d)
 			fmt.Fprintln(h, c.Name, ok)
 			if ok {
 				p.Started(c.Name)
@@ -79,6 +80,6 @@
 // before reports had a pace.
 func TestThreeFiguresDecideAsRecorded(t *testing.T) {
 	for n, want := range map[int]uint64{12: 2853354764546711403, 90: 8843235823924544377} {
-		is.New(t).Equal(recordedDecisions(n), want)
+		is.New(t).Equal(recordedDecisions(n, (*picker.Picker).Pick), want)
 	}
 }
--- a/internal/routing/spillover/spillover.go
+++ b/internal/routing/spillover/spillover.go
@@ -48,6 +48,13 @@
 	share float64
 }
 
+// Clone returns a copy that shares no state with the original.
+func (s *Spillover) Clone() *Spillover {
+	k := *s
+	k.domains = slices.Clone(s.domains)
+	return &k
+}
+
 // Begin starts an update; domains that Add doesn't name until Decide have no capacity.
 func (s *Spillover) Begin() {
 	for i := range s.domains {
