limits: explain what a request would get, without giving it

Operators could not see whether a team's rate, the queue of a service or its line for permits would take a request. The checks of Take, Acquire and Enter become functions of their own, which Explain calls too: on the units that the host holds, on a copy of the queue, and on the line.

--- a/internal/limits/admission/admission.go
+++ b/internal/limits/admission/admission.go
@@ -1,12 +1,14 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"siskinrun/internal/data/ratestate"
 	"siskinrun/pkg/refusal"
 )
 
@@ -31,6 +33,7 @@
 type limiter interface {
 	Spend(team string, cost int64) bool
 	Take(ctx context.Context, team string, cost int64, wait time.Duration) error
+	Explain(team string, cost int64, wait time.Duration) ratestate.State
 }
 
 // Admit spends the cost of a request or returns a not-run refusal.
@@ -51,6 +54,11 @@
 	return nil
 }
 
+// Explain returns what Admit would do with a request now, and changes nothing.
+func (a *Controller) Explain(team string, cost int64) ratestate.State {
+	return a.Limiter.Explain(team, cost, cmp.Or(a.Wait, DefaultWait))
+}
+
 func (a *Controller) init() {
 	if a.Wait == 0 {
 		a.Wait = DefaultWait
--- a/internal/limits/admission/admission_test.go
+++ b/internal/limits/admission/admission_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"siskinrun/internal/data/ratestate"
 	"siskinrun/internal/limits/admission"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
@@ -38,6 +39,10 @@
 	return refusal.NewNotRun(429, "rate-exceeded", "spent")
 }
 
+func (p *fakeLimiter) Explain(string, int64, time.Duration) ratestate.State {
+	return ratestate.State{Held: p.held}
+}
+
 func TestAdmit(t *testing.T) {
 	for _, c := range []struct {
 		name         string
--- a/internal/limits/allowance/allowance.go
+++ b/internal/limits/allowance/allowance.go
@@ -187,6 +187,17 @@
 	return a.balance()
 }
 
+// Spendable returns the number of units that can be spent now, as Balance does, and changes nothing.
+func (a *Allowance) Spendable(now time.Time) int64 {
+	var n int64
+	for _, g := range a.grants {
+		if g.expires.After(now) {
+			n += g.left
+		}
+	}
+	return n
+}
+
 // RetryAfter returns how long the owner has nothing to grant, and whether that is because it is new.
 func (a *Allowance) RetryAfter(now time.Time) (wait time.Duration, settling bool) {
 	return max(a.retryAt.Sub(now), 0), a.settling
--- a/internal/limits/capacity/capacity.go
+++ b/internal/limits/capacity/capacity.go
@@ -10,6 +10,7 @@
 
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/queuestate"
 	"siskinrun/internal/data/route"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/limits/queue"
@@ -70,6 +71,18 @@
 	return c.queue(q.RouteConfig.Service).Acquire(ctx, slotRequest(q))
 }
 
+// Explain returns what Acquire would do with a call now, and changes nothing. A service of which no call has come and no
+// upstream was heard has no queue yet.
+func (c *Controller) Explain(q *call.Call) (s queuestate.State, ok bool) {
+	c.mu.Lock()
+	o := c.queues[q.RouteConfig.Service]
+	c.mu.Unlock()
+	if o == nil {
+		return s, false
+	}
+	return o.Explain(slotRequest(q)), true
+}
+
 // slotRequest returns what a call asks of the queue of its service.
 func slotRequest(q *call.Call) slotrequest.Request {
 	return slotrequest.Request{
--- a/internal/limits/grant/limiter_test.go
+++ b/internal/limits/grant/limiter_test.go
@@ -15,6 +15,7 @@
 	"siskinrun/internal/base/rpc"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/configuration"
+	"siskinrun/internal/data/ratestate"
 	"siskinrun/internal/data/team"
 	"siskinrun/internal/limits/allowance"
 	"siskinrun/internal/limits/grantreply"
@@ -312,3 +313,33 @@
 	l.applyReply(now, w)
 	is.Equal(refusal.Of(l.refusal(now)).Code, "rate-exceeded")
 }
+
+// TestExplainSpendsAndAsksNothing guards against an explanation that takes units, counts as demand, or makes a host ask for a
+// team that no caller has used.
+func TestExplainSpendsAndAsksNothing(t *testing.T) {
+	is := is.New(t)
+	s := &clusterHost{timer: timer.NewService(), handlers: map[string]rpc.Handler{}}
+	s.cluster = &cluster{config: &configuration.Configuration{Teams: map[string]team.Team{"a": {Rate: 7, Burst: 9}}}}
+	g := &Limiter{Link: s, Client: s, Leadership: s, Configuration: s, Name: "h0", Boot: 1, Groups: 3, Timer: s.timer}
+	g.init()
+	is.Equal(g.Explain("b", 1, time.Second).Outcome, ratestate.AsksOwner)
+	is.Equal(len(g.teams), 0)
+	l, now := g.limiterFor("a"), s.timer.Now()
+	q, ok := l.allowance.NextRequest(now, 5, 5)
+	is.True(ok)
+	l.applyReply(now, grantreply.Reply{Sequence: q.Sequence, Term: 1, Grant: 1, Units: 5, TTL: time.Hour, Rate: 7, Burst: 9, RetryAfter: time.Minute})
+	l.allowance.RecordDemand(now, 1)
+	for _, c := range []struct {
+		cost int64
+		want string
+	}{{5, ratestate.Admitted}, {6, "rate-exceeded"}, {10, "cost-exceeds-burst"}} {
+		before := l.allowance
+		e := g.Explain("a", c.cost, time.Second)
+		is.Equal(e.Outcome, c.want)
+		is.Equal(e.Held, int64(5))
+		is.Equal(l.allowance, before)
+		is.Equal(l.waitingCost, int64(0))
+	}
+	is.True(!g.Spend("a", 6)) // the refusals were true
+	is.True(g.Spend("a", 5))  // and nothing was spent
+}
--- a/internal/limits/grant/team_limiter.go
+++ b/internal/limits/grant/team_limiter.go
@@ -100,12 +100,8 @@
 		return nil, errForgotten
 	}
 	t.allowance.RecordDemand(now, cost)
-	if b := t.allowance.Burst(); b > 0 && cost > b {
-		return nil, refusal.NewNotRun(429, "cost-exceeds-burst", "the request costs more than the team's burst")
-	}
-	d, _ := t.allowance.RetryAfter(now)
-	if d > wait || len(t.waiters) >= maxWaiters {
-		return nil, t.refusal(now)
+	if err := t.judge(now, cost, wait); err != nil {
+		return nil, err
 	}
 	p := &waiter{cost: cost, done: make(chan error, 1)}
 	t.waiters = append(t.waiters, p)
@@ -114,6 +110,17 @@
 	return p, nil
 }
 
+// judge returns the refusal of a request that cannot get its units in time, nil for one that may wait.
+func (t *teamLimiter) judge(now time.Time, cost int64, wait time.Duration) error {
+	if b := t.allowance.Burst(); b > 0 && cost > b {
+		return refusal.NewNotRun(429, "cost-exceeds-burst", "the request costs more than the team's burst")
+	}
+	if d, _ := t.allowance.RetryAfter(now); d > wait || len(t.waiters) >= maxWaiters {
+		return t.refusal(now)
+	}
+	return nil
+}
+
 // timeOut refuses a request that still waits.
 func (t *teamLimiter) timeOut(now time.Time, p *waiter) {
 	t.mu.Lock()
--- a/internal/limits/lane/lane.go
+++ b/internal/limits/lane/lane.go
@@ -90,10 +90,8 @@
 	n := l.Timer.Now()
 	q := l.line(service)
 	w := &waiter{ticket: l.last + 1, rank: rank, latest: latest, first: make(chan struct{}, 1)}
-	place, _ := slices.BinarySearchFunc(q.waiters, w, inOrder)
-	wait := q.estimate(n, place)
-	wait += time.Duration(float64(wait) * waitError)
-	if len(q.waiters) >= maxWaiting || n.Add(wait).After(latest) {
+	place, _, ok := q.judge(n, w)
+	if !ok {
 		return 0, false
 	}
 	if len(q.waiters) == 0 {
@@ -104,6 +102,27 @@
 	return l.last, true
 }
 
+// judge returns the place of a call that would wait and how long it is likely to, and reports whether it can start in time.
+func (q *line) judge(now time.Time, w *waiter) (place int, wait time.Duration, ok bool) {
+	place, _ = slices.BinarySearchFunc(q.waiters, w, inOrder)
+	wait = q.estimate(now, place)
+	wait += time.Duration(float64(wait) * waitError)
+	return place, wait, len(q.waiters) < maxWaiting && !now.Add(wait).After(w.latest)
+}
+
+// Explain returns what Enter would do with a call now: the calls of its service that wait, how long it is likely to wait behind
+// those before it, and whether it could start in time. It changes nothing.
+func (l *Lane) Explain(service string, rank int, latest time.Time) (waiting int, wait time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.services[service]
+	if q == nil {
+		q = &line{}
+	}
+	_, wait, ok = q.judge(l.Timer.Now(), &waiter{ticket: l.last + 1, rank: rank, latest: latest})
+	return len(q.waiters), wait, ok
+}
+
 // inOrder compares two waiting calls by the order in which they are served.
 func inOrder(a, b *waiter) int {
 	return cmp.Or(cmp.Compare(a.rank, b.rank), a.latest.Compare(b.latest), cmp.Compare(a.ticket, b.ticket))
--- a/internal/limits/lane/lane_test.go
+++ b/internal/limits/lane/lane_test.go
@@ -157,3 +157,21 @@
 	m.Advance(cycle - gap)
 	likely()
 }
+
+// TestExplainNamesWhatEnterDoesAndChangesNothing guards against an explanation that takes a place in the line.
+func TestExplainNamesWhatEnterDoesAndChangesNothing(t *testing.T) {
+	is := is.New(t)
+	l, _ := newLane(t)
+	n := l.Timer.Now()
+	for i := range 20 {
+		latest := n.Add(time.Duration(i%4) * time.Second)
+		waiting, _, ok := l.Explain(service, i%3, latest)
+		_, _, again := l.Explain(service, i%3, latest)
+		_, entered := l.Enter(service, i%3, latest)
+		is.Equal(ok, entered)
+		is.Equal(again, ok)
+		after, _, _ := l.Explain(service, 0, latest)
+		is.Equal(after > waiting, entered)
+	}
+	is.True(!l.Busy("other"))
+}
--- a/internal/limits/queue/queue.go
+++ b/internal/limits/queue/queue.go
@@ -150,24 +150,37 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := &waiter{Request: r, done: make(chan error, 1)}
+	free, err := q.judge(now, r)
+	if err != nil {
+		return nil, err
+	}
+	if free {
+		q.busy++
+		e.done <- nil
+		return e, nil
+	}
+	q.class(r.Rank).waiting.Push(r.Team, r.Weight, r.Cost, r.Latest, e)
+	q.scheduleExpiry()
+	return e, nil
+}
+
+// judge counts a request and reports whether it starts at once; if it does not, it may wait. The error is a refusal.
+func (q *Queue) judge(now time.Time, r slotrequest.Request) (free bool, err error) {
 	c := q.class(r.Rank)
 	q.arrived(c, arrival{now, r.Latest.Sub(now), max(r.Cost, 1)})
 	if !r.Deadline.After(now) {
-		return nil, overloaded(0)
+		return false, overloaded(0)
 	}
 	if q.busy < q.slots.usable && q.waiting() == 0 {
-		q.busy++
-		e.done <- nil
-		return e, nil
+		return true, nil
 	}
 	if q.waiting() == 0 {
 		q.waitingSince = now
 	}
-	if late := q.lateBy(now, c, r); late > 0 || !c.waiting.Push(r.Team, r.Weight, r.Cost, r.Latest, e) {
-		return nil, overloaded(late)
+	if late := q.lateBy(now, c, r); late > 0 || c.waiting.Full(r.Team) {
+		return false, overloaded(late)
 	}
-	q.scheduleExpiry()
-	return e, nil
+	return false, nil
 }
 
 // lateBy returns by how much a request would start too late, zero if it fits: it starts in time behind those that go before
--- a/internal/limits/wfq/queue.go
+++ b/internal/limits/wfq/queue.go
@@ -50,7 +50,7 @@
 // Push adds an item to its team's flow and reports whether there was room.
 func (q *Queue[T]) Push(team string, weight, cost int64, deadline time.Time, v T) bool {
 	f := q.teams[team]
-	if q.count >= q.MaxItems || f != nil && len(f.items) >= q.MaxPerTeam {
+	if q.Full(team) {
 		return false
 	}
 	cost = min(max(cost, 1), MaxCost)
@@ -70,6 +70,12 @@
 	return true
 }
 
+// Full reports whether there is no room for another item of a team.
+func (q *Queue[T]) Full(team string) bool {
+	f := q.teams[team]
+	return q.count >= q.MaxItems || f != nil && len(f.items) >= q.MaxPerTeam
+}
+
 // Pop removes the first item of the team with the least virtual finish time and reports whether there was one.
 func (q *Queue[T]) Pop() (T, bool) {
 	var zero T
