explain: show where a request would go from one host, and why

siskinrun explain asks one host through GET /v1/explain, which needs the operators' secret. wire/explainer asks the route, rate, queue, line for permits and picker in the order of a call, for each service of a split.

--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -24,6 +24,7 @@
 	"siskinrun/internal/jobs/batch"
 	"siskinrun/internal/jobs/executor"
 	"siskinrun/internal/jobs/ledger"
+	"siskinrun/internal/limits/admission"
 	"siskinrun/internal/limits/answertime"
 	"siskinrun/internal/limits/capacity"
 	"siskinrun/internal/limits/drain"
@@ -86,6 +87,7 @@
 	// coldRates holds the requests a second that a cold upstream bears, by service.
 	coldRates        atomic.Pointer[map[string]float64]
 	rateLimiter      *grant.Limiter
+	admission        *admission.Controller
 	rollout          *rollout.Rollout
 	planner          *planner.Planner
 	limitedUpstreams map[string]bool
--- a/internal/product/server/edges.go
+++ b/internal/product/server/edges.go
@@ -97,6 +97,7 @@
 	p.operatorServer.Handle("POST", "/v1/quarantine/lift", p.guard.Lift)
 	p.operatorServer.Handle("GET", "/v1/burn", p.observations.showBurn)
 	p.operatorServer.Handle("GET", "/v1/why", p.observations.showWhy)
+	p.operatorServer.Handle("GET", "/v1/explain", p.explain)
 	if s.Settings.Fleet.Profiles {
 		p.operatorServer.Handle("GET", "/v1/profile", (&profile.Profiler{Timer: s.timer}).Serve)
 	}
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -28,6 +28,7 @@
 	s := p.server
 	p.observations = p.newObservations()
 	p.streams.Group = g
+	p.admission = &admission.Controller{Limiter: p.rateLimiter, Metrics: p.childMetrics("admit")}
 	x := p.newTransport()
 	p.buildConnector(g, x)
 	p.pipeline = &pipeline.Pipeline{
@@ -37,7 +38,7 @@
 		FinishWithdrawn: s.Settings.Fleet.FinishWithdrawn,
 
 		Rollout:        p.rollout,
-		Admission:      &admission.Controller{Limiter: p.rateLimiter, Metrics: p.childMetrics("admit")},
+		Admission:      p.admission,
 		Queue:          p.capacity,
 		Lane:           p.lane,
 		Answers:        p.answers,
--- a/internal/routing/permits/cold.go
+++ b/internal/routing/permits/cold.go
@@ -71,6 +71,14 @@
 	return t != nil && s.Timer.Now().Before(*t)
 }
 
+// Cold reports whether an upstream is known to be cold now.
+func (s *Service) Cold(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _, ok := s.cold.Get(s.Timer.Now(), name, 0)
+	return ok
+}
+
 // bound returns the limit that holds for an incarnation of an upstream: the one that it names, and the rate that it bears
 // while it is cold. The caller holds s.mu.
 func (s *Service) bound(name string, incarnation uint64) (upstreamlimit.Limit, bool) {
--- a/internal/routing/rollout/rollout.go
+++ b/internal/routing/rollout/rollout.go
@@ -72,6 +72,17 @@
 	return v
 }
 
+// Explain returns what Version would return, and changes nothing.
+func (r *Rollout) Explain(t route.Route) string {
+	if t.Model == "" || t.Version == "" {
+		return t.Version
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := modelspec.Spec{Model: t.Model, Adapter: t.Adapter}
+	return r.selectVersion(t, w, r.current[heldModel{t.Service, w.Name()}])
+}
+
 func (r *Rollout) selectVersion(t route.Route, w modelspec.Spec, current string) string {
 	wanted := r.count(t, w, t.Version)
 	switch {
--- a/internal/wire/dispatch/confirm.go
+++ b/internal/wire/dispatch/confirm.go
@@ -76,7 +76,7 @@
 func (s *stream) ask(ctx context.Context, offset int) (*answer.Answer, bool, error) {
 	d, c := s.dispatcher, *s.call
 	c.Offset = offset
-	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun}
+	q := &delivery{dispatcher: d, call: &c, demand: d.Demand(&c), verdict: verdict.MayHaveRun}
 	q.demand.Tried = s.refused
 	u, ok := s.pickWithin(ctx, q)
 	if !ok && s.lacksUpstream(q) {
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -115,7 +115,7 @@
 // Serve sends a call and returns its answer; the error is a refusal whose verdict covers all attempts.
 func (d *Dispatcher) Serve(ctx context.Context, c *call.Call) (*answer.Answer, error) {
 	d.RetryBudget.Request(d.Timer.Now())
-	s := &delivery{dispatcher: d, call: c, demand: d.demand(c), takesUp: c.Stream && c.Offset > 0 && c.Method != methodHead}
+	s := &delivery{dispatcher: d, call: c, demand: d.Demand(c), takesUp: c.Stream && c.Offset > 0 && c.Method != methodHead}
 	a, u, err := s.run(ctx)
 	if err != nil {
 		return nil, err
@@ -142,7 +142,8 @@
 	return a, nil
 }
 
-func (d *Dispatcher) demand(c *call.Call) demand.Demand {
+// Demand returns what the upstream of a call must meet.
+func (d *Dispatcher) Demand(c *call.Call) demand.Demand {
 	q := demand.Demand{
 		Service:       c.RouteConfig.Service,
 		Version:       c.Start.Version,
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -130,7 +130,7 @@
 	if !d.RetryBudget.Allow(d.Timer.Now(), verdict.MayHaveRun, c.RouteConfig, 1, n) {
 		return nil, err
 	}
-	q := &delivery{dispatcher: d, call: &c, demand: d.demand(&c), verdict: verdict.MayHaveRun, runs: n}
+	q := &delivery{dispatcher: d, call: &c, demand: d.Demand(&c), verdict: verdict.MayHaveRun, runs: n}
 	q.demand.Tried = []string{u.Name}
 	a, t, err := q.run(ctx)
 	if err != nil {
--- /dev/null
+++ b/internal/wire/explainer/doc.go
@@ -0,0 +1,2 @@
+// Package explainer tells what a host would do with a request, without doing it.
+package explainer
--- a/internal/wire/pipeline/match.go
+++ b/internal/wire/pipeline/match.go
@@ -40,15 +40,21 @@
 
 // match finds the route of a call and sets its cost, deadline and model.
 func (p *Pipeline) match(c *call.Call) error {
-	n, r, err := p.findRoute(c)
+	n, r, err := p.FindRoute(c)
 	if err != nil {
 		return err
 	}
 	r.Service = r.PickService(rand.Uint64())
 	c.Record.Configuration = p.Configuration().Version
-	c.Route = n
-	c.RouteConfig = r
 	c.Record.Route = n
+	p.Prepare(c, n, r, func(r route.Route) string { return p.Rollout.Version(r) })
+	return nil
+}
+
+// Prepare sets the route of a call, its cost, deadline and model; version returns the version of a route's model.
+func (p *Pipeline) Prepare(c *call.Call, name string, r route.Route, version func(r route.Route) string) {
+	c.Route = name
+	c.RouteConfig = r
 	c.Cost = r.Cost(c.MaxTokens)
 	d := r.Timeout.Duration()
 	if d <= 0 {
@@ -62,18 +68,18 @@
 	}
 	c.Deadline = c.Arrived.Add(d)
 	if r.Model != "" {
-		c.Model = p.modelSpec(r)
+		c.Model = modelSpec(r, version(r))
 	}
-	return nil
 }
 
 // RouteOf finds the route of a call in the configuration in force.
 func (p *Pipeline) RouteOf(c *call.Call) (name string, ok bool) {
-	name, _, err := p.findRoute(c)
+	name, _, err := p.FindRoute(c)
 	return name, err == nil
 }
 
-func (p *Pipeline) findRoute(c *call.Call) (string, route.Route, error) {
+// FindRoute returns the route of a call in the configuration in force and its name; the error is a refusal.
+func (p *Pipeline) FindRoute(c *call.Call) (string, route.Route, error) {
 	v := p.Configuration()
 	if len(v.Routes) == 0 {
 		return "", route.Route{}, errNoConfiguration.WithJitter()
@@ -106,10 +112,10 @@
 var errNoConfiguration = refusal.NewNotRun(503, "no-configuration", "this host has not received a configuration yet").WithRetryAfter(configurationRetryAfter)
 
 // modelSpec returns what an engine must have loaded for a route, as model[@version][+adapter].
-func (p *Pipeline) modelSpec(r route.Route) string {
+func modelSpec(r route.Route, version string) string {
 	s := r.Model
-	if v := p.Rollout.Version(r); v != "" {
-		s += "@" + v
+	if version != "" {
+		s += "@" + version
 	}
 	if r.Adapter != "" {
 		s += "+" + r.Adapter
