explain: show whether a batch job would be accepted, and what waits before it

On a route for jobs the host asks the leader of the team's group by a query, Preview, which writes nothing to the log. Whether the tokens fit is decided by overTokenLimit, which submit uses too. An older leader answers not-found, which is shown.

--- a/internal/data/explanation/explanation.go
+++ b/internal/data/explanation/explanation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"siskinrun/internal/base/duration"
+	"siskinrun/internal/data/joboutlook"
 	"siskinrun/internal/data/ratestate"
 	"siskinrun/internal/data/serviceoutlook"
 )
@@ -34,6 +35,8 @@
 	LatestStart duration.Duration `json:"latest-start"`
 	// Rate is the rate of the team, nil on an open route.
 	Rate *ratestate.State `json:"rate,omitempty"`
+	// Job is what would become of the request as a batch job, nil on a route that takes none.
+	Job *joboutlook.Outlook `json:"job,omitempty"`
 	// Services are the services of the route: one, or all of a split.
 	Services []serviceoutlook.Outlook `json:"services"`
 }
--- /dev/null
+++ b/internal/data/joboutlook/doc.go
@@ -0,0 +1,2 @@
+// Package joboutlook describes what would become of a batch job that is submitted.
+package joboutlook
--- a/internal/jobs/batch/serve.go
+++ b/internal/jobs/batch/serve.go
@@ -161,6 +161,9 @@
 	if err != nil {
 		return nil, refusal.NewNotRun(500, "storage-failed", err.Error())
 	}
+	if f.Previewed != nil {
+		f.Previewed.Leader = b.lead(q.Group).Leader
+	}
 	return proto.Marshal(f)
 }
 
@@ -190,6 +193,8 @@
 		return &entry.Found{Data: d}, err
 	case *entry.Query_Results:
 		return readPage(l, k.Results)
+	case *entry.Query_Preview:
+		return &entry.Found{Previewed: l.Preview(k.Preview)}, nil
 	case *entry.Query_Listing, *entry.Query_Input:
 		return answerInlineQuery(l, q)
 	}
--- a/internal/jobs/ledger/inline.go
+++ b/internal/jobs/ledger/inline.go
@@ -48,7 +48,7 @@
 	for _, t := range s.Tokens {
 		n.openTokens += int64(t)
 	}
-	if s.TokenLimit > 0 && l.openTokens[teamKey{s.Team, s.Target}]+n.openTokens > s.TokenLimit {
+	if l.overTokenLimit(teamKey{s.Team, s.Target}, n.openTokens, s.TokenLimit) {
 		return refused(429, "too-many-tokens", "the open items of the team on this route would exceed its token limit")
 	}
 	f := &file{info: &entry.File{Id: s.Job, Team: s.Team, Created: l.now, Sealed: true, Hidden: true, Uses: 1}}
@@ -77,6 +77,11 @@
 	return &entry.Answer{Job: w.view()}
 }
 
+// overTokenLimit reports whether further tokens of a team on a target would exceed a limit; zero is no limit.
+func (l *Ledger) overTokenLimit(k teamKey, tokens, limit int64) bool {
+	return limit > 0 && l.openTokens[k]+tokens > limit
+}
+
 // joinLines returns the lines of a submission as the contents of a file, and whether the submission is valid.
 func joinLines(s *entry.Submit) ([]byte, bool) {
 	n := len(s.Lines)
--- a/internal/product/command/explain.go
+++ b/internal/product/command/explain.go
@@ -110,6 +110,11 @@
 		}
 		c.printf("\n")
 	}
+	if j := e.Job; j != nil {
+		c.printf("job: %s; group %d, leader %s, %d tokens, %d open of %d, due within %s, given up after %s, %d items wait (%d of the team), %d run\n",
+			j.Outcome, j.Group, orNone(j.Leader), j.Tokens, j.OpenTokens, j.TokenLimit, durationText(j.Target), durationText(j.Window),
+			j.Ready, j.TeamReady, j.Leased)
+	}
 	for _, s := range e.Services {
 		if err := c.printOutlook(s); err != nil {
 			return err
--- a/internal/product/server/explain.go
+++ b/internal/product/server/explain.go
@@ -25,6 +25,7 @@
 		Lane:          p.lane,
 		Dispatcher:    &dispatch.Dispatcher{FailureDomain: p.host.FailureDomain},
 		Picker:        p.picker,
+		Jobs:          p.batch,
 		Drain:         p.drain,
 		Cold:          p.permits.Cold,
 		Timer:         p.server.timer,
@@ -32,7 +33,7 @@
 }
 
 // explain tells where a request would go from this host.
-func (p *components) explain(_ context.Context, r *operatorapi.Request) ([]byte, error) {
+func (p *components) explain(ctx context.Context, r *operatorapi.Request) ([]byte, error) {
 	c := &call.Call{Team: r.Query("team"), Host: r.Query("caller-host"), Path: r.Query("path"), Model: r.Query("model"), Method: "POST"}
 	name := r.Query("route")
 	if name == "" && c.Path == "" && c.Model == "" {
@@ -45,7 +46,7 @@
 		}
 		c.MaxTokens = n
 	}
-	e, err := p.newExplainer().Explain(name, c)
+	e, err := p.newExplainer().Explain(ctx, name, c)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/explainer/explainer.go
+++ b/internal/wire/explainer/explainer.go
@@ -1,6 +1,7 @@
 package explainer
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"siskinrun/internal/data/configuration"
 	"siskinrun/internal/data/demand"
 	"siskinrun/internal/data/explanation"
+	"siskinrun/internal/data/joboutlook"
 	"siskinrun/internal/data/lanestate"
 	"siskinrun/internal/data/queuestate"
 	"siskinrun/internal/data/ratestate"
@@ -27,6 +29,9 @@
 	codeNoChoice = "no-upstream"
 )
 
+// jobTimeout bounds the wait for the leader of a group, below the time for which the command waits.
+const jobTimeout = 2 * time.Second
+
 // source provides the configuration in force.
 type source interface {
 	View() *configuration.Configuration
@@ -71,6 +76,11 @@
 	Explain(now time.Time, d demand.Demand) choice.Choice
 }
 
+// jobs tells whether a batch job would be accepted.
+type jobs interface {
+	Explain(ctx context.Context, team, name string, r route.Route, tokens int64) joboutlook.Outlook
+}
+
 // drain refuses the calls that a stopping host could not finish.
 type drain interface {
 	Admit(deadline time.Time) error
@@ -97,6 +107,8 @@
 	Dispatcher dispatcher
 	// Picker tells choices of upstreams.
 	Picker picker
+	// Jobs tells about batch jobs.
+	Jobs jobs
 	// Drain tells whether the host stops.
 	Drain drain
 	// Cold, if set, reports whether an upstream is held back since it is cold.
@@ -107,7 +119,7 @@
 
 // Explain tells what would become of a call that came now, by a route or, if its name is empty, by the call's host, path and
 // model. The error is a refusal: the route or the team is not known, or the host has no configuration.
-func (x *Explainer) Explain(name string, c *call.Call) (*explanation.Explanation, error) {
+func (x *Explainer) Explain(ctx context.Context, name string, c *call.Call) (*explanation.Explanation, error) {
 	v := x.Configuration.View()
 	c.Arrived = x.Timer.Now()
 	name, r, err := x.route(v, name, c)
@@ -140,6 +152,12 @@
 		}
 		e.Services = append(e.Services, x.explainService(&k, first))
 	}
+	if r.Jobs {
+		ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+		defer cancel()
+		o := x.Jobs.Explain(ctx, c.Team, name, r, c.MaxTokens)
+		e.Job = &o
+	}
 	return e, nil
 }
 
@@ -179,8 +197,8 @@
 	if err := x.Drain.Admit(c.Deadline); err != nil {
 		before = refusal.Of(err).Code
 	}
-	if c.Team == "" {
-		return before
+	if c.Team == "" || c.RouteConfig.Jobs && e.Fresh {
+		return before // a job spends no rate when it is submitted
 	}
 	s := x.Admission.Explain(c.Team, c.Cost)
 	e.Rate = &s
