spillover: hosts without upstreams of their own decide with the filter

Hosts of a domain without an upstream of a service set their shares anew at each decision by counts that are 200 ms old, so all moved to the emptier of two other domains at once. They now leave at once only while calls go to a domain without capacity, and follow with the time constant of all others after that.

--- a/internal/routing/spillover/spillover.go
+++ b/internal/routing/spillover/spillover.go
@@ -100,8 +100,9 @@
 func (s *Spillover) weight(now time.Time, h domain) float64 {
 	settle := settleTime
 	switch {
+	case h.capacity <= 0 && s.placed() < 1-minShare:
+		return 1 // calls still go to a domain that can't take them
 	case h.capacity <= 0:
-		return 1
 	case s.at.IsZero():
 		return 0
 	case h.load < returnBelow*h.capacity:
@@ -110,6 +111,17 @@
 	return -math.Expm1(-float64(now.Sub(s.at)) / float64(settle))
 }
 
+// placed returns the share of the own calls that goes to other domains with capacity.
+func (s *Spillover) placed() float64 {
+	n := 0.0
+	for i, d := range s.domains {
+		if i != s.home && d.capacity > 0 {
+			n += d.share
+		}
+	}
+	return n
+}
+
 // wanted returns the share of the own calls that should leave.
 func (s *Spillover) wanted(h domain, sent, spare, cost float64) float64 {
 	if h.capacity <= 0 {
--- a/internal/routing/spillover/spillover_test.go
+++ b/internal/routing/spillover/spillover_test.go
@@ -1,6 +1,7 @@
 package spillover_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -65,3 +66,33 @@
 	is.True(cheap.Share("b") > 0.1)
 	is.Equal(dear.Share("b"), 0.0)
 }
+
+// TestHostsWithoutOwnUpstreamsDoNotSwing guards against hosts of a domain without upstreams that all move to the emptier of two
+// other domains at each decision, with counts 200 ms old, and so fill them by turns. A lost domain is still left at once.
+func TestHostsWithoutOwnUpstreamsDoNotSwing(t *testing.T) {
+	is := is.New(t)
+	const capacity, demand, delay = 100.0, 140.0, 2 // the delay is in decisions, of 100 ms each
+	s := &spillover.Spillover{}
+	loads := [][2]float64{{20, 70}, {20, 70}, {20, 70}}
+	decide := func(i int, b float64) {
+		l := loads[len(loads)-1-delay]
+		s.Begin()
+		s.Add("b", b, l[0])
+		s.Add("c", capacity, l[1])
+		s.Decide(time.Unix(1000, 0).Add(time.Duration(i)*100*time.Millisecond), "a", 0)
+	}
+	most := 0.0
+	for i := range 200 {
+		decide(i, capacity)
+		is.True(math.Abs(s.Share("b")+s.Share("c")-1) < 1e-9) // no call stays
+		n := [2]float64{demand * s.Share("b"), demand * s.Share("c")}
+		loads = append(loads, n)
+		if i > 100 {
+			most = max(most, n[0], n[1])
+		}
+	}
+	t.Logf("at most %.0f of %.0f", most, capacity)
+	is.True(most < 0.8*capacity) // 70 each in balance
+	decide(201, 0)
+	is.Equal(s.Share("c"), 1.0)
+}
