--- a/internal/limits/admission/admission.go
+++ b/internal/limits/admission/admission.go
@@ -1,12 +1,14 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"siskinrun/internal/data/ratestate"
 	"siskinrun/pkg/refusal"
 )
 
@@ -35,6 +37,7 @@
 	Take(ctx context.Context, team string, cost int64, wait time.Duration) error
 	Reports(team string) uint64
 	GiveBack(team string, cost int64, reports uint64)
+	Explain(team string, cost int64, wait time.Duration) ratestate.State
 }
 
 // Admit spends the cost of a request or returns a not-run refusal. If the request is refused later without having run, giveBack takes
@@ -60,6 +63,11 @@
 	return giveBack, nil
 }
 
+// Explain returns what Admit would do with a request now, and changes nothing.
+func (a *Controller) Explain(team string, cost int64) ratestate.State {
+	return a.Limiter.Explain(team, cost, cmp.Or(a.Wait, DefaultWait))
+}
+
 func (a *Controller) init() {
 	if a.Wait == 0 {
 		a.Wait = DefaultWait
--- a/internal/limits/admission/admission_test.go
+++ b/internal/limits/admission/admission_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"siskinrun/internal/data/ratestate"
 	"siskinrun/internal/limits/admission"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
@@ -47,6 +48,10 @@
 	}
 }
 
+func (p *fakeLimiter) Explain(string, int64, time.Duration) ratestate.State {
+	return ratestate.State{Held: p.held}
+}
+
 func TestAdmit(t *testing.T) {
 	for _, c := range []struct {
 		name         string
