Let hosts prefer some upstreams of each service

Cause: a host spreads its calls over all upstreams of a service and returns to each only after its idle connection has been closed, so most calls open a connection.

Change: with fleet.preferred-upstreams (off by default) each host orders the upstreams by weighted rendezvous hashing (routing/subset) and gives as many as it can keep connected a lead of 0.2 in the score while they have a free slot. In pools above 16 upstreams a pick draws its candidates from them.

--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -15,6 +15,7 @@
 	"siskinrun/internal/limits/admission"
 	"siskinrun/internal/routing/planner"
 	"siskinrun/internal/routing/retry"
+	"siskinrun/internal/routing/subset"
 	"siskinrun/internal/wire/accounting"
 	"siskinrun/internal/wire/cancelclient"
 	"siskinrun/internal/wire/dispatch"
@@ -68,6 +69,9 @@
 		RateLimit:       p.permits.Observe,
 		Gate:            p.evacuation,
 	}
+	if s.Settings.Fleet.PreferredUpstreams {
+		p.picker.Preferred = &subset.Chooser{Host: s.Name, FailureDomain: p.host.FailureDomain, KeepTime: x.KeepTime}
+	}
 	if s.Dialect != nil {
 		x.Dialect = s.Dialect.Upstreams
 		x.Report = p.applyReport
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -118,6 +118,8 @@
 	// WholeBatchRuns keeps batch runs whole at services whose upstreams report their pace: a run is preempted only for a call that
 	// has no other place. Calls wait longer in bursts.
 	WholeBatchRuns bool `json:"whole-batch-runs,omitempty"`
+	// PreferredUpstreams lets each host prefer a subset of the upstreams of each service, so that it opens fewer connections.
+	PreferredUpstreams bool `json:"preferred-upstreams,omitempty"`
 	// Weights are the weights of the operators' goals.
 	Weights Weights `json:"weights"`
 }
--- a/internal/routing/picker/pace_load_test.go
+++ b/internal/routing/picker/pace_load_test.go
@@ -46,6 +46,12 @@
 	// two times at which counts and paces are published.
 	domains      int
 	publishEvery time.Duration
+	// applyEvery is the time between two times at which a host applies what is published.
+	applyEvery time.Duration
+	// first is the share of the time of an answer after which it begins.
+	first float64
+	// ended, if set, is told of each call that ends.
+	ended func(host, to int)
 	// gone, if set, tells the baselines which upstreams are lost.
 	gone func(u int, at time.Duration) bool
 	// told are the counts of others that each host has applied.
@@ -73,7 +79,7 @@
 
 func newPacedLoad(hosts, upstreams, domains int) *pacedLoad {
 	l := &pacedLoad{
-		random: rand.New(rand.NewPCG(1, 2)), now: start, domains: domains, publishEvery: 20 * time.Millisecond, number: map[string]int{}, choose: (*pacedLoad).pick,
+		random: rand.New(rand.NewPCG(1, 2)), now: start, domains: domains, publishEvery: 20 * time.Millisecond, applyEvery: 50 * time.Millisecond, first: 1, number: map[string]int{}, choose: (*pacedLoad).pick,
 		published: make([]int, upstreams), paces: make([]int, upstreams), pacesAt: make([]time.Time, upstreams),
 		publishedPaces: make([]int, upstreams), publishedAt: make([]time.Time, upstreams), running: make([]int, upstreams),
 	}
@@ -185,6 +191,9 @@
 		}
 		l.running[c.to]--
 		l.own[c.host][c.to]--
+		if l.ended != nil {
+			l.ended(c.host, c.to)
+		}
 		r := loadreport.Report{
 			Upstream: l.upstreams[c.to].Name, Running: min(l.running[c.to], pacedSlots), Waiting: max(l.running[c.to]-pacedSlots, 0),
 		}
@@ -194,7 +203,7 @@
 		}
 		took := c.ends.Sub(c.sent)
 		l.hosts[c.host].Report(r, l.now)
-		l.hosts[c.host].Finished(r.Upstream, outcome.Succeeded, took, l.now)
+		l.hosts[c.host].Finished(r.Upstream, outcome.Succeeded, time.Duration(l.first*float64(took)), l.now)
 		l.took = append(l.took, took)
 		return true
 	})
@@ -209,7 +218,7 @@
 		copy(l.publishedAt, l.pacesAt)
 	}
 	for h, p := range l.hosts {
-		if (t+time.Duration(h*7)*time.Millisecond)%(50*time.Millisecond) != 0 {
+		if (t+time.Duration(h*7)*time.Millisecond)%l.applyEvery != 0 {
 			continue
 		}
 		for i, u := range l.upstreams {
--- a/internal/routing/picker/pick.go
+++ b/internal/routing/picker/pick.go
@@ -16,7 +16,7 @@
 	// holderSamples is the number of candidates that probably have the prefix cached, homeSamples that of addHome.
 	holderSamples = 4
 	homeSamples   = 1
-	maxCandidates = maxScan + localSamples + otherSamples + holderSamples + homeSamples
+	maxCandidates = maxScan + localSamples + otherSamples + preferredSamples + strangerSamples + holderSamples + homeSamples
 	// probeAttempts is the number of random draws for an upstream that is due a probe.
 	probeAttempts = 2
 	// homeBonus is the share of a prompt that counts as cached on its home upstream when no block is known to be.
@@ -34,15 +34,18 @@
 }
 
 // sample returns the candidates: all of a small pool, otherwise random ones of the own failure domain and of all, plus those with the prefix.
-func (c *Picker) sample(p *pool, d *demand.Demand) []candidate {
+func (c *Picker) sample(p *pool, d *demand.Demand, now time.Time) []candidate {
 	list := c.candidates[:0]
 	if len(p.all) <= maxScan {
 		for _, m := range p.all {
 			list = append(list, candidate{member: m})
 		}
 	} else {
-		list = c.addRandom(list, p.domains[c.chosenDomain], localSamples)
-		list = c.addRandom(list, p.all, otherSamples)
+		var ok bool
+		if list, ok = c.addPreferred(list, p, d, now); !ok {
+			list = c.addRandom(list, p.domains[c.chosenDomain], localSamples)
+			list = c.addRandom(list, p.all, otherSamples)
+		}
 	}
 	if len(d.PrefixHashes) == 0 {
 		return list
@@ -98,11 +101,15 @@
 	var best *member
 	least, prompts := 0.0, 0.0
 	ties := 0
+	blocks := longest(list)
 	for _, v := range list {
 		if !c.allowed(p, v.member, d, now) {
 			continue
 		}
 		s := c.score(v, d, p, now)
+		if p.preferred.size > 0 {
+			s -= c.lead(p, v, blocks, now)
+		}
 		if best == nil || s < least {
 			best, least, ties = v.member, s, 1
 			prompts = v.uncachedPrompts(d)
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -9,6 +9,7 @@
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/affinity"
 	"siskinrun/internal/routing/ejection"
+	"siskinrun/internal/routing/subset"
 )
 
 const (
@@ -92,6 +93,9 @@
 	RunsWhole func(name string) bool
 	// Gate, if set, tells which upstreams may get work; after each change of it Reopen must be called.
 	Gate gate
+	// Preferred, if set, chooses the upstreams to which calls lean whose prompt no upstream holds, so that fewer connections are
+	// opened.
+	Preferred *subset.Chooser
 	// Paths, if set, tells which upstreams this host reaches by itself.
 	Paths paths
 
@@ -147,13 +151,14 @@
 	if !ok {
 		return upstream.Upstream{}, false
 	}
+	p.preferred.calls++
 	m := c.probe(p, &d, now)
 	c.chosenDomain = d.FailureDomain
 	if c.spills(p) {
 		c.chosenDomain = c.target(p, &d, now)
 	}
 	if m == nil {
-		m = c.best(p, c.vacant(p, c.sparing(p, c.sample(p, &d), &d, now), &d, now), &d, now)
+		m = c.best(p, c.vacant(p, c.sparing(p, c.sample(p, &d, now), &d, now), &d, now), &d, now)
 	}
 	if m == nil {
 		m = c.scan(p, &d, now)
@@ -187,5 +192,6 @@
 		p.updateMedian()
 		p.updatePaced(now)
 		c.updateLimited(p)
+		c.updatePreferred(p, now)
 	}
 }
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -34,6 +34,8 @@
 	// spill decides on leaving the failure domain, last at spilledAt; nil until it is called for.
 	spill     *spillover.Spillover
 	spilledAt time.Time
+	// preferred are the preferred upstreams, none unless Picker.Preferred is set.
+	preferred preference
 }
 
 // tombstone remembers a removed upstream and the requests that still run on it.
@@ -166,7 +168,9 @@
 			p.median = o.median
 			p.paced, p.medianWork = o.paced, o.medianWork
 			p.spill, p.spilledAt = o.spill, o.spilledAt
+			p.preferred = o.preferred
 		}
+		c.orderPreferred(p)
 	}
 }
 
--- a/internal/wire/transport/idle.go
+++ b/internal/wire/transport/idle.go
@@ -93,6 +93,13 @@
 	return e.IdleTimeout
 }
 
+// KeepTime returns for how long an idle connection may be used, by the upstream that answered last.
+func (e *Transport) KeepTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return cmp.Or(e.kept, e.IdleTimeout)
+}
+
 // putIdle keeps a connection for the next call, unless a late copy of its last answer could not be told from the next answer.
 func (e *Transport) putIdle(k *conn) {
 	if k.gateway != "" || k.anonymous || k.in.Buffered() > 0 || !k.stopAbort() {
@@ -105,6 +112,7 @@
 	k.sent.Store(0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.kept = e.idleTTL(k)
 	if len(e.idle[k.address]) >= maxIdleConns {
 		k.close()
 		return
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -67,6 +67,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// kept is for how long the connection that became idle last may be used, zero if there was none.
+	kept time.Duration
 	// running are the connections with a call, by address.
 	running map[string]map[*conn]bool
 }
