Let calls that may not be repeated use connections that just proved usable

Change: with fleet.preferred-upstreams such a call takes an idle connection whose complete response ended less than 200 ms ago, on which nothing has come since, to an upstream that has not closed one early in the last 10 minutes. If it fails before a byte was sent, a new connection is used; after a byte the verdict stays may-have-run. Opened and reused connections are counted.

--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/leadership"
 	"siskinrun/internal/data/callrecord"
@@ -68,6 +70,9 @@
 		ConnectTimeout:  m.ConnectTimeout.Duration(),
 		RateLimit:       p.permits.Observe,
 		Gate:            p.evacuation,
+		Opened:          metrics.GetOrRegisterCounter("opened", p.childMetrics("upstream-connections")),
+		Reused:          metrics.GetOrRegisterCounter("reused", p.childMetrics("upstream-connections")),
+		ReuseProven:     s.Settings.Fleet.PreferredUpstreams,
 	}
 	if s.Settings.Fleet.PreferredUpstreams {
 		p.picker.Preferred = &subset.Chooser{Host: s.Name, FailureDomain: p.host.FailureDomain, KeepTime: x.KeepTime}
--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -29,6 +29,8 @@
 	idleTTL   time.Duration
 	idleSince time.Time
 	stopAbort func() bool
+	// reused says that the connection was idle before its call, unused that it failed before a byte of the call was sent.
+	reused, unused bool
 	// gateway is the host that carries the connection, empty for none.
 	gateway string
 	// repeatable says that the call may run again.
@@ -117,19 +119,24 @@
 	if k.sent.Load() == 0 {
 		return unreachable(err)
 	}
-	var n interface{ Timeout() bool }
 	switch {
 	case ctx.Err() != nil:
 		return refusal.NewMayHaveRun(504, "cancelled", "the call was cancelled while it ran")
 	case k.pathLost(err):
 		return newPathLost()
-	case errors.As(err, &n) && n.Timeout():
+	case isTimeout(err):
 		return refusal.NewMayHaveRun(504, "upstream-timeout", "the upstream did not answer in time")
 	default:
 		return refusal.NewMayHaveRun(502, "upstream-lost", "the upstream's answer was lost: "+kind(err))
 	}
 }
 
+// isTimeout reports whether an error is a deadline that has passed.
+func isTimeout(err error) bool {
+	var n interface{ Timeout() bool }
+	return errors.As(err, &n) && n.Timeout()
+}
+
 // unreachable refuses a call of which no byte was written.
 func unreachable(err error) error {
 	return refusal.NewNotRun(503, "upstream-unreachable", kind(err))
--- a/internal/wire/transport/idle.go
+++ b/internal/wire/transport/idle.go
@@ -12,16 +12,29 @@
 	"siskinrun/internal/data/upstream"
 )
 
-// acquireConn returns an idle connection if the call may be repeated, or else a new one. The upstream may just be
-// closing an idle connection, and the call could then be lost.
-func (e *Transport) acquireConn(ctx context.Context, address string, q *call.Call) (*conn, error) {
+// reusableConn returns an idle connection for a call, or nil. The upstream may just be closing it, and the call could then be lost:
+// one that may not be repeated gets a connection only if it has just proved usable.
+func (e *Transport) reusableConn(address string, q *call.Call) *conn {
+	if e.Connector != nil && !e.Connector.Sound(q.Upstream.Name) {
+		return nil
+	}
+	var k *conn
+	switch {
+	case q.RouteConfig.Repeatable:
+		k = e.takeIdle(address, q.ID)
+	case e.ReuseProven:
+		k = e.takeProven(address, q.ID)
+	}
+	if k != nil && e.Reused != nil {
+		e.Reused.Inc(1)
+	}
+	return k
+}
+
+// newConn returns a new connection for a call.
+func (e *Transport) newConn(ctx context.Context, address string, q *call.Call) (*conn, error) {
 	u := q.Upstream
 	u.Address = address
-	if q.RouteConfig.Repeatable && (e.Connector == nil || e.Connector.Sound(u.Name)) {
-		if k := e.takeIdle(address, q.ID); k != nil {
-			return k, nil
-		}
-	}
 	c, g, err := e.connect(ctx, u)
 	if err != nil {
 		return nil, err
@@ -31,6 +44,9 @@
 			return nil, err
 		}
 	}
+	if e.Opened != nil {
+		e.Opened.Inc(1)
+	}
 	k := newConn(c, address)
 	k.gateway = g
 	q.Record.Gateway = g
@@ -74,8 +90,14 @@
 			continue
 		}
 		e.idle[address] = slices.Delete(e.idle[address], i, i+1)
-		if n.Sub(k.idleSince) < e.idleTTL(k) && quiet(k.Conn) {
-			return k
+		if n.Sub(k.idleSince) < e.idleTTL(k) {
+			if quiet(k.Conn) {
+				k.reused = true
+				return k
+			}
+			if e.ReuseProven {
+				e.noteClosedEarly(address, n)
+			}
 		}
 		k.close()
 	}
@@ -85,6 +107,58 @@
 	return nil
 }
 
+// takeProven returns an idle connection for the call with an ID whose last response ended within provenTime, or nil. It trusts no
+// upstream that has closed a connection before the time for which it keeps idle ones.
+func (e *Transport) takeProven(address, id string) *conn {
+	n := e.Timer.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if t, ok := e.closedEarly[address]; ok && n.Sub(t) < distrustTime {
+		return nil
+	}
+	for i, k := range slices.Backward(e.idle[address]) {
+		age := n.Sub(k.idleSince)
+		if age < 0 || age >= min(provenTime, e.idleTTL(k)) {
+			return nil // those before it have been idle for longer
+		}
+		if k.answered == id {
+			continue
+		}
+		e.idle[address] = slices.Delete(e.idle[address], i, i+1)
+		if provenQuiet(k.Conn) {
+			k.reused = true
+			return k
+		}
+		e.noteClosedEarly(address, n)
+		k.close()
+		return nil
+	}
+	return nil
+}
+
+// distrust notes that an upstream closed or reset a connection under a call that was sent on it when it was idle.
+func (e *Transport) distrust(address string) {
+	if !e.ReuseProven {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteClosedEarly(address, e.Timer.Now())
+}
+
+// noteClosedEarly notes that an upstream closed or reset an idle connection that it should have kept; the lock is held.
+func (e *Transport) noteClosedEarly(address string, now time.Time) {
+	if e.closedEarly == nil {
+		e.closedEarly = map[string]time.Time{}
+	}
+	for a, t := range e.closedEarly {
+		if now.Sub(t) >= distrustTime {
+			delete(e.closedEarly, a)
+		}
+	}
+	e.closedEarly[address] = now
+}
+
 // idleTTL returns how long an idle connection may be reused, well within the keep-alive time of the upstream.
 func (e *Transport) idleTTL(k *conn) time.Duration {
 	if k.idleTTL > 0 {
--- a/internal/wire/transport/quiet.go
+++ b/internal/wire/transport/quiet.go
@@ -1,11 +1,22 @@
 package transport
 
 import (
+	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
 )
 
+// provenQuiet is quiet for a connection of which that must be certain: below TLS, whatever came counts too, such as the notice that
+// it closes.
+func provenQuiet(c net.Conn) bool {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	_, ok := c.(syscall.Conn)
+	return ok && quiet(c)
+}
+
 // quiet reports whether an idle connection is open and has received nothing since its last answer. Bytes that came later
 // belong to no call.
 func quiet(c net.Conn) bool {
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/base/timer"
@@ -33,6 +34,10 @@
 	// idleTTLDivisor divides the time for which an upstream keeps an idle connection, so that it is
 	// rarely reused just as the upstream closes it.
 	idleTTLDivisor = 2
+	// provenTime is how long after its last response a connection counts as proved usable. Idle timeouts are stated in whole seconds.
+	provenTime = 200 * time.Millisecond
+	// distrustTime is how long calls that may not be repeated use no idle connection to an upstream that closed one early.
+	distrustTime = 10 * time.Minute
 	// maxDrainBytes is the longest body of a refusal that is read so that its connection can be reused.
 	maxDrainBytes = 4 << 10
 	// minFinalStatus is the least status of an answer that none follows.
@@ -65,10 +70,17 @@
 	// Connector opens connections, nil for the dialer of the standard library.
 	Connector connector
 
+	// Opened and Reused, if set, count the connections that are opened, and the calls that are sent on one that was used before.
+	Opened, Reused metrics.Counter
+	// ReuseProven lets calls that may not be repeated use an idle connection that has just proved usable.
+	ReuseProven bool
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 	// kept is for how long the connection that became idle last may be used, zero if there was none.
 	kept time.Duration
+	// closedEarly is when an upstream last closed an idle connection that it should have kept, by address.
+	closedEarly map[string]time.Time
 	// running are the connections with a call, by address.
 	running map[string]map[*conn]bool
 }
@@ -94,10 +106,21 @@
 // Do sends c to the address and returns its answer with an unread body; the error is a refusal whose verdict says
 // whether the call may have run.
 func (e *Transport) Do(ctx context.Context, address string, c *call.Call) (*answer.Answer, error) {
-	k, err := e.acquireConn(ctx, address, c)
+	if k := e.reusableConn(address, c); k != nil {
+		a, err := e.send(ctx, k, c)
+		if !k.unused || c.RouteConfig.Repeatable || ctx.Err() != nil {
+			return a, err
+		}
+	}
+	k, err := e.newConn(ctx, address, c)
 	if err != nil {
 		return nil, unreachable(err)
 	}
+	return e.send(ctx, k, c)
+}
+
+// send sends c on a connection and returns its answer.
+func (e *Transport) send(ctx context.Context, k *conn, c *call.Call) (*answer.Answer, error) {
 	if e.Gate != nil && c.Upstream.Name != "" && !e.Gate.Open(c.Upstream) {
 		k.close()
 		return nil, evacuated.WithJitter()
@@ -111,6 +134,10 @@
 	}
 	if err != nil {
 		k.close()
+		k.unused = k.sent.Load() == 0
+		if k.reused && ctx.Err() == nil && !isTimeout(err) {
+			e.distrust(k.address)
+		}
 		return nil, k.toRefusal(ctx, err)
 	}
 	return a, nil
