Count and log the use of preferred upstreams

Cause: an operator could not see whether calls follow the preference.

Change: the metrics page has preferred-upstreams.calls, calls-to-others and size, and the log has a line when the size changes, at most once in 10 s.

Measured: TestPreferredUpstreamsGiveWay checks the counts.

--- a/internal/product/server/loads.go
+++ b/internal/product/server/loads.go
@@ -25,8 +25,9 @@
 	// evacuationChanges is the state of the evacuations that was applied last.
 	evacuationChanges uint64
 	// callHosts is the number of hosts that take calls, among which the slots of a service are shared.
-	callHosts  int
-	departures departures
+	callHosts   int
+	departures  departures
+	preferences preferences
 }
 
 // peerCount is the number of requests of other hosts at an upstream.
@@ -43,6 +44,7 @@
 			return err
 		}
 		l.departures.show(p)
+		l.preferences.show(p)
 		if !l.stale() {
 			continue
 		}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -112,6 +112,8 @@
 	// departures counts the calls by failure domain where leaving is decided; spillReason is the latest reason.
 	departures  map[string]int64
 	spillReason string
+	// preferredCalls and otherCalls count the calls of pools with a preference, by whether they went to a preferred upstream.
+	preferredCalls, otherCalls int64
 	// opened says that Reopen was called. Before, a closed gate only means that this host knows no configuration yet.
 	opened bool
 }
@@ -166,6 +168,7 @@
 	if m == nil {
 		return upstream.Upstream{}, false
 	}
+	c.countPreferred(p, m)
 	if c.spills(p) {
 		c.departures[m.upstream.FailureDomain]++
 	}
--- a/internal/routing/picker/prefer.go
+++ b/internal/routing/picker/prefer.go
@@ -110,3 +110,26 @@
 	list = c.addRandom(list, p.all, strangerSamples)
 	return list, slices.ContainsFunc(list, func(v candidate) bool { return c.allowed(p, v.member, d, now) && !c.full(v.member, now) })
 }
+
+// countPreferred counts a call of a pool with a preference.
+func (c *Picker) countPreferred(p *pool, m *member) {
+	if p.preferred.size == 0 {
+		return
+	}
+	if p.preferred.rank[m] < p.preferred.size {
+		c.preferredCalls++
+	} else {
+		c.otherCalls++
+	}
+}
+
+// Preferences returns the calls that went to preferred and to other upstreams, of pools with a preference, and the number of preferred
+// upstreams of the largest one.
+func (c *Picker) Preferences() (preferred, others int64, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		size = max(size, p.preferred.size)
+	}
+	return c.preferredCalls, c.otherCalls, size
+}
--- a/internal/routing/picker/prefer_test.go
+++ b/internal/routing/picker/prefer_test.go
@@ -31,6 +31,9 @@
 		}
 	}
 	is.True(n > 80) // 10 without a preference
+	preferred, others, size := p.Preferences()
+	is.Equal(size, 4)
+	is.True(preferred > 80 && preferred+others <= 100) // calls before the first update have no preference
 	return p, l, names
 }
 
