Let preferred upstreams that are cold or limited give way

Cause: a preferred upstream that names a rate limit or is cold had the lead over others that have none and free slots, and a pick in a large pool could draw few others.

Change: such an upstream has no lead while others of its pool name no limit, and a pick draws the usual candidates too where no other preferred one can start the call.

Measured: TestPreferredUpstreamsGiveWay/cold fails without the change.

--- a/internal/routing/picker/limits.go
+++ b/internal/routing/picker/limits.go
@@ -50,9 +50,10 @@
 	return best, at
 }
 
-// updateLimited notes whether an upstream of a pool names a rate limit.
+// updateLimited notes whether an upstream of a pool names a rate limit, and whether only some do.
 func (c *Picker) updateLimited(p *pool) {
 	p.limited = c.Limits != nil && slices.ContainsFunc(p.all, c.named)
+	p.mixed = p.limited && slices.ContainsFunc(p.all, func(m *member) bool { return !c.named(m) })
 }
 
 // named reports whether an upstream names a rate limit.
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -28,6 +28,8 @@
 	latencies []float64
 	// limited says that an upstream of the pool names a rate limit.
 	limited bool
+	// mixed says that some of them do, such as the cold ones, and others don't.
+	mixed bool
 	// paced says that an upstream of the pool reports its pace; medianWork is the median of work.
 	paced      bool
 	medianWork float64
--- a/internal/routing/picker/prefer.go
+++ b/internal/routing/picker/prefer.go
@@ -81,11 +81,12 @@
 }
 
 // lead returns the lead of a candidate in the score; blocks are the most prompt blocks that any has cached. None have one that hold
-// less of the prompt, where the call would wait for a slot, or that have just begun or returned. The home of a prompt that nobody
+// less of the prompt, where the call would wait for a slot or may not lean to a cold or limited
+// upstream, or that have just begun or returned. The home of a prompt that nobody
 // holds keeps its bonus over the preferred ones.
 func (c *Picker) lead(p *pool, v candidate, blocks int, now time.Time) float64 {
 	m := v.member
-	if v.blocks < blocks || m.warming || c.full(m, now) {
+	if v.blocks < blocks || m.warming || !c.leads(p, m, now) {
 		return 0
 	}
 	if i, ok := p.preferred.rank[m]; !v.home && (!ok || i >= p.preferred.size) {
@@ -94,21 +95,27 @@
 	return preferredLead
 }
 
+// leads reports whether an upstream may have a lead: one more call would find a free slot there, and no rate limit that others
+// don't have.
+func (c *Picker) leads(p *pool, m *member, now time.Time) bool {
+	return !c.full(m, now) && !(p.mixed && c.named(m))
+}
+
 // full reports whether one more call would have no free slot.
 func (c *Picker) full(m *member, now time.Time) bool {
 	return max(float64(m.knownRequests()), m.load(now, c.ReportTTL))+1 > m.slots
 }
 
 // addPreferred adds candidates of a large pool, most of them preferred, and reports whether they suffice: more would be too many, as
-// hosts with old counts then all take the same one. They don't suffice where none of them can start the call at once, or where
-// the call leaves the own failure domain.
+// hosts with old counts then all take the same one. They don't suffice where none of them can start the call at once without a
+// rate limit that others don't have, or where the call leaves the own failure domain.
 func (c *Picker) addPreferred(list []candidate, p *pool, d *demand.Demand, now time.Time) ([]candidate, bool) {
 	if p.preferred.size == 0 || c.chosenDomain != d.FailureDomain {
 		return list, false
 	}
 	list = c.addRandom(list, p.preferred.order[:p.preferred.size], preferredSamples)
 	list = c.addRandom(list, p.all, strangerSamples)
-	return list, slices.ContainsFunc(list, func(v candidate) bool { return c.allowed(p, v.member, d, now) && !c.full(v.member, now) })
+	return list, slices.ContainsFunc(list, func(v candidate) bool { return c.allowed(p, v.member, d, now) && c.leads(p, v.member, now) })
 }
 
 // countPreferred counts a call of a pool with a preference.
--- a/internal/routing/picker/prefer_test.go
+++ b/internal/routing/picker/prefer_test.go
@@ -64,6 +64,12 @@
 		p.Reopen(later)
 		pick(is, p, names)
 	})
+	t.Run("cold", func(t *testing.T) {
+		is := is.New(t)
+		p, _, names := preferringPicker(is)
+		p.Limits = coldNames(names)
+		pick(is, p, names)
+	})
 	t.Run("leaving", func(t *testing.T) {
 		is := is.New(t)
 		p, l, names := preferringPicker(is)
@@ -80,3 +86,17 @@
 
 // Open reports whether an upstream may get work.
 func (c closedNames) Open(u upstream.Upstream) bool { return !c[u.Name] }
+
+// coldNames are limits of some upstreams, which have permits.
+type coldNames map[string]bool
+
+// Next returns a permit at once and a reserve of which a little is used.
+func (c coldNames) Next(name string, _ uint64, now time.Time) (time.Time, float64) {
+	if c[name] {
+		return now, 0.01
+	}
+	return now, 0
+}
+
+// Named reports whether an upstream is cold.
+func (c coldNames) Named(name string, _ uint64) bool { return c[name] }
