--- a/internal/jobs/ledger/save.go
+++ b/internal/jobs/ledger/save.go
@@ -84,12 +84,13 @@
 
 func (l *Ledger) contents() ([]storedContent, error) {
 	var s []storedContent
-	for n, size := range l.sizes() {
+	sizes := l.sizes()
+	for _, n := range slices.Sorted(maps.Keys(sizes)) {
 		r, err := l.Storage.Open(n)
 		if err != nil {
 			return s, err
 		}
-		s = append(s, storedContent{name: n, size: size, reader: r})
+		s = append(s, storedContent{name: n, size: sizes[n], reader: r})
 	}
 	return s, nil
 }
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/leadership"
 	"siskinrun/internal/data/callrecord"
@@ -15,6 +17,7 @@
 	"siskinrun/internal/limits/admission"
 	"siskinrun/internal/routing/planner"
 	"siskinrun/internal/routing/retry"
+	"siskinrun/internal/routing/subset"
 	"siskinrun/internal/wire/accounting"
 	"siskinrun/internal/wire/cancelclient"
 	"siskinrun/internal/wire/dispatch"
@@ -69,6 +72,12 @@
 		ConnectTimeout:  m.ConnectTimeout.Duration(),
 		RateLimit:       p.permits.Observe,
 		Gate:            p.evacuation,
+		Opened:          metrics.GetOrRegisterCounter("opened", p.childMetrics("upstream-connections")),
+		Reused:          metrics.GetOrRegisterCounter("reused", p.childMetrics("upstream-connections")),
+		ReuseProven:     s.Settings.Fleet.PreferredUpstreams,
+	}
+	if s.Settings.Fleet.PreferredUpstreams {
+		p.picker.Preferred = &subset.Chooser{Host: s.Name, FailureDomain: p.host.FailureDomain, KeepTime: x.KeepTime}
 	}
 	if s.Dialect != nil {
 		x.Dialect = s.Dialect.Upstreams
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -126,6 +126,8 @@
 	WholeBatchRuns wholeruns.Scope `json:"whole-batch-runs,omitzero"`
 	// JobsByDeadline has batch items leased in the order of their jobs' deadlines, on routes with a completion target.
 	JobsByDeadline bool `json:"jobs-by-deadline,omitempty"`
+	// PreferredUpstreams lets each host prefer a subset of the upstreams of each service, so that it opens fewer connections.
+	PreferredUpstreams bool `json:"preferred-upstreams,omitempty"`
 	// Weights are the weights of the operators' goals.
 	Weights Weights `json:"weights"`
 }
--- a/internal/routing/picker/explain.go
+++ b/internal/routing/picker/explain.go
@@ -155,7 +155,8 @@
 		DisplacementWeight: c.DisplacementWeight, LimitWeight: c.LimitWeight, GatewayWeight: c.GatewayWeight,
 		WarmUp: c.WarmUp, ReportTTL: c.ReportTTL, VersionTTL: c.VersionTTL, HeardAt: c.HeardAt,
 		Ejection: c.Ejection.Clone(), Affinity: c.Affinity, Limits: c.Limits, RunsWhole: c.RunsWhole, Gate: c.Gate, Paths: c.Paths,
-		source: &s, random: rand.New(&s), members: map[string]*member{}, pools: map[poolKey]*pool{},
+		Preferred: c.Preferred,
+		source:    &s, random: rand.New(&s), members: map[string]*member{}, pools: map[poolKey]*pool{},
 		lastSweep: c.lastSweep, latest: c.latest, spillReason: c.spillReason, opened: c.opened,
 	}
 	for n, m := range c.members {
@@ -182,6 +183,11 @@
 	if p.spill != nil {
 		k.spill = p.spill.Clone()
 	}
+	k.preferred.order = copied(p.preferred.order, members)
+	k.preferred.rank = make(map[*member]int, len(k.preferred.order))
+	for i, m := range k.preferred.order {
+		k.preferred.rank[m] = i
+	}
 	return &k
 }
 
--- a/internal/routing/picker/explain_test.go
+++ b/internal/routing/picker/explain_test.go
@@ -14,6 +14,7 @@
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/evacuation"
 	"siskinrun/internal/routing/picker"
+	"siskinrun/internal/routing/subset"
 )
 
 // TestExplainNamesWhatPickReturnsAndChangesNothing guards against an explanation that follows other rules than the choice, and
@@ -123,6 +124,7 @@
 	v := reflect.ValueOf(p).Elem()
 	f := 0.5
 	p.DomainTraffic, p.VersionTTL, p.HeardAt = &f, time.Hour, time.Now
+	p.Preferred = &subset.Chooser{Host: "h", KeepTime: func() time.Duration { return time.Second }}
 	p.Limits, p.Gate, p.Paths, p.RunsWhole = fixedLimits{}, &evacuation.Gate{}, gateways{}, func(string) bool { return false }
 	k := reflect.ValueOf(picker.Clone(p)).Elem()
 	for i := range v.NumField() {
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -9,6 +9,7 @@
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/routing/affinity"
 	"siskinrun/internal/routing/ejection"
+	"siskinrun/internal/routing/subset"
 )
 
 const (
@@ -92,6 +93,9 @@
 	RunsWhole func(name string) bool
 	// Gate, if set, tells which upstreams may get work; after each change of it Reopen must be called.
 	Gate gate
+	// Preferred, if set, chooses the upstreams to which calls lean whose prompt no upstream holds, so that fewer connections are
+	// opened.
+	Preferred *subset.Chooser
 	// Paths, if set, tells which upstreams this host reaches by itself.
 	Paths paths
 
@@ -110,6 +114,8 @@
 	// departures counts the calls by failure domain where leaving is decided; spillReason is the latest reason.
 	departures  map[string]int64
 	spillReason string
+	// preferredCalls and otherCalls count the calls of pools with a preference, by whether they went to a preferred upstream.
+	preferredCalls, otherCalls int64
 	// opened says that Reopen was called. Before, a closed gate only means that this host knows no configuration yet.
 	opened bool
 }
@@ -153,6 +159,8 @@
 	if v.scored {
 		m.addPrompts(v.uncachedPrompts(&d), now)
 	}
+	v.pool.preferred.calls++
+	c.countPreferred(v.pool, m)
 	if c.spills(v.pool) {
 		c.departures[m.upstream.FailureDomain]++
 	}
@@ -193,7 +201,7 @@
 	if stage == nil {
 		stage = func(string, []candidate) {}
 	}
-	l := c.sample(p, d)
+	l := c.sample(p, d, now)
 	stage(stageSampled, l)
 	l = c.sparing(p, l, d, now)
 	stage(stageSparing, l)
@@ -224,5 +232,6 @@
 		p.updateMedian()
 		p.updatePaced(now)
 		c.updateLimited(p)
+		c.updatePreferred(p, now)
 	}
 }
--- a/internal/routing/picker/pool.go
+++ b/internal/routing/picker/pool.go
@@ -28,12 +28,16 @@
 	latencies []float64
 	// limited says that an upstream of the pool names a rate limit.
 	limited bool
+	// mixed says that some of them do, such as the cold ones, and others don't.
+	mixed bool
 	// paced says that an upstream of the pool reports its pace; medianWork is the median of work.
 	paced      bool
 	medianWork float64
 	// spill decides on leaving the failure domain, last at spilledAt; nil until it is called for.
 	spill     *spillover.Spillover
 	spilledAt time.Time
+	// preferred are the preferred upstreams, none unless Picker.Preferred is set.
+	preferred preference
 }
 
 // tombstone remembers a removed upstream and the requests that still run on it.
@@ -166,7 +170,9 @@
 			p.median = o.median
 			p.paced, p.medianWork = o.paced, o.medianWork
 			p.spill, p.spilledAt = o.spill, o.spilledAt
+			p.preferred = o.preferred
 		}
+		c.orderPreferred(p)
 	}
 }
 
