Feature check: ask all members of the configuration's group

Cause: the check before a change of a new kind asked live control hosts only. A member of an older build that was down or partitioned came back and did not apply the entry, so its state diverged. Change: the leader names the committed members; each must have reported the feature to the host that is asked. Reports are kept by host, disk and run, and stored in the data folder of control hosts. A configuration with cold rates is refused if the members can't be told. The unit test that let a dead member without features pass is replaced: such a member now blocks the change.

--- a/cmd/siskinrun/evacuation_test.go
+++ b/cmd/siskinrun/evacuation_test.go
@@ -85,11 +85,7 @@
 	began := e.timer.Now()
 	e.await(ctx, path, func() error {
 		n++
-		s, err := e.order(ctx, e.controls[n%len(e.controls)], path, "")
-		if err == nil && s != http.StatusOK {
-			err = errors.Newf("status %d", s)
-		}
-		return err
+		return e.try(ctx, e.controls[n%len(e.controls)], path)
 	})
 	e.t.Logf("%s accepted after %v and %d tries", path, e.timer.Now().Sub(began), n)
 }
@@ -247,3 +243,47 @@
 	e.awaitQuiet()
 	e.checkNoneSent(ctx, "a")
 }
+
+// TestOrdersCountMembersThatAreDown guards against an order that is accepted though a control host that is down was never heard
+// from, so may not apply it once it is back, and against one that is refused, after a restart of the host that is asked, for a
+// member that is lost but reported that it knows the order.
+func TestOrdersCountMembersThatAreDown(t *testing.T) {
+	is := is.New(t)
+	e, ctx := startEvacuationFleet(t)
+	e.accept(ctx, wire.PathEvacuationBegin+"a")
+	lost, asked := e.controls[0], e.controls[1]
+	e.kill(lost)
+	time.Sleep(forgottenTime)
+	e.kill(asked)
+	e.start(asked)
+	e.acceptAt(ctx, asked, wire.PathEvacuationFinish+"a")
+	e.kill(asked)
+	is.NoErr(os.Remove(filepath.Join(e.folder, "data-"+asked, "member-features")))
+	e.start(asked)
+	e.acceptAt(ctx, asked, wire.PathEvacuationFinish+"a") // the state is so already
+	for range 5 {
+		s, err := e.order(ctx, asked, wire.PathEvacuationBegin+"a", "")
+		is.NoErr(err)
+		is.Equal(s, http.StatusServiceUnavailable)
+	}
+	e.start(lost)
+	e.acceptAt(ctx, asked, wire.PathEvacuationBegin+"a")
+}
+
+// forgottenTime is the time after which other hosts pass nothing on of a host that was killed: 30 s after it was declared dead.
+const forgottenTime = 36 * time.Second
+
+// acceptAt sends an order to a control host until it accepts it.
+func (e *evacuationFleet) acceptAt(ctx context.Context, host, path string) {
+	e.t.Helper()
+	e.await(ctx, path, func() error { return e.try(ctx, host, path) })
+}
+
+// try sends an order to a control host and returns an error unless it is accepted.
+func (e *evacuationFleet) try(ctx context.Context, host, path string) error {
+	s, err := e.order(ctx, host, path, "")
+	if err == nil && s != http.StatusOK {
+		err = errors.Newf("status %d", s)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/config/memberfeatures/doc.go
@@ -0,0 +1,2 @@
+// Package memberfeatures remembers which features of the replicated configuration the members of its group last reported.
+package memberfeatures
--- a/internal/config/operatorapi/endpoints.go
+++ b/internal/config/operatorapi/endpoints.go
@@ -110,7 +110,7 @@
 		return nil, refusal.NewNotRun(400, "bad-change", err.Error())
 	}
 	if s.Check != nil {
-		if err := s.Check(c); err != nil {
+		if err := s.Check(ctx, c); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/config/operatorapi/operatorapi.go
+++ b/internal/config/operatorapi/operatorapi.go
@@ -54,7 +54,7 @@
 	// Configuration provides the configuration in force, its history and the status of hosts.
 	Configuration configService
 	// Check, if set, refuses changes that this host may not propose.
-	Check func(c *change.Change) error
+	Check func(ctx context.Context, c *change.Change) error
 	// Client proposes changes.
 	Client proposer
 	// Timer is the clock.
--- a/internal/product/server/cold.go
+++ b/internal/product/server/cold.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"context"
 	"maps"
 
 	"siskinrun/internal/config/change"
 	"siskinrun/internal/data/configuration"
 	"siskinrun/internal/data/feature"
+	"siskinrun/pkg/refusal"
 )
 
 // boundColdUpstreams has permits keep to what cold upstreams bear, if the settings say by how much they may exceed it.
@@ -46,13 +48,19 @@
 }
 
 // keepColdRates removes the rates of cold upstreams from a configuration that control hosts of an older build would not
-// understand and so not apply, unlike the others. Those ignored the rates.
-func (p *components) keepColdRates(c *change.Change) {
-	if !removeColdRates(c, false) || p.requireFeature(feature.ColdUpstreams) == nil {
-		return
+// understand and so not apply, unlike the others. Those ignored the rates. It returns an error if the control hosts can't be
+// told, as no configuration can be proposed then.
+func (p *components) keepColdRates(ctx context.Context, c *change.Change) error {
+	if !removeColdRates(c, false) {
+		return nil
+	}
+	err := p.requireFeature(ctx, feature.ColdUpstreams)
+	if err == nil || refusal.Of(err).Code != featureUnknown.Code {
+		return err
 	}
 	removeColdRates(c, true)
 	p.server.Log.Warn().Uint64("edition", c.Edition).Msg("configuration proposed without the rates of cold upstreams")
+	return nil
 }
 
 // removeColdRates reports whether a configuration names rates or times of cold upstreams and, if told so, removes them.
--- a/internal/product/server/components.go
+++ b/internal/product/server/components.go
@@ -16,6 +16,7 @@
 	"siskinrun/internal/config/configstore"
 	"siskinrun/internal/config/distribution"
 	"siskinrun/internal/config/keyauth"
+	"siskinrun/internal/config/memberfeatures"
 	"siskinrun/internal/config/operatorapi"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/fleet/gossip"
@@ -76,6 +77,7 @@
 	client        *proposal.Client
 	store         *configstore.Store
 	ledgers       map[uint32]*ledger.Ledger
+	features      memberReports
 	distribution  *distribution.Service
 	authenticator *keyauth.Authenticator
 	directory     *directory.Directory
@@ -130,7 +132,10 @@
 	if !ok {
 		return nil, unknownHost(s.Name)
 	}
-	p := &components{server: s, host: h, seed: newSeed(), started: s.timer.Now(), evacuation: &evacuation.Gate{}}
+	p := &components{
+		server: s, host: h, seed: newSeed(), started: s.timer.Now(), evacuation: &evacuation.Gate{},
+		features: memberReports{table: memberfeatures.NewTable()},
+	}
 	_, stopTimeout := s.Settings.Fleet.Stop()
 	p.drain = &drain.Drain{Limit: stopTimeout}
 	p.diskSpace = p.newDiskSpace(g.Context())
--- a/internal/product/server/dialect.go
+++ b/internal/product/server/dialect.go
@@ -109,7 +109,9 @@
 // installConfiguration proposes a whole configuration and returns the outcome of the change.
 func (p *components) installConfiguration(ctx context.Context, c *change.Change) (*changeoutcome.Outcome, error) {
 	c.At = p.server.timer.Now()
-	p.keepColdRates(c)
+	if err := p.keepColdRates(ctx, c); err != nil {
+		return nil, err
+	}
 	b, err := c.Encode()
 	if err != nil {
 		return nil, refusal.NewNotRun(400, "bad-change", err.Error())
--- a/internal/product/server/evacuation.go
+++ b/internal/product/server/evacuation.go
@@ -42,7 +42,7 @@
 			return nil
 		}
 	}
-	if err := p.requireFeature(feature.Evacuation); err != nil {
+	if err := p.requireFeature(ctx, feature.Evacuation); err != nil {
 		return err
 	}
 	// Each order is a change of its own: a recorded ID would answer a begin after a finish without evacuating.
@@ -74,14 +74,14 @@
 }
 
 // checkChange refuses changes that begin or finish an evacuation where evacuate would. Other changes pass.
-func (p *components) checkChange(c *change.Change) error {
+func (p *components) checkChange(ctx context.Context, c *change.Change) error {
 	if c.Kind != change.BeginEvacuation && c.Kind != change.FinishEvacuation {
 		return nil
 	}
 	if err := p.checkDomain(c.Name); err != nil {
 		return err
 	}
-	return p.requireFeature(feature.Evacuation)
+	return p.requireFeature(ctx, feature.Evacuation)
 }
 
 // checkDomain refuses a failure domain that is not known here.
--- a/internal/product/server/feature_test.go
+++ b/internal/product/server/feature_test.go
@@ -5,23 +5,30 @@
 
 	"github.com/matryer/is"
 
+	"siskinrun/internal/config/memberfeatures"
 	"siskinrun/internal/data/feature"
 	"siskinrun/internal/data/gossipmessage"
+	"siskinrun/internal/state/identity"
 )
 
 // TestChangesWaitForControlHostsOfOlderBuilds guards against a change that one replica applies and another one does not know,
-// and against orders that wait for hosts that keep no configuration or are gone.
+// also one that is dead meanwhile, and against orders that wait for hosts that keep no configuration.
 func TestChangesWaitForControlHostsOfOlderBuilds(t *testing.T) {
 	is := is.New(t)
-	l := []gossipmessage.Host{
-		{Name: "new", Control: true, Features: feature.Known},
-		{Name: "entry"},
-		{Name: "ledger", Ledgers: true},
-		{Name: "dead", Control: true, Dead: true},
+	hosts := []gossipmessage.Host{
+		{Name: "new", Boot: 1, Control: true, Features: feature.Known},
+		{Name: "entry", Boot: 1},
+		{Name: "ledger", Boot: 1, Ledgers: true},
+		{Name: "dead", Boot: 1, Control: true, Dead: true},
 	}
-	is.Equal(olderControlHost(l, feature.Evacuation), "")
-	l = append(l, gossipmessage.Host{Name: "old", Control: true})
-	is.Equal(olderControlHost(l, feature.Evacuation), "old")
+	m := memberfeatures.NewTable()
+	l := withoutDisks([]identity.Identity{{Host: "new", Disk: "1"}})
+	m.Observe(l, hosts)
+	is.Equal(m.Lacking(l, feature.Evacuation), "")
+	l = append(l, identity.Identity{Host: "dead"})
+	m.Observe(l, hosts)
+	is.Equal(m.Lacking(l, feature.Evacuation), "dead")
+	is.Equal(m.Lacking([]identity.Identity{{Host: "unknown"}}, feature.Evacuation), "unknown")
 	is.Equal(featureUnknown.Status, 503)
 	is.True(featureUnknown.WithJitter().RetryAfter > 0)
 }
--- a/internal/product/server/retire.go
+++ b/internal/product/server/retire.go
@@ -7,6 +7,7 @@
 	"siskinrun/internal/config/change"
 	"siskinrun/internal/config/changeoutcome"
 	"siskinrun/internal/state/control"
+	"siskinrun/internal/state/identity"
 	"siskinrun/pkg/refusal"
 )
 
@@ -75,8 +76,8 @@
 		if err != nil {
 			return false, err
 		}
-		l, err := control.DecodeMemberHosts(b)
-		if err != nil || slices.Contains(l, h) {
+		l, err := control.DecodeMembers(b)
+		if err != nil || slices.ContainsFunc(l, func(i identity.Identity) bool { return i.Host == h }) {
 			return false, err
 		}
 	}
--- a/internal/product/server/server.go
+++ b/internal/product/server/server.go
@@ -134,6 +134,7 @@
 	if p.metricsPage != nil {
 		g.Go("metrics", p.metricsPage.Run)
 	}
+	g.Go("member-features", p.followFeatures)
 	g.Go("spread", p.distribution.Run)
 	g.Go("roster", p.gossip.Run)
 	g.Go("grant", p.rateLimiter.Run)
--- a/internal/state/control/members.go
+++ b/internal/state/control/members.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"siskinrun/internal/state/identity"
 	"siskinrun/internal/state/packet"
 	"siskinrun/pkg/refusal"
 )
@@ -19,15 +20,15 @@
 	return proto.Marshal(&packet.Question{Group: group})
 }
 
-// DecodeMemberHosts decodes the hosts of the members from a leader's answer.
-func DecodeMemberHosts(b []byte) ([]string, error) {
+// DecodeMembers decodes the members, voters and learners, from a leader's answer.
+func DecodeMembers(b []byte) ([]identity.Identity, error) {
 	f := &packet.Formation{}
 	if err := proto.Unmarshal(b, f); err != nil {
 		return nil, errors.Wrap(err, "decode members")
 	}
-	var l []string
+	var l []identity.Identity
 	for _, i := range f.GetMembers() {
-		l = append(l, i.GetHost())
+		l = append(l, decodeIdentity(i))
 	}
 	return l, nil
 }
--- a/internal/state/control/members_test.go
+++ b/internal/state/control/members_test.go
@@ -21,7 +21,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return control.DecodeMemberHosts(b)
+	l, err := control.DecodeMembers(b)
+	var names []string
+	for _, i := range l {
+		names = append(names, i.Host)
+	}
+	return names, err
 }
 
 // knowingRemoval returns the number of hosts whose member set lacks a host.
