Evacuation: refuse calls of a service without open upstreams at once

Cause: a service whose upstreams were all evacuated kept the slots of its queue, so calls waited for a slot before they were refused. A call that waited for a permit of an evacuated upstream finished the wait before it went elsewhere. Change: the gate names services whose known upstreams are all evacuated. Queue and permit lane refuse their calls, also those that wait, with 503 upstream-evacuated, not executed, Retry-After 1 s and up to half more. The wait for a permit ends when its upstream is evacuated, and the call looks for another one. Tests of the packages pass.

--- a/cmd/siskinrun/evacuation_test.go
+++ b/cmd/siskinrun/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -122,6 +123,24 @@
 	})
 }
 
+// awaitRefusal returns once a call is refused with a code and told when to come back.
+func (e *evacuationFleet) awaitRefusal(ctx context.Context, code string) {
+	e.t.Helper()
+	e.await(ctx, code, func() error {
+		e.sent++
+		c, err := e.open(ctx, e.entries[0], streamRequest{id: fmt.Sprint("e-", e.sent), prompt: fmt.Sprintf("p%d:40,x:1", e.sent)})
+		if err != nil {
+			return err
+		}
+		defer func() { _ = c.body.Close() }()
+		b, err := io.ReadAll(c.body)
+		if err == nil && (c.status != http.StatusServiceUnavailable || c.retryAfter <= 0 || !strings.Contains(string(b), code)) {
+			err = errors.Newf("status %d, Retry-After %v, %s", c.status, c.retryAfter, b)
+		}
+		return err
+	})
+}
+
 // awaitQuiet returns once the evacuation of a failure domain is in force on all hosts that serve: at most 5 s after its
 // acknowledgement.
 func (e *evacuationFleet) awaitQuiet() {
@@ -228,6 +247,7 @@
 	for _, s := range e.call(ctx) {
 		is.Equal(s, 503)
 	}
+	e.awaitRefusal(ctx, "upstream-evacuated") // calls don't reach the choice of an upstream
 	is.Equal(len(e.workers["a"].ran()), a)
 	is.Equal(len(e.workers["b"].ran()), b)
 
--- a/internal/limits/capacity/capacity.go
+++ b/internal/limits/capacity/capacity.go
@@ -14,6 +14,7 @@
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/limits/queue"
 	"siskinrun/internal/limits/slotrequest"
+	"siskinrun/pkg/refusal"
 )
 
 // answerTimes tells how long answers usually take once their calls are sent.
@@ -37,6 +38,8 @@
 	mu     sync.Mutex
 	queues map[string]*queue.Queue
 	slots  map[string]slotCount
+	// closed are the services whose upstreams may all get no work.
+	closed map[string]bool
 }
 
 // slotCount is what a queue was last told of the slots of its service.
@@ -82,6 +85,24 @@
 	}
 }
 
+// SetClosed sets the services whose upstreams are all evacuated. Their calls are refused, also those that wait.
+func (c *Controller) SetClosed(services map[string]bool) {
+	c.mu.Lock()
+	old := c.closed
+	c.closed = services
+	c.mu.Unlock()
+	for s := range old {
+		if !services[s] {
+			c.queue(s).Close(nil)
+		}
+	}
+	for s := range services {
+		if !old[s] {
+			c.queue(s).Close(refusal.UpstreamEvacuated)
+		}
+	}
+}
+
 // Update tells the queues the slots of their services and how many of them the other hosts use. An upstream that names a
 // rate limit counts with those of its slots that its limit lets this host use.
 func (c *Controller) Update(
--- a/internal/limits/capacity/capacity_test.go
+++ b/internal/limits/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"testing"
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"siskinrun/internal/base/duration"
+	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/call"
 	"siskinrun/internal/data/route"
@@ -106,3 +108,47 @@
 		})
 	}
 }
+
+// TestCallsOfAClosedServiceAreRefusedAtOnce guards against calls that wait for a slot, until their time is up, of a service whose
+// upstreams are all evacuated, and against a service that stays closed or closes others.
+func TestCallsOfAClosedServiceAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := &Controller{Timer: timer.NewService(), Metrics: metrics.NewRegistry(), Answers: knownTimes{}}
+	u := []upstream.Upstream{{Name: "u", Service: "s", Slots: 1}, {Name: "v", Service: "t", Slots: 1}}
+	p.Update(u, func(upstream.Upstream) float64 { return 1 }, func(string) int { return 0 }, 1)
+	q := &call.Call{Team: "t", Cost: 1, RouteConfig: route.Route{Service: "s"}, Deadline: time.Now().Add(time.Minute)}
+	p.SetTimes(q)
+	for range 1 + callsAhead {
+		release, err := p.Acquire(t.Context(), q)
+		is.NoErr(err)
+		defer release()
+	}
+	waited := make(chan error, 1)
+	g := group.NewGroup(t.Context())
+	g.Go("call", func(ctx context.Context) error {
+		_, err := p.Acquire(ctx, q)
+		waited <- err
+		return nil
+	})
+	for p.queue("s").Len() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.SetClosed(map[string]bool{"s": true})
+	_, err := p.Acquire(t.Context(), q)
+	for _, err := range []error{<-waited, err} {
+		f := refusal.Of(err)
+		is.Equal(f.Code, refusal.CodeUpstreamEvacuated)
+		is.Equal(f.Verdict, verdict.NotRun)
+		is.True(f.RetryAfter > 0)
+	}
+	other := *q
+	other.RouteConfig.Service = "t"
+	release, err := p.Acquire(t.Context(), &other)
+	is.NoErr(err)
+	release()
+	p.SetClosed(nil)
+	p.Update(u, func(upstream.Upstream) float64 { return 2 }, func(string) int { return 0 }, 1)
+	release, err = p.Acquire(t.Context(), q)
+	is.NoErr(err)
+	release()
+}
--- a/internal/limits/lane/lane.go
+++ b/internal/limits/lane/lane.go
@@ -40,6 +40,8 @@
 	mu       sync.Mutex
 	services map[string]*line
 	last     uint64
+	// closed are the services whose upstreams may all get no work.
+	closed map[string]bool
 }
 
 // line is the waiting calls of one service, in order.
@@ -58,8 +60,8 @@
 	rank   int
 	// latest is the last time at which the call can start and be answered in time.
 	latest time.Time
-	// first is signalled when the call has become the first of its line.
-	first chan struct{}
+	// woken is signalled when the call has become the first of its line, or its service was closed.
+	woken chan struct{}
 }
 
 // Busy reports whether calls of a service wait.
@@ -77,6 +79,28 @@
 	return q.estimate(l.Timer.Now(), len(q.waiters))
 }
 
+// SetClosed sets the services whose upstreams are all evacuated. Their calls don't wait.
+func (l *Lane) SetClosed(services map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = services
+	for s := range services {
+		for _, w := range l.line(s).waiters {
+			w.wake()
+		}
+	}
+}
+
+// Closed refuses a call of a service whose upstreams are all evacuated, and returns nil for others.
+func (l *Lane) Closed(service string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed[service] {
+		return refusal.UpstreamEvacuated.WithJitter()
+	}
+	return nil
+}
+
 // Refuse refuses a call of a service for lack of a permit. It names the time after which there should be one, that of the
 // waiting calls included.
 func (l *Lane) Refuse(service string, next time.Duration) error {
@@ -89,7 +113,7 @@
 	defer l.mu.Unlock()
 	n := l.Timer.Now()
 	q := l.line(service)
-	w := &waiter{ticket: l.last + 1, rank: rank, latest: latest, first: make(chan struct{}, 1)}
+	w := &waiter{ticket: l.last + 1, rank: rank, latest: latest, woken: make(chan struct{}, 1)}
 	place, _ := slices.BinarySearchFunc(q.waiters, w, inOrder)
 	wait := q.estimate(n, place)
 	wait += time.Duration(float64(wait) * waitError)
@@ -114,6 +138,9 @@
 func (l *Lane) Wait(ctx context.Context, service string, ticket uint64, least time.Duration) error {
 	until := l.Timer.Now().Add(max(least, minRetry))
 	for {
+		if err := l.Closed(service); err != nil {
+			return err
+		}
 		w, place, ahead := l.find(service, ticket)
 		n := l.Timer.Now()
 		left := until.Sub(n)
@@ -133,14 +160,14 @@
 	}
 }
 
-// sleep waits for a time or until the call becomes the first, and reports whether its caller is still there.
+// sleep waits for a time or until the call is woken, and reports whether its caller is still there.
 func (l *Lane) sleep(ctx context.Context, w *waiter, d time.Duration) bool {
 	due := make(chan struct{})
 	stop := l.Timer.After(d, func(time.Time) { close(due) })
 	defer stop()
 	select {
 	case <-due:
-	case <-w.first:
+	case <-w.woken:
 	case <-ctx.Done():
 		return false
 	}
@@ -159,8 +186,13 @@
 	if len(q.waiters) == 0 {
 		return
 	}
+	q.waiters[0].wake()
+}
+
+// wake has a call look again whether it goes next.
+func (w *waiter) wake() {
 	select {
-	case q.waiters[0].first <- struct{}{}:
+	case w.woken <- struct{}{}:
 	default: // it was signalled already
 	}
 }
--- a/internal/limits/lane/lane_test.go
+++ b/internal/limits/lane/lane_test.go
@@ -157,3 +157,30 @@
 	m.Advance(cycle - gap)
 	likely()
 }
+
+// TestClosedServiceEndsTheWait guards against calls that wait for permits of upstreams that are all evacuated.
+func TestClosedServiceEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	l, g := newLane(t)
+	is.NoErr(l.Closed(service))
+	const calls = 3
+	ended := make(chan error, calls)
+	for range calls {
+		k, ok := l.Enter(service, 0, l.Timer.Now().Add(time.Minute))
+		is.True(ok)
+		g.Go("call", func(ctx context.Context) error {
+			ended <- l.Wait(ctx, service, k, 30*time.Second)
+			l.Leave(service, k, false)
+			return nil
+		})
+	}
+	l.SetClosed(map[string]bool{service: true})
+	for range calls {
+		f := refusal.Of(<-ended)
+		is.Equal(f.Code, refusal.CodeUpstreamEvacuated)
+		is.Equal(f.Verdict, verdict.NotRun)
+	}
+	is.True(refusal.Of(l.Closed(service)).RetryAfter > 0)
+	l.SetClosed(nil)
+	is.NoErr(l.Closed(service))
+}
--- a/internal/limits/queue/queue.go
+++ b/internal/limits/queue/queue.go
@@ -51,6 +51,8 @@
 	mu    sync.Mutex
 	slots slots
 	busy  int
+	// closed refuses all requests, nil while the service has upstreams that may get work.
+	closed *refusal.Refusal
 	// classes are the waiting requests by rank, in order.
 	classes []*class
 	// waitingSince is since when requests have waited without a break.
@@ -112,6 +114,22 @@
 	q.dispatch(n)
 }
 
+// Close refuses all requests, also those that wait, until it is called with nil.
+func (q *Queue) Close(r *refusal.Refusal) {
+	q.once.Do(q.init)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = r
+	if r == nil {
+		return
+	}
+	for _, c := range q.classes {
+		for _, e := range c.waiting.RemoveLate(func(int64, time.Time) bool { return true }) {
+			e.done <- r.WithJitter()
+		}
+	}
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int {
 	q.mu.Lock()
@@ -149,6 +167,9 @@
 func (q *Queue) enqueue(now time.Time, r slotrequest.Request) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.closed != nil {
+		return nil, q.closed.WithJitter()
+	}
 	e := &waiter{Request: r, done: make(chan error, 1)}
 	c := q.class(r.Rank)
 	q.arrived(c, arrival{now, r.Latest.Sub(now), max(r.Cost, 1)})
--- a/internal/product/server/evacuation.go
+++ b/internal/product/server/evacuation.go
@@ -163,7 +163,7 @@
 // Send sends an order unless the engine may get no work any more.
 func (e openEngines) Send(ctx context.Context, address string, o order.Order) error {
 	if u, ok := e.components.upstream(o.Engine); !ok || !e.components.evacuation.Open(u) {
-		return refusal.NewNotRun(503, "upstream-evacuated", "the engine may get no work")
+		return refusal.UpstreamEvacuated.WithJitter()
 	}
 	return e.engines.Send(ctx, address, o)
 }
--- a/internal/product/server/routing.go
+++ b/internal/product/server/routing.go
@@ -57,6 +57,9 @@
 // applyUpstreams applies the list of known upstreams to the rollout, the picker and the batch windows.
 func (p *components) applyUpstreams(l []upstream.Upstream) {
 	n := p.server.timer.Now()
+	closed := p.evacuation.Closed(l)
+	p.capacity.SetClosed(closed)
+	p.lane.SetClosed(closed)
 	p.permits.SetUpstreams(l)
 	p.rollout.SetUpstreams(p.evacuation.Filter(l))
 	p.picker.SetUpstreams(l, n)
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -82,6 +82,7 @@
 		FailureDomain: p.host.FailureDomain,
 		Picker:        p.picker,
 		Permits:       p.permits,
+		Gate:          p.evacuation,
 		RetryBudget:   retry.NewBudget(),
 		Transport:     x,
 		Observer:      p.inflight,
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -26,9 +26,6 @@
 	statusBadGateway = 502
 	// codeUnreachable is the code of an attempt that sent nothing, usually for lack of a connection.
 	codeUnreachable = "upstream-unreachable"
-	// codeEvacuated is the code of an attempt that sent nothing since its upstream may get no work any more. That is no evidence
-	// about the upstream.
-	codeEvacuated = "upstream-evacuated"
 	// codeLost is the code of an attempt whose connection ended before the answer.
 	codeLost = "upstream-lost"
 	// codePathLost is the code of an attempt whose way to the upstream was lost.
@@ -165,7 +162,7 @@
 		return outcome.Cancelled
 	case refusal.Of(err).Code == codeUnreachable:
 		return outcome.Unreachable
-	case refusal.Of(err).Code == codePathLost, refusal.Of(err).Code == codeEvacuated:
+	case refusal.Of(err).Code == codePathLost, refusal.Of(err).Code == refusal.CodeUpstreamEvacuated:
 		return outcome.PathLost
 	case refusal.Of(err).Code == "upstream-timeout":
 		return outcome.TimedOut
--- a/internal/wire/dispatch/dispatch.go
+++ b/internal/wire/dispatch/dispatch.go
@@ -83,6 +83,13 @@
 	Take(ctx context.Context, u upstream.Upstream, batch bool, wait time.Duration) permit.Permit
 }
 
+// gate tells which upstreams may get work.
+type gate interface {
+	Open(u upstream.Upstream) bool
+	// Changed returns a channel that is closed when other upstreams may get work.
+	Changed() <-chan struct{}
+}
+
 // Dispatcher sends calls to upstreams.
 type Dispatcher struct {
 	// FailureDomain is the failure domain of this host.
@@ -91,6 +98,8 @@
 	Picker picker
 	// Permits gives the permits without which nothing is sent.
 	Permits permits
+	// Gate, if set, tells which upstreams may get work: calls don't wait for the permits of others.
+	Gate gate
 	// RetryBudget limits further attempts.
 	RetryBudget retryBudget
 	// Transport sends each attempt.
@@ -213,9 +222,10 @@
 	}
 }
 
-// sentNothing reports whether an attempt with this code has put no load on an upstream.
+// sentNothing reports whether an attempt with this code has put no load on an upstream. One whose upstream may get no work any
+// more is no evidence about the upstream.
 func sentNothing(code string) bool {
-	return code == codeUnreachable || code == codeEvacuated
+	return code == codeUnreachable || code == refusal.CodeUpstreamEvacuated
 }
 
 // lostTooOften reports whether a call has lost as many upstreams as it may.
--- a/internal/wire/dispatch/permit.go
+++ b/internal/wire/dispatch/permit.go
@@ -23,8 +23,25 @@
 	permitTTL = 250 * time.Millisecond
 )
 
-// admit picks an upstream that may get the call now, or waits for the permit of one.
+// admit picks an upstream that may get the call now, or waits for the permit of one. If that upstream may get no work any more,
+// it looks for another one at once.
 func (s *delivery) admit(ctx context.Context) (upstream.Upstream, error) {
+	var last error
+	for range maxPermitAsks {
+		u, err := s.admitOnce(ctx)
+		if err != nil && last != nil && refusal.Of(err).Code == noUpstream.Code {
+			return u, last // no other upstream is left
+		}
+		if err == nil || refusal.Of(err).Code != refusal.CodeUpstreamEvacuated {
+			return u, err
+		}
+		last = err
+	}
+	return upstream.Upstream{}, last
+}
+
+// admitOnce picks an upstream that may get the call now, or waits for the permit of one.
+func (s *delivery) admitOnce(ctx context.Context) (upstream.Upstream, error) {
 	for range maxPermitAsks {
 		u, ok := s.pick()
 		if !ok {
@@ -57,7 +74,7 @@
 			return u, nil
 		}
 		next = wait
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || refusal.Of(err).Code == refusal.CodeUpstreamEvacuated {
 			return u, err
 		}
 	}
@@ -75,8 +92,8 @@
 	}
 	d := s.dispatcher
 	at := d.Timer.Now().Add(p.Wait)
-	if err := d.Timer.Sleep(ctx, p.Wait); err != nil {
-		return 0, callerGone
+	if err := s.sleep(ctx, u, p.Wait); err != nil {
+		return 0, err
 	}
 	s.call.Record.PermitWait += p.Wait
 	if d.Timer.Now().Sub(at) > permitTTL {
@@ -85,6 +102,30 @@
 	return 0, nil
 }
 
+// sleep waits for the permit of an upstream, unless that may get no work any more or the caller leaves.
+func (s *delivery) sleep(ctx context.Context, u upstream.Upstream, w time.Duration) error {
+	d := s.dispatcher
+	due := make(chan struct{})
+	stop := d.Timer.After(w, func(time.Time) { close(due) })
+	defer stop()
+	for {
+		var changed <-chan struct{}
+		if d.Gate != nil {
+			changed = d.Gate.Changed() // before Open, so that no change is missed
+			if !d.Gate.Open(u) {
+				return refusal.UpstreamEvacuated.WithJitter()
+			}
+		}
+		select {
+		case <-due:
+			return nil
+		case <-ctx.Done():
+			return callerGone
+		case <-changed:
+		}
+	}
+}
+
 // take asks for a permit and records the limit that held the call off.
 func (s *delivery) take(ctx context.Context, u upstream.Upstream, wait time.Duration) permit.Permit {
 	d := s.dispatcher
--- a/internal/wire/pipeline/dispatch.go
+++ b/internal/wire/pipeline/dispatch.go
@@ -12,8 +12,11 @@
 )
 
 // dispatch sends a call once it has a slot and a permit. A call that finds no permit waits in the lane of its service, as
-// long as it can still be answered in its caller's time.
+// long as it can still be answered in its caller's time. A call whose upstreams are all evacuated waits for nothing.
 func (p *Pipeline) dispatch(ctx context.Context, c *call.Call, t *tracker) (*answer.Answer, error) {
+	if err := p.Lane.Closed(c.RouteConfig.Service); err != nil {
+		return nil, err
+	}
 	p.Queue.SetTimes(c)
 	least := time.Duration(0)
 	if !p.Lane.Busy(c.RouteConfig.Service) {
--- a/internal/wire/pipeline/pipeline.go
+++ b/internal/wire/pipeline/pipeline.go
@@ -42,6 +42,7 @@
 // lane lets calls wait in order while all upstreams of their service are at their rate limits.
 type lane interface {
 	Busy(service string) bool
+	Closed(service string) error
 	Refuse(service string, next time.Duration) error
 	Enter(service string, rank int, latest time.Time) (ticket uint64, ok bool)
 	Wait(ctx context.Context, service string, ticket uint64, least time.Duration) error
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -76,13 +76,6 @@
 	Open(u upstream.Upstream) bool
 }
 
-// evacuatedRetryAfter is the wait that is told to callers whose call can't go elsewhere.
-const evacuatedRetryAfter = time.Second
-
-// evacuated refuses a call whose upstream may get no work any more.
-var evacuated = refusal.NewNotRun(503, "upstream-evacuated", "the upstream may get no work since its failure domain is evacuated").
-	WithRetryAfter(evacuatedRetryAfter)
-
 // connector opens connections to upstreams, some of them through another host, the gateway.
 type connector interface {
 	Sound(upstream string) bool
@@ -98,7 +91,7 @@
 	}
 	if e.Gate != nil && c.Upstream.Name != "" && !e.Gate.Open(c.Upstream) {
 		k.close()
-		return nil, evacuated.WithJitter()
+		return nil, refusal.UpstreamEvacuated.WithJitter()
 	}
 	k.stopAbort = context.AfterFunc(ctx, k.abort)
 	e.started(k, c)
