Evacuation: wait 15 s for a quorum before open routes are served by an old configuration

Cause: a host that started without a quorum put the newest configuration that it held in force for open routes after 5 s. Its set of evacuated failure domains may be older than an acknowledged one. Change: where fleet.failure-domains is set, a host puts nothing in force before a quorum has confirmed it or 15 s have passed since the start. Elsewhere it stays at 5 s.

--- a/internal/config/configcache/configcache.go
+++ b/internal/config/configcache/configcache.go
@@ -15,6 +15,9 @@
 	// StartupDelay is how long a host that has just started waits for a confirmed version
 	// before it serves open routes with the newest version that it holds.
 	StartupDelay = 5 * time.Second
+	// EvacuationDelay takes the place of StartupDelay where operators evacuate failure domains: the newest version that a host
+	// holds may be older than an acknowledged evacuation. It is the time in which deployments are to recover (recovery_s).
+	EvacuationDelay = 15 * time.Second
 
 	maxDeltas     = 256
 	maxDeltaBytes = 4 << 20
@@ -22,6 +25,9 @@
 
 // Cache holds the newest version known to a host, the version in force on it and their freshness.
 type Cache struct {
+	// Delay is how long a host that has just started waits for a confirmed version, StartupDelay unless set.
+	Delay time.Duration
+
 	start time.Time
 	lease freshness.Freshness
 	// held is the newest version known and published the version in force.
@@ -46,6 +52,7 @@
 func NewCache(start time.Time, lease time.Duration) *Cache {
 	c := &configuration.Configuration{}
 	return &Cache{
+		Delay:     StartupDelay,
 		start:     start,
 		lease:     freshness.Freshness{Lease: lease},
 		held:      c,
@@ -172,12 +179,12 @@
 	return nil
 }
 
-// publish puts the held version in force once a version was confirmed or StartupDelay has passed.
+// publish puts the held version in force once a version was confirmed or Delay has passed.
 func (c *Cache) publish(now time.Time) error {
 	if c.held.Version < c.published.Version {
 		return errors.AssertionFailedf("version %d in force after %d", c.held.Version, c.published.Version)
 	}
-	if c.serving || now.Sub(c.start) >= StartupDelay {
+	if c.serving || now.Sub(c.start) >= c.Delay {
 		c.serving = true
 		c.published = c.held
 	}
--- a/internal/config/configcache/configcache_test.go
+++ b/internal/config/configcache/configcache_test.go
@@ -98,6 +98,23 @@
 	is.True(h.LeaseEnd().IsZero())
 }
 
+// Guards against a host that, after its start, opens to upstreams on a set of evacuated failure domains that may be older than an
+// acknowledged one, and against a host that waits though a version was confirmed.
+func TestUnconfirmedVersionWaitsLongerWithEvacuations(t *testing.T) {
+	is := is.New(t)
+	n := time.Unix(1, 0)
+	h, other := NewCache(n, lease), NewCache(n, lease)
+	h.Delay, other.Delay = EvacuationDelay, EvacuationDelay
+	c := &configuration.Configuration{Version: 2}
+	is.NoErr(h.ApplyLocal(n, c))
+	is.NoErr(h.ApplyLocal(n.Add(EvacuationDelay-1), c))
+	is.Equal(h.Published().Version, uint64(0))
+	is.NoErr(h.ApplyLocal(n.Add(EvacuationDelay), c))
+	is.Equal(h.Published().Version, uint64(2))
+	is.NoErr(other.Confirm(n, n, c))
+	is.Equal(other.Published().Version, uint64(2))
+}
+
 func FuzzLearn(f *testing.F) {
 	f.Add([]byte(`{"from":0,"to":3,"teams":{"set":{"t":{"rate":1}}}}`), uint64(3))
 	f.Add([]byte(`{"from":1,"to":2,"keys":{"removed":["k"]}}`), uint64(2))
--- a/internal/config/distribution/distribution.go
+++ b/internal/config/distribution/distribution.go
@@ -55,6 +55,9 @@
 	Store *configstore.Store
 	// Lease is how long keyed requests are admitted after the last confirmation by a quorum.
 	Lease time.Duration
+	// Evacuations says that operators evacuate failure domains, so that this host waits longer for a confirmed configuration after
+	// its start.
+	Evacuations bool
 	// Timer is the clock and scheduler.
 	Timer *timer.Service
 	// Log receives changes of the version in force and of freshness.
@@ -174,6 +177,9 @@
 	s.once.Do(func() {
 		s.start = s.Timer.Now()
 		s.cache = configcache.NewCache(s.start, s.Lease)
+		if s.Evacuations {
+			s.cache.Delay = configcache.EvacuationDelay
+		}
 		s.selector = peerselection.NewSelector(s.Name, s.Domains, s.Control)
 		s.changed = make(chan struct{})
 		s.wake = signal.NewSignal()
--- a/internal/product/server/state.go
+++ b/internal/product/server/state.go
@@ -53,6 +53,7 @@
 		Client:        p.client,
 		Store:         p.store,
 		Lease:         s.Settings.Fleet.FreshnessLease.Duration(),
+		Evacuations:   len(s.Settings.Fleet.FailureDomains) > 0,
 		Timer:         s.timer,
 		Log:           s.Log,
 		Metrics:       p.childMetrics("spread"),
