Cold upstreams: count lost hosts until they are replaced or known to have stopped

Cause: a partition of more than a minute ended the count of lost hosts, and both sides then granted permits of cold upstreams. Change: a host compares the hosts that it sees with the most that it has seen at a time. Hosts that stop on purpose leave the count once their gossip record says so, also if it arrives late. The test of a partition waits until a new meter is open: the larger side must get permits, the smaller one none.

--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -115,6 +115,17 @@
 	})
 }
 
+// stoppedHosts returns the names of the hosts that have said that they stop.
+func (p *components) stoppedHosts() map[string]bool {
+	m := map[string]bool{}
+	for _, h := range p.gossip.Hosts() {
+		if h.Stopping {
+			m[h.Name] = true
+		}
+	}
+	return m
+}
+
 // gatewayHosts returns the hosts through which this one may reach upstreams.
 func (p *components) gatewayHosts() []host.Host {
 	return slices.DeleteFunc(p.batchHosts(), func(h host.Host) bool { return h.Name == p.server.Name })
--- a/internal/product/server/limits.go
+++ b/internal/product/server/limits.go
@@ -61,6 +61,7 @@
 		Name:         s.Name,
 		Coordinators: p.coordinators,
 		Hosts:        p.batchHosts,
+		Stopped:      p.stoppedHosts,
 		Topology:     p.topology,
 		Timer:        s.timer,
 		Log:          s.Log,
--- a/internal/routing/permits/cold.go
+++ b/internal/routing/permits/cold.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"siskinrun/internal/base/host"
 	"siskinrun/internal/data/permit"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/data/upstreamlimit"
@@ -21,8 +22,6 @@
 	coldSettleTime = coldWindow + 500*time.Millisecond
 	// coldSpare is the number of requests in a window that are kept for one that is late beyond that.
 	coldSpare = 1
-	// hostsRetention is how long hosts that are no longer seen count for the question whether most of them are cut off.
-	hostsRetention = time.Minute
 	// resumeTime is how long a host that stood still asks for permits of all upstreams that may have turned cold meanwhile.
 	resumeTime = time.Second
 	// unmergedAge makes what an ask says of an upstream without a limit older than all that its coordinator knows.
@@ -149,7 +148,7 @@
 // grantCold hands out a permit of a cold upstream, which may name a limit as well. The caller holds s.mu.
 func (s *Service) grantCold(now time.Time, l upstreamlimit.Limit, rate float64, r request) permit.Permit {
 	p := permit.Permit{Limit: l}
-	if r.batch || s.standsStill(now) || s.minority(now) {
+	if r.batch || s.standsStill(now) || s.minority() {
 		s.count("cold-permits-refused")
 		p.Wait, p.CommittedIn, p.PeakIn = silentTime, silentTime, silentTime
 		return p
@@ -198,19 +197,34 @@
 	return !s.watched.IsZero() && s.standsStill(s.Timer.Now())
 }
 
-// countHosts remembers the most hosts that were seen. The caller holds s.mu.
-func (s *Service) countHosts(now time.Time) {
-	if len(s.hosts) >= s.mostHosts || now.Sub(s.mostHostsAt) > hostsRetention {
-		s.mostHosts, s.mostHostsAt = len(s.hosts), now
+// countLostHosts takes hosts out of the count of which it is known only now that they left on purpose.
+func (s *Service) countLostHosts() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen.Missing() > 0 {
+		s.countHosts(s.hosts)
+	}
+}
+
+// countHosts counts the hosts that are seen now. The caller holds s.mu.
+func (s *Service) countHosts(l []host.Host) {
+	names := make([]string, 0, len(l))
+	for _, h := range l {
+		names = append(names, h.Name)
 	}
+	s.seen.Observe(names, func() map[string]bool {
+		if s.Stopped == nil {
+			return nil
+		}
+		return s.Stopped()
+	})
 }
 
 // minority reports whether this host may be cut off from as many hosts as it reaches, which then coordinate the same
 // upstreams. The caller holds s.mu.
-func (s *Service) minority(now time.Time) bool {
-	s.countHosts(now)
+func (s *Service) minority() bool {
 	if s.SingleHost {
 		return false
 	}
-	return !s.compared.Load() || 2*len(s.hosts) <= s.mostHosts
+	return !s.compared.Load() || s.seen.Minority()
 }
--- a/internal/routing/permits/cold_test.go
+++ b/internal/routing/permits/cold_test.go
@@ -256,13 +256,14 @@
 	}
 }
 
-// TestCutOffHostsSendNothingToColdUpstreams guards against a share of the rate at either side of a cut that sums to more.
+// TestCutOffHostsSendNothingToColdUpstreams guards against a share of the rate at either side of a cut that sums to more. The
+// larger side gets permits again once its new meter is open, and the smaller side gets none then either.
 func TestCutOffHostsSendNothingToColdUpstreams(t *testing.T) {
 	l := newColdLoad(t, 9, 1, true)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	l.turnCold(ctx)
-	l.wait(t, coldTime/2)
+	l.wait(t, 2*maxNewsAge)
 	l.set(func() {
 		for _, n := range []string{"h0", "h1", "h2", "h3"} {
 			l.nodes[n].cut = true
@@ -270,9 +271,18 @@
 	})
 	l.wait(t, 500*time.Millisecond)
 	u := l.knows["h0"][0]
-	for range 20 {
-		is.New(t).True(!l.nodes["h0"].service.Load().Take(ctx, u, false, 0).Granted)
+	larger := 0
+	for range 40 {
+		for _, x := range l.nodes {
+			granted := x.service.Load().Take(ctx, u, false, 0).Granted
+			is.New(t).True(!granted || !x.cut)
+			if granted {
+				larger++
+			}
+		}
+		l.wait(t, 100*time.Millisecond)
 	}
+	is.New(t).True(larger > 0)
 }
 
 // TestWithoutARateColdUpstreamsAreAsWarmOnes guards against asks, waits and refusals where nothing bounds cold upstreams.
--- a/internal/routing/permits/handover.go
+++ b/internal/routing/permits/handover.go
@@ -42,6 +42,7 @@
 		s.mu.Unlock()
 		last = n
 		s.lookAtHosts(n)
+		s.countLostHosts()
 		s.handOver(n)
 	}
 }
@@ -52,13 +53,12 @@
 	slices.SortFunc(l, func(a, b host.Host) int { return strings.Compare(a.Name, b.Name) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.countHosts(now) // before the list changes: hosts that are lost now still count for a while
 	if slices.Equal(l, s.hosts) {
 		return
 	}
+	s.countHosts(l)
 	joined := slices.ContainsFunc(l, func(h host.Host) bool { return !slices.Contains(s.hosts, h) })
 	s.hosts = l
-	s.countHosts(now)
 	s.settled = now.Add(meter.Span)
 	if !joined {
 		return
--- a/internal/routing/permits/service.go
+++ b/internal/routing/permits/service.go
@@ -18,6 +18,7 @@
 	"siskinrun/internal/data/upstreamlimit"
 	"siskinrun/internal/fleet/fanout"
 	"siskinrun/internal/limits/coldview"
+	"siskinrun/internal/limits/hostcount"
 	"siskinrun/internal/limits/limitview"
 	"siskinrun/internal/limits/meter"
 	"siskinrun/pkg/refusal"
@@ -55,6 +56,8 @@
 	Coordinators func(upstream string) []string
 	// Hosts returns the hosts among which coordinators are chosen.
 	Hosts func() []host.Host
+	// Stopped, if set, returns the hosts that leave or have left on purpose.
+	Stopped func() map[string]bool
 	// Topology returns to which hosts news goes.
 	Topology func() fanout.Topology
 	// ColdRate returns the requests a second that a cold upstream of a service bears, 0 if nothing bounds them. Without it
@@ -92,9 +95,8 @@
 	coldMeters map[string]*meter.Meter
 	// watched is when this host last looked at the others, and resumed until when it has just stood still.
 	watched, resumed time.Time
-	// mostHosts is the most hosts that were seen, at mostHostsAt.
-	mostHosts   int
-	mostHostsAt time.Time
+	// seen counts the hosts that are seen against those that are lost.
+	seen hostcount.Count
 	// coldUntil is until when any upstream is cold, for readers without the lock.
 	coldUntil atomic.Pointer[time.Time]
 	// active says that any limit is known, for readers without the lock.
