Gossip: changes of cold times are urgent news only where a service specifies a rate

Cause: a change of the time that an upstream stays cold was pushed to all hosts at once, also where nothing uses it. Change: membership asks whether the requests to cold upstreams of a service are bounded; elsewhere the change travels with the next exchange. Result: TestColdTimesWithoutABoundAreNoUrgentNews passes and fails without the check; tests of membership and gossip pass.

--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -52,6 +52,9 @@
 	Boot uint64
 	// Open adds hosts that the link did not name at the start.
 	Open bool
+	// ColdBound reports whether the requests to cold upstreams of a service are bounded, so that it is urgent news that one turns
+	// cold; nil if they are for all.
+	ColdBound func(service string) bool
 	// Self holds the label, the roles and the features that this host announces of itself.
 	Self gossipmessage.Host
 	// Expiry is the age at which an announcement expires; zero means membership.Expiry.
@@ -222,6 +225,7 @@
 	s.flushes = signal.NewSignal()
 	s.membership = membership.NewMembership(s.Name, s.FailureDomain, s.Boot, s.Link.Names(), s.Seed)
 	s.membership.Open = s.Open
+	s.membership.ColdBound = s.ColdBound
 	s.membership.SetSelf(s.Self)
 	s.membership.Expiry = s.Expiry
 }
--- a/internal/fleet/membership/cold_test.go
+++ b/internal/fleet/membership/cold_test.go
@@ -71,3 +71,18 @@
 	is.Equal(m.ColdChanges(), uint64(1))
 	is.True(!m.HasUrgent())
 }
+
+// TestColdTimesWithoutABoundAreNoUrgentNews guards against messages to all hosts for each change of a time that nothing uses.
+func TestColdTimesWithoutABoundAreNoUrgentNews(t *testing.T) {
+	is := is.New(t)
+	for _, bound := range []bool{false, true} {
+		m := newView()
+		m.ColdBound = func(service string) bool { return bound && service == coldUpstream(1, 0).Service }
+		m.Announce(start, coldUpstream(1, 0))
+		now := start.Add(1200 * time.Millisecond)
+		m.Announce(now, coldUpstream(2, 3*time.Second))
+		is.Equal(m.HasUrgent(), bound)
+		is.Equal(m.ColdChanges() > 0, bound)
+		is.Equal(m.Upstreams(now)[0].Cold.Duration(), 3*time.Second) // known all the same
+	}
+}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -42,6 +42,9 @@
 type Membership struct {
 	// Open adds hosts that were not named at the start and removes dead ones.
 	Open bool
+	// ColdBound reports whether the requests to cold upstreams of a service are bounded: only then it is urgent news that one turns
+	// cold. It is nil if they are for all.
+	ColdBound func(service string) bool
 	// Expiry is the age at which an announcement expires; zero means the constant Expiry.
 	Expiry time.Duration
 
@@ -243,7 +246,8 @@
 	return m.version
 }
 
-// ColdChanges returns a number that grows whenever a known upstream stays cold for a time other than the one announced before.
+// ColdChanges returns a number that grows whenever a known upstream stays cold for a time other than the one announced before,
+// where ColdBound says that it matters.
 func (m *Membership) ColdChanges() uint64 {
 	return m.coldChanges
 }
@@ -255,6 +259,11 @@
 	return gossipmessage.Origin{Host: m.name, Boot: h.Boot, Sequence: h.Sequence}
 }
 
+// coldBound reports whether the requests to an upstream are bounded while it is cold.
+func (m *Membership) coldBound(a *announcement) bool {
+	return m.ColdBound == nil || m.ColdBound(a.upstream.Service)
+}
+
 // store keeps an announcement and queues it as urgent if it ends an incarnation.
 func (m *Membership) store(now time.Time, a *announcement) {
 	old := m.announcements[a.upstream.Name]
@@ -266,9 +275,11 @@
 	}
 	if old != nil && !a.sameCold(now, old) {
 		m.version++
-		m.coldChanges++
+		if m.coldBound(a) {
+			m.coldChanges++
+		}
 	}
-	if a.turnsCold(now, old) && !a.upstream.Leaving {
+	if a.turnsCold(now, old) && !a.upstream.Leaving && m.coldBound(a) {
 		m.urgent.Announcements = append(m.urgent.Announcements, a.news(now))
 	}
 	if !a.upstream.Leaving || old != nil && old.upstream.Leaving && old.upstream.Incarnation == a.upstream.Incarnation {
--- a/internal/product/server/limits.go
+++ b/internal/product/server/limits.go
@@ -25,6 +25,7 @@
 		Log:              s.Log,
 		Metrics:          p.childMetrics("roster"),
 		Open:             s.Settings.UsesSeeds(),
+		ColdBound:        func(service string) bool { return s.Settings.Fleet.ColdOverrun > 0 && p.coldRate(service) > 0 },
 		Driver:           p.batchHost,
 		RelayHost:        p.relayHost,
 		RemoteRelayHosts: p.remoteRelayHosts,
