--- a/cmd/siskinrun/evacuation_test.go
+++ b/cmd/siskinrun/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -85,11 +86,7 @@
 	began := e.timer.Now()
 	e.await(ctx, path, func() error {
 		n++
-		s, err := e.order(ctx, e.controls[n%len(e.controls)], path, "")
-		if err == nil && s != http.StatusOK {
-			err = errors.Newf("status %d", s)
-		}
-		return err
+		return e.try(ctx, e.controls[n%len(e.controls)], path)
 	})
 	e.t.Logf("%s accepted after %v and %d tries", path, e.timer.Now().Sub(began), n)
 }
@@ -126,6 +123,24 @@
 	})
 }
 
+// awaitRefusal returns once a call is refused with a code and told when to come back.
+func (e *evacuationFleet) awaitRefusal(ctx context.Context, code string) {
+	e.t.Helper()
+	e.await(ctx, code, func() error {
+		e.sent++
+		c, err := e.open(ctx, e.entries[0], streamRequest{id: fmt.Sprint("e-", e.sent), prompt: fmt.Sprintf("p%d:40,x:1", e.sent)})
+		if err != nil {
+			return err
+		}
+		defer func() { _ = c.body.Close() }()
+		b, err := io.ReadAll(c.body)
+		if err == nil && (c.status != http.StatusServiceUnavailable || c.retryAfter <= 0 || !strings.Contains(string(b), code)) {
+			err = errors.Newf("status %d, Retry-After %v, %s", c.status, c.retryAfter, b)
+		}
+		return err
+	})
+}
+
 // awaitQuiet returns once the evacuation of a failure domain is in force on all hosts that serve: at most 5 s after its
 // acknowledgement.
 func (e *evacuationFleet) awaitQuiet() {
@@ -232,6 +247,7 @@
 	for _, s := range e.call(ctx) {
 		is.Equal(s, 503)
 	}
+	e.awaitRefusal(ctx, "upstream-evacuated") // calls don't reach the choice of an upstream
 	is.Equal(len(e.workers["a"].ran()), a)
 	is.Equal(len(e.workers["b"].ran()), b)
 
@@ -247,3 +263,47 @@
 	e.awaitQuiet()
 	e.checkNoneSent(ctx, "a")
 }
+
+// TestOrdersCountMembersThatAreDown guards against an order that is accepted though a control host that is down was never heard
+// from, so may not apply it once it is back, and against one that is refused, after a restart of the host that is asked, for a
+// member that is lost but reported that it knows the order.
+func TestOrdersCountMembersThatAreDown(t *testing.T) {
+	is := is.New(t)
+	e, ctx := startEvacuationFleet(t)
+	e.accept(ctx, wire.PathEvacuationBegin+"a")
+	lost, asked := e.controls[0], e.controls[1]
+	e.kill(lost)
+	time.Sleep(forgottenTime)
+	e.kill(asked)
+	e.start(asked)
+	e.acceptAt(ctx, asked, wire.PathEvacuationFinish+"a")
+	e.kill(asked)
+	is.NoErr(os.Remove(filepath.Join(e.folder, "data-"+asked, "member-features")))
+	e.start(asked)
+	e.acceptAt(ctx, asked, wire.PathEvacuationFinish+"a") // the state is so already
+	for range 5 {
+		s, err := e.order(ctx, asked, wire.PathEvacuationBegin+"a", "")
+		is.NoErr(err)
+		is.Equal(s, http.StatusServiceUnavailable)
+	}
+	e.start(lost)
+	e.acceptAt(ctx, asked, wire.PathEvacuationBegin+"a")
+}
+
+// forgottenTime is the time after which other hosts pass nothing on of a host that was killed: 30 s after it was declared dead.
+const forgottenTime = 36 * time.Second
+
+// acceptAt sends an order to a control host until it accepts it.
+func (e *evacuationFleet) acceptAt(ctx context.Context, host, path string) {
+	e.t.Helper()
+	e.await(ctx, path, func() error { return e.try(ctx, host, path) })
+}
+
+// try sends an order to a control host and returns an error unless it is accepted.
+func (e *evacuationFleet) try(ctx context.Context, host, path string) error {
+	s, err := e.order(ctx, host, path, "")
+	if err == nil && s != http.StatusOK {
+		err = errors.Newf("status %d", s)
+	}
+	return err
+}
--- a/internal/product/server/state.go
+++ b/internal/product/server/state.go
@@ -53,6 +53,7 @@
 		Client:        p.client,
 		Store:         p.store,
 		Lease:         s.Settings.Fleet.FreshnessLease.Duration(),
+		Evacuations:   s.Settings.Fleet.Evacuations,
 		Timer:         s.timer,
 		Log:           s.Log,
 		Metrics:       p.childMetrics("spread"),
--- a/internal/product/settings/settings.go
+++ b/internal/product/settings/settings.go
@@ -105,6 +105,9 @@
 	// FailureDomains holds tables whose keys are the names of failure domains that operators may evacuate, besides those of
 	// hosts and upstreams; the values are their regions. Null entries count as empty.
 	FailureDomains []map[string]string `json:"failure-domains,omitempty"`
+	// Evacuations says that operators evacuate failure domains: a host that has just started then waits longer for a configuration
+	// that a quorum confirms before it serves open routes.
+	Evacuations bool `json:"evacuations,omitempty"`
 	// LedgerGroups is the number of replica groups of the batch ledger.
 	LedgerGroups int `json:"ledger-groups"`
 	// FreshnessLease is how long a host admits keyed requests after its configuration was confirmed as current.
