Test: answers of 1 MB that 150 callers leave unread

Hosts read answers below 1 MB whole and outside the memory account, so callers that read nothing fill the memory.

--- a/cmd/siskinrun/plain_worker_test.go
+++ b/cmd/siskinrun/plain_worker_test.go
@@ -34,7 +34,11 @@
 
 // answer returns what a worker answers to a request.
 func (r plainRequest) answer() string {
-	return fmt.Sprintf("%s %s for %s with %d bytes\n", r.method, r.path, r.team, len(r.body))
+	s := fmt.Sprintf("%s %s for %s with %d bytes\n", r.method, r.path, r.team, len(r.body))
+	if r.path == largePage {
+		s += strings.Repeat("x", largeAnswer-len(s))
+	}
+	return s
 }
 
 // kind returns the request that stands for all that are deadly by the same part of their prompts, or the request itself.
