Reserve answers in the account of clients before they are read

Cause: answers below 1 MB, answers recorded for resends and stream events of up to 1 MB were held outside the account, so callers that read nothing filled the memory.

Change: buffers grow with the bytes and are reserved first (heldread), from the first half of the account and without evicting anybody. Beyond that an answer is passed on as its caller reads it, and not recorded. Events above 4 KB are reserved until they are read. A call has the account in its field Memory; calls without one (batch items) are as before.

--- a/internal/base/clientguard/guard.go
+++ b/internal/base/clientguard/guard.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// GrowSpare lets a client hold n bytes more if half of the bound stays free, and returns false otherwise. Nobody is evicted.
+func (g *Guard) GrowSpare(id uint64, n int64) (ok bool) {
+	if g == nil {
+		return true
+	}
+	g.do(func(a *clientmemory.Account, _ time.Time) {
+		if ok = a.GrowSpare(id, n); !ok {
+			g.count("clients-unbuffered-answers", 1)
+		}
+	})
+	return ok
+}
+
 // Shrink records that a client holds n bytes less.
 func (g *Guard) Shrink(id uint64, n int64) {
 	g.do(func(a *clientmemory.Account, _ time.Time) { a.Shrink(id, n) })
--- a/internal/base/clientmemory/account.go
+++ b/internal/base/clientmemory/account.go
@@ -11,6 +11,8 @@
 	ageWeight = 4
 	// unreadTime is how long a client may leave a response unread before it counts as stalled.
 	unreadTime = 3 * time.Second
+	// spareShare divides the bound for what is held only for convenience, so that requests always find memory.
+	spareShare = 2
 )
 
 // state is what a client does.
@@ -85,6 +87,16 @@
 	return ok, evicted
 }
 
+// GrowSpare lets a client hold n bytes more if half of the bound stays free, and returns whether it may. Nobody is evicted.
+func (a *Account) GrowSpare(id uint64, n int64) bool {
+	c := a.clients[id]
+	if c == nil || c.evicted || a.Bytes > 0 && a.held+n > a.bytes(c.reserved)/spareShare {
+		return false
+	}
+	a.add(c, n)
+	return true
+}
+
 // Shrink records that a client holds n bytes less.
 func (a *Account) Shrink(id uint64, n int64) {
 	if c := a.clients[id]; c != nil {
--- a/internal/base/clientmemory/account_test.go
+++ b/internal/base/clientmemory/account_test.go
@@ -155,3 +155,22 @@
 		}
 	})
 }
+
+// TestBuffersLeaveRoomForRequests guards against answers that are held for callers that do not read, for which others are evicted
+// or after which requests find no room.
+func TestBuffersLeaveRoomForRequests(t *testing.T) {
+	is := is.New(t)
+	a := clientmemory.Account{Bytes: 800}
+	for i := range uint64(2) {
+		ok, _ := a.Open(i, fmt.Sprint(i), false, 100, start)
+		is.True(ok)
+	}
+	is.True(a.GrowSpare(0, 150))
+	is.True(!a.GrowSpare(1, 1)) // 350 of the 700 for callers are held
+	is.True(!a.GrowSpare(7, 1)) // no connection
+	ok, l := a.Open(2, "2", false, 350, start.Add(time.Hour))
+	is.True(ok)
+	is.Equal(len(l), 0)
+	a.Shrink(0, 150)
+	is.Equal(a.Held(), int64(550))
+}
--- a/internal/data/call/call.go
+++ b/internal/data/call/call.go
@@ -10,6 +10,13 @@
 	"siskinrun/internal/data/upstream"
 )
 
+// memory is the account of what a caller holds. ReserveSpare evicts nobody and leaves a share of it free.
+type memory interface {
+	Reserve(n int64) bool
+	ReserveSpare(n int64) bool
+	Release(n int64)
+}
+
 // Call is one request of a caller or of a batch item.
 type Call struct {
 	// ID identifies the call in logs, headers and upstreams.
@@ -88,6 +95,8 @@
 	// Stranded, if set, is told that the current attempt has been silent since its path was lost, so that it takes up nothing
 	// that others could use.
 	Stranded func()
+	// Memory, if set, is the account of what the caller holds. What is reserved is released at the end of the answer at the latest.
+	Memory memory
 	// Record accumulates the record of the call.
 	Record callrecord.Record
 }
--- a/internal/data/sse/event.go
+++ b/internal/data/sse/event.go
@@ -9,10 +9,17 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes is the maximum length of an event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum length of an event.
+	maxEventBytes = 1 << 20
+	// smallEvent is the length up to which the memory of an event is not reserved.
+	smallEvent = 4 << 10
+)
 
 var (
+	// ErrNoMemory is the error of reading an event for which there is no memory.
+	ErrNoMemory = errors.New("there is no memory for the event")
+
 	idField   = []byte("id:")
 	dataField = []byte("data:")
 )
@@ -30,10 +37,22 @@
 // Read returns the next complete event, or a comment. It returns io.EOF only at the end of an event, and
 // io.ErrUnexpectedEOF within one.
 func Read(r *bufio.Reader) (Event, error) {
+	return ReadReserved(r, func(int) bool { return true })
+}
+
+// ReadReserved is Read with the memory of a large event reserved before the event is held. It returns ErrNoMemory if there is none.
+func ReadReserved(r *bufio.Reader, reserve func(n int) bool) (Event, error) {
 	var b []byte
+	reserved := smallEvent
 	line := 0 // where the line under way begins in b
 	for {
 		l, err := r.ReadSlice('\n')
+		for len(b)+len(l) > reserved {
+			if !reserve(reserved) {
+				return Event{}, ErrNoMemory
+			}
+			reserved *= 2
+		}
 		b = append(b, l...)
 		if len(b) > maxEventBytes {
 			return Event{}, errors.New("the event exceeds 1 MiB")
--- a/internal/jobs/dedup/dedup.go
+++ b/internal/jobs/dedup/dedup.go
@@ -7,14 +7,21 @@
 	"encoding/json"
 	"io"
 
+	"siskinrun/internal/base/heldread"
 	"siskinrun/internal/data/answer"
 	"siskinrun/internal/data/call"
 	"siskinrun/pkg/refusal"
 	"siskinrun/pkg/verdict"
 )
 
-// maxAnswerBytes is the largest body that is stored to answer a resend.
-const maxAnswerBytes = 1 << 20
+const (
+	// maxAnswerBytes is the largest body that is stored to answer a resend, if the host has memory for it.
+	maxAnswerBytes = 1 << 20
+	// recordCopies is what the record of a body takes in bodies: its JSON form, in Base64, twice.
+	recordCopies = 3
+	// smallAnswer is the length up to which what the connection of the caller counts includes the record.
+	smallAnswer = 4 << 10
+)
 
 // store records intents and answers on a quorum.
 type store interface {
@@ -62,13 +69,15 @@
 
 // recordAnswer reads the answer and records it before the caller gets it.
 func (o *Deduplicator) recordAnswer(ctx context.Context, c *call.Call, fence uint64, a *answer.Answer) (*answer.Answer, error) {
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	h := heldread.Reader{Memory: c.Memory, Most: maxAnswerBytes + 1}
+	b, whole, err := h.Read(a.Body, a.Length)
 	if err != nil {
+		h.Release()
 		_ = a.Body.Close()
 		return nil, refusal.NewMayHaveRun(502, "answer-cut", err.Error())
 	}
 	k := storedAnswer{Status: a.Status, ContentType: a.ContentType, Headers: a.Headers, Body: b}
-	if len(b) > maxAnswerBytes {
+	if !whole || len(b) > maxAnswerBytes || len(b) > smallAnswer && !h.Reserve(recordCopies*len(b)) {
 		k.Body = nil
 		k.TooLarge = true
 	}
--- a/internal/jobs/dedup/dedup_test.go
+++ b/internal/jobs/dedup/dedup_test.go
@@ -83,3 +83,28 @@
 		})
 	}
 }
+
+// noMemory is an account without room.
+type noMemory struct{}
+
+func (noMemory) Reserve(int64) bool      { return false }
+func (noMemory) ReserveSpare(int64) bool { return false }
+func (noMemory) Release(int64)           {}
+
+// TestAnswersWithoutMemoryAreNotRecorded guards against answers that are read whole without memory for them, and against a resend
+// that gets a part of one or runs the call again.
+func TestAnswersWithoutMemoryAreNotRecorded(t *testing.T) {
+	is := is.New(t)
+	o := &dedup.Deduplicator{Store: &singleKeyStore{}}
+	q := &call.Call{Team: "t", IdempotencyKey: "k", Memory: noMemory{}}
+	body := bytes.Repeat([]byte("x"), 100_000)
+	a, err := o.Serve(t.Context(), q, func(context.Context, *call.Call) (*answer.Answer, error) {
+		return &answer.Answer{Status: 200, Length: len(body), Body: io.NopCloser(bytes.NewReader(body))}, nil
+	})
+	is.NoErr(err)
+	b, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(len(b), len(body))
+	_, err = o.Serve(t.Context(), q, nil)
+	is.Equal(refusal.Of(err).Code, "answer-not-kept")
+}
--- a/internal/wire/callerapi/request.go
+++ b/internal/wire/callerapi/request.go
@@ -112,6 +112,7 @@
 		Body:           b,
 		IdempotencyKey: k,
 		Arrived:        q.server.Timer.Now(),
+		Memory:         ingress.Memory(x),
 	}
 	drop := ingress.ConnectionHeaders(x)
 	for n, v := range x.Request.Header.All() {
--- a/internal/wire/dispatch/attempt.go
+++ b/internal/wire/dispatch/attempt.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"strconv"
@@ -21,8 +20,6 @@
 )
 
 const (
-	// maxBufferedBytes is the length below which a body is read whole before it is passed on.
-	maxBufferedBytes = 1 << 20
 	statusBadGateway = 502
 	// codeUnreachable is the code of an attempt that sent nothing, usually for lack of a connection.
 	codeUnreachable = "upstream-unreachable"
@@ -186,29 +183,6 @@
 	return !errors.As(err, &f) || f.Code == codeLost
 }
 
-// buffer reads a short body whole before it is passed on, so that the call can be retried if the body is truncated.
-func (t *attempt) buffer(ctx context.Context, a *answer.Answer) error {
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
-	if len(b) > 0 || err == nil {
-		t.begin()
-	}
-	if err != nil {
-		t.end(ctx, err)
-		_ = a.Body.Close()
-		return refusal.NewMayHaveRun(statusBadGateway, "answer-cut", "the upstream's answer ended early: "+err.Error())
-	}
-	if len(b) < maxBufferedBytes {
-		t.end(ctx, nil)
-		_ = a.Body.Close()
-		a.Length = len(b)
-		a.Body = io.NopCloser(bytes.NewReader(b))
-		return nil
-	}
-	r := io.MultiReader(bytes.NewReader(b), a.Body)
-	a.Body = &attemptBody{Reader: r, Closer: a.Body, attempt: t}
-	return nil
-}
-
 // attemptBody ends the attempt when its body ends or is closed.
 type attemptBody struct {
 	io.Reader
--- a/internal/wire/dispatch/relay.go
+++ b/internal/wire/dispatch/relay.go
@@ -56,6 +56,7 @@
 		Resume:       s.resume,
 		Confirm:      s.confirm,
 		Event:        s.event,
+		Memory:       c.Memory,
 		Done:         func(err error) { s.endAttempt(ctx, err) },
 	}
 	w := *a
--- a/internal/wire/ingress/hold.go
+++ b/internal/wire/ingress/hold.go
@@ -40,6 +40,7 @@
 // holder is a connection that is on the account of what callers hold.
 type holder interface {
 	Reserve(n int64) bool
+	ReserveSpare(n int64) bool
 	Release(n int64)
 	Complete()
 }
@@ -60,6 +61,12 @@
 	}
 }
 
+// Memory returns the account of what the caller of a request holds, nil if there is none.
+func Memory(x *fasthttp.RequestCtx) holder {
+	h, _ := x.Conn().(holder)
+	return h
+}
+
 func release(x *fasthttp.RequestCtx, n int64) {
 	if h, ok := x.Conn().(holder); ok {
 		h.Release(n)
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -92,10 +92,23 @@
 	if !c.listener.Guard.Grow(c.id, n) {
 		return false
 	}
+	c.reserved(n)
+	return true
+}
+
+// ReserveSpare is Reserve for an answer that could also be passed on as it arrives. Nobody is evicted for it.
+func (c *conn) ReserveSpare(n int64) bool {
+	if !c.listener.Guard.GrowSpare(c.id, n) {
+		return false
+	}
+	c.reserved(n)
+	return true
+}
+
+func (c *conn) reserved(n int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodyBytes += n
-	return true
 }
 
 // Release releases n bytes of those reserved.
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -29,6 +29,15 @@
 // doneMarker is the data of the event that ends a stream.
 var doneMarker = []byte("[DONE]")
 
+// errNoMemory ends a stream of which the host can't hold the next event. The upstream was not lost.
+var errNoMemory = refusal.NewMayHaveRun(502, "no-memory", "this host has no memory for the next event of the stream")
+
+// memory is the account of what the caller of a stream holds.
+type memory interface {
+	Reserve(n int64) bool
+	Release(n int64)
+}
+
 // Reader reads whole events and resumes a broken stream after the last event read.
 type Reader struct {
 	// Context ends the stream when it is cancelled.
@@ -47,6 +56,8 @@
 	First int
 	// Event, if set, is called for each event that is passed on.
 	Event func(offset int)
+	// Memory, if set, is the account that large events are on until the caller has read them.
+	Memory memory
 	// Done, if set, is called once when the stream has ended, with its error or nil.
 	Done func(err error)
 
@@ -64,6 +75,8 @@
 	// comments holds what came before the first event.
 	comments []byte
 	pending  []byte
+	// reserved is the memory reserved for what is pending.
+	reserved int
 	err      error
 	closed   bool
 }
@@ -95,7 +108,12 @@
 		r.next, r.numbered = r.First, r.First > 0
 		r.in = bufio.NewReader(r.Answer.Body)
 	}
-	e, err := sse.Read(r.in)
+	r.release()
+	e, err := sse.ReadReserved(r.in, r.reserve)
+	if errors.Is(err, sse.ErrNoMemory) {
+		r.finish(errNoMemory)
+		return
+	}
 	if err != nil && r.confirming {
 		r.confirmed(err)
 		return
@@ -143,6 +161,26 @@
 	}
 }
 
+// reserve reserves memory for the event that is read.
+func (r *Reader) reserve(n int) bool {
+	if r.Memory == nil {
+		return true
+	}
+	if !r.Memory.Reserve(int64(n)) {
+		return false
+	}
+	r.reserved += n
+	return true
+}
+
+// release releases the memory of events that the caller has read.
+func (r *Reader) release() {
+	if r.reserved > 0 {
+		r.Memory.Release(int64(r.reserved))
+		r.reserved = 0
+	}
+}
+
 // comment passes a comment on, once the stream has an event: until then the call may still be refused.
 func (r *Reader) comment(raw []byte) {
 	if r.started {
