Bound file uploads, downloads, streams of peers and unproved connections

Cause: what a host holds for an uploaded file, and the pages of one that a slow reader downloads, were not on the account. Connections to the peers' port that never prove to be of a peer were unbounded for 1 s each and logged one by one, and so were the streams of a session.

Change: uploads reserve what their bytes and IDs take before they are read, downloads two pages. At most 256 connections without a completed handshake stay open, the oldest is closed first; one log line in 10 s. A session serves 2,048 streams; further calls are refused as not executed.

--- a/internal/base/rpc/call.go
+++ b/internal/base/rpc/call.go
@@ -83,8 +83,12 @@
 	return refusal.NewMayHaveRun(504, "peer-lost", "the connection failed before the peer answered: "+err.Error())
 }
 
-// serveStream serves the calls of a stream in order.
-func (l *Endpoint) serveStream(ctx context.Context, from string, s *yamux.Stream) {
+// errTooManyStreams refuses a call of a peer that has too many streams.
+var errTooManyStreams = refusal.NewNotRun(503, "too-many-streams", "the peer has too many streams to this host").
+	WithRetryAfter(time.Second)
+
+// serveStream serves the calls of a stream in order. If there are too many streams it refuses the first call and ends.
+func (l *Endpoint) serveStream(ctx context.Context, from string, s *yamux.Stream, full bool) {
 	defer func() { _ = s.Close() }()
 	r := buffered(s)
 	o := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
@@ -93,6 +97,10 @@
 		if err := o.UnmarshalFrom(r, f); err != nil {
 			return
 		}
+		if full {
+			l.refuse(s, f, errTooManyStreams)
+			return
+		}
 		if l.serveOpen(ctx, from, &streamConn{Stream: s, in: r}, f) || !l.serveCall(ctx, from, s, f) {
 			return
 		}
@@ -119,6 +127,15 @@
 	return writeMessage(s, p) == nil
 }
 
+// refuse answers a call with a refusal, unless it wants no answer.
+func (l *Endpoint) refuse(s *yamux.Stream, f *frame.Frame, err *refusal.Refusal) {
+	if f.OneWay {
+		return
+	}
+	_ = s.SetWriteDeadline(l.Timer.DeadlineIn(callTimeout))
+	_ = writeMessage(s, &frame.Reply{Refusal: encodeRefusal(err)})
+}
+
 func encodeRefusal(r *refusal.Refusal) *frame.Refusal {
 	return &frame.Refusal{
 		Status:                int32(r.Status),
--- a/internal/base/rpc/endpoint.go
+++ b/internal/base/rpc/endpoint.go
@@ -35,6 +35,14 @@
 	dialBackoff    = 200 * time.Millisecond
 	callTimeout    = 5 * time.Second
 	maxFrameBytes  = 16 << 20
+	// maxStreams bounds the streams of a session that are served at once. A host has a few calls at a time to a peer, and as a
+	// gateway serves at most 512 tunnels.
+	maxStreams = 2048
+	// maxHandshakes bounds the accepted connections that have not proved that they are of a peer. A peer proves it within
+	// milliseconds, so that the oldest are of others.
+	maxHandshakes = 256
+	// rejectedLogInterval is the least time between two log lines on rejected connections.
+	rejectedLogInterval = 10 * time.Second
 	// maxOpenAttempts is how often a stream is tried to be opened on sessions that end at once.
 	maxOpenAttempts = 3
 )
@@ -71,6 +79,11 @@
 	sessions map[sessionKey]*session
 	accepted map[*link]struct{}
 	group    *group.Group
+	// handshakes holds the connections whose handshake is under way, the oldest first.
+	handshakes []net.Conn
+	// rejected counts the connections that were rejected since the last log line on them.
+	rejected       int
+	rejectedLogged time.Time
 
 	streamHandlers map[string]StreamHandler
 }
--- a/internal/base/rpc/session.go
+++ b/internal/base/rpc/session.go
@@ -9,6 +9,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -148,20 +149,23 @@
 		if err := setUnackedTimeout(c); err != nil {
 			l.Log.Warn().Err(err).Msg("TCP_USER_TIMEOUT not set, an unresponsive session may last long")
 		}
+		done := l.beginHandshake(c)
 		l.group.Go("session", func(ctx context.Context) error {
-			l.serve(ctx, c)
+			l.serve(ctx, c, done)
 			return nil
 		})
 	}
 }
 
-func (l *Endpoint) serve(ctx context.Context, c net.Conn) {
+// serve serves a connection and calls shaken when its handshake has ended.
+func (l *Endpoint) serve(ctx context.Context, c net.Conn, shaken func()) {
 	if l.ServerTLS != nil {
 		c = tls.Server(c, l.ServerTLS)
 	}
 	h, err := l.serverHandshake(c)
+	shaken()
 	if err != nil {
-		l.Log.Warn().Err(err).Msg("peer rejected, its handshake failed")
+		l.logRejected(err)
 		_ = c.Close()
 		return
 	}
@@ -171,13 +175,16 @@
 	}
 	l.track(m)
 	defer l.untrack(m)
+	var open atomic.Int64
 	for {
 		s, err := m.AcceptStream()
 		if err != nil {
 			return
 		}
+		full := open.Add(1) > maxStreams
 		l.group.Go("stream", func(ctx context.Context) error {
-			l.serveStream(ctx, h.From, s)
+			defer open.Add(-1)
+			l.serveStream(ctx, h.From, s, full)
 			return nil
 		})
 		if ctx.Err() != nil {
--- a/internal/wire/callerapi/cut_body_test.go
+++ b/internal/wire/callerapi/cut_body_test.go
@@ -12,6 +12,8 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"siskinrun/internal/base/clientguard"
+	"siskinrun/internal/base/clientmemory"
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/file"
@@ -82,6 +84,12 @@
 
 // startWith serves callers on loopback until the test ends.
 func startWith(t *testing.T, p pipeline, b batchService) string {
+	t.Helper()
+	return startWithin(t, p, b, 0)
+}
+
+// startWithin is startWith with a bound of what callers hold, zero for none.
+func startWithin(t *testing.T, p pipeline, b batchService, held int64) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -89,6 +97,7 @@
 	c := &Server{
 		Listener: l, Pipeline: p, Identifier: anyKey{}, Batch: b, Ready: func() bool { return true }, Timer: m, Log: zerolog.Nop(),
 		MaxHeaderBytes: headerBytes, MaxBodyBytes: mostBytes, MaxFileBytes: mostBytes, Concurrency: 64, ReadTimeout: 10 * time.Second,
+		Guard: &clientguard.Guard{Account: clientmemory.Account{Bytes: held}, Timer: m},
 	}
 	g := group.NewGroup(t.Context())
 	g.Go("timer", m.Run)
--- a/internal/wire/callerapi/files.go
+++ b/internal/wire/callerapi/files.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"mime"
@@ -113,17 +114,22 @@
 		q.Refuse(ingress.TooLarge(q.server.MaxFileBytes))
 		return
 	}
-	var r io.Reader = &limitedReader{reader: ingress.Body(x), remaining: q.server.MaxFileBytes, limit: q.server.MaxFileBytes}
-	name, purpose, r, err := q.parseForm(r)
+	l := &limitedReader{reader: ingress.Body(x), remaining: q.server.MaxFileBytes, limit: q.server.MaxFileBytes}
+	h := &heldReader{
+		reader:   l,
+		reserve:  func(n int64) error { return ingress.Reserve(x, n) },
+		complete: func() { ingress.Complete(x) },
+	}
+	name, purpose, r, err := q.parseForm(h)
 	if err != nil {
 		x.SetConnectionClose()
-		q.Refuse(err)
+		q.Refuse(cmp.Or(h.refused, err))
 		return
 	}
 	f, err := q.server.Batch.UploadFile(q.server.ingress.Context(), team, name, purpose, r)
 	if err != nil {
 		x.SetConnectionClose()
-		q.Refuse(err)
+		q.Refuse(cmp.Or(h.refused, err))
 		return
 	}
 	q.reply(newFileObject(f))
@@ -212,6 +218,10 @@
 // caller does not take it for complete.
 func (q *request) stream(write func(ctx context.Context, w io.Writer) error) {
 	x := q.http
+	if err := ingress.Reserve(x, contentBytes); err != nil {
+		q.Refuse(err)
+		return
+	}
 	x.SetContentType(jsonLines)
 	x.Response.Header.Set(headerRequestID, q.id)
 	q.server.ingress.Stream(x, write, func(err error) {
