Rank the clients that may be evicted at most 100,000 times a second

Cause: each decision for a client that waits scanned and sorted all connections under the lock, every 5 ms for up to 0.5 s for each client.

Change: the order is kept for n x 10 us with n connections (anew at each decision up to 100), with sums by address and by use. A decision takes a binary search and passes over at most 64 clients that changed since. A client that finds nobody to evict waits for the next ranking. Victims for the share of an address count for the bound of all, which evicted more than was needed before.

--- a/internal/base/clientguard/guard.go
+++ b/internal/base/clientguard/guard.go
@@ -61,15 +61,17 @@
 	return id, ok
 }
 
-// Grow lets a client hold n bytes more. It waits a little for evicted clients to leave, and returns false if there is no room.
+// Grow lets a client hold n bytes more. It waits a little for evicted clients to leave and for clients to be ranked, and returns
+// false if there is no room.
 func (g *Guard) Grow(id uint64, n int64) bool {
 	if g == nil || n <= 0 {
 		return true
 	}
+	start := g.Timer.Now()
 	for waited := time.Duration(0); ; waited += leavePoll {
 		g.mu.Lock()
 		ok, l := g.Account.Grow(id, n, g.Timer.Now())
-		again := !ok && waited < leaveTime && g.Account.Leaving() > 0 && !g.Account.Evicted(id)
+		again := !ok && waited < leaveTime && (g.Account.Leaving() > 0 || g.Account.RankedBefore(start)) && !g.Account.Evicted(id)
 		q := g.note(ok || again, "clients-rejected-bytes", l)
 		g.mu.Unlock()
 		closeAll(q)
--- a/internal/base/clientmemory/account.go
+++ b/internal/base/clientmemory/account.go
@@ -1,8 +1,6 @@
 package clientmemory
 
 import (
-	"cmp"
-	"slices"
 	"time"
 )
 
@@ -33,7 +31,9 @@
 	state    state
 	// since is the begin of the request or of the idle time, and progress the last time that bytes came or went.
 	since, progress time.Time
-	evicted         bool
+	evicted, closed bool
+	// ranked is the rank at the last ranking.
+	ranked float64
 }
 
 // Account holds what the clients of a host hold. The zero value has no bounds.
@@ -42,7 +42,10 @@
 	Bytes int64
 	// Connections bounds the open connections of callers, zero for no bound. Reserved ones get a quarter more.
 	Connections int
+	// Ranked counts the clients that were ranked to find those that are evicted.
+	Ranked int
 
+	ranking *ranking
 	clients map[uint64]*client
 	// held and leaving count the bytes of all clients, and of those that were evicted and are still open.
 	held, leaving int64
@@ -59,7 +62,8 @@
 	}
 	c := &client{id: id, address: address, reserved: reserved, since: now, progress: now}
 	if a.Connections > 0 && a.open[reserved] >= a.connections(reserved) {
-		l := a.candidates(c, now, func(o *client) bool { return o.reserved == reserved })
+		r := a.currentRanking(now)
+		l := r.byUse[reserved].take(c, 0, r, now)
 		if len(l) == 0 || len(a.clients) >= 2*a.Connections {
 			return false, nil
 		}
@@ -144,9 +148,13 @@
 	if !c.evicted {
 		a.open[c.reserved]--
 	}
+	c.closed = true
 	delete(a.clients, id)
 }
 
+// RankedBefore reports whether clients were last ranked before a time, so that more may be evicted at the next ranking.
+func (a *Account) RankedBefore(t time.Time) bool { return a.ranking != nil && a.ranking.at.Before(t) }
+
 // Held returns the bytes that all clients hold.
 func (a *Account) Held() int64 { return a.held }
 
@@ -195,25 +203,24 @@
 	if a.Bytes <= 0 {
 		return true, nil
 	}
-	for _, o := range []struct {
-		missing int64
-		match   func(*client) bool
-	}{
-		{a.byAddress[c.address] + n - a.Bytes*3/4, func(o *client) bool { return o.address == c.address }},
-		{a.held - a.leaving + n - a.bytes(c.reserved), func(*client) bool { return true }},
-	} {
-		if o.missing <= 0 {
+	for _, own := range []bool{true, false} { // first others of the address for its share, then any
+		missing := a.held - a.leaving + n - a.bytes(c.reserved)
+		if own {
+			missing = a.byAddress[c.address] + n - a.Bytes*3/4
+		}
+		if missing <= 0 {
 			continue
 		}
-		l, missing := a.candidates(c, now, o.match), o.missing
-		n := 0
-		for ; n < len(l) && missing > 0; n++ {
-			missing -= l[n].held
+		r := a.currentRanking(now)
+		q := r.all
+		if own {
+			q = r.byAddress[c.address]
 		}
-		if missing > 0 {
+		l := q.take(c, missing, r, now)
+		if len(l) == 0 {
 			return false, evicted // nobody is evicted for a client that can't stay
 		}
-		for _, v := range l[:n] {
+		for _, v := range l {
 			evicted = append(evicted, a.evict(v))
 		}
 	}
@@ -228,26 +235,6 @@
 	return a.Bytes * 7 / 8
 }
 
-// candidates returns the clients that are evicted before c, first those that have held most for longest without progress.
-func (a *Account) candidates(c *client, now time.Time, match func(*client) bool) []*client {
-	own := c.rank(now)
-	ranks := map[*client]float64{}
-	var l []*client
-	for _, o := range a.clients {
-		if o == c || o.evicted || !o.evictable(now) || !match(o) {
-			continue
-		}
-		if r := o.rank(now); r > own {
-			ranks[o] = r
-			l = append(l, o)
-		}
-	}
-	slices.SortFunc(l, func(x, y *client) int {
-		return cmp.Or(cmp.Compare(ranks[y], ranks[x]), cmp.Compare(x.id, y.id))
-	})
-	return l
-}
-
 func (c *client) evictable(now time.Time) bool {
 	return c.state == receiving || c.state == writing && now.Sub(c.progress) >= unreadTime
 }
--- a/internal/base/clientmemory/account_test.go
+++ b/internal/base/clientmemory/account_test.go
@@ -174,3 +174,39 @@
 	a.Shrink(0, 150)
 	is.Equal(a.Held(), int64(550))
 }
+
+// TestEvictionIsCheapWithManyClients guards against a scan of all clients at each decision for each client that waits, and against
+// the eviction of clients that have completed their request since the last scan.
+func TestEvictionIsCheapWithManyClients(t *testing.T) {
+	const clients, waiting, polls = 5000, 100, 200
+	is := is.New(t)
+	a := clientmemory.Account{Bytes: clients*100*8/7 + 8}
+	for i := range uint64(clients) {
+		ok, _ := a.Open(i, fmt.Sprint(i%100), false, 100, start)
+		is.True(ok)
+	}
+	now, evicted := start, map[uint64]bool{}
+	for p := range polls { // 1 s
+		now = now.Add(5 * time.Millisecond)
+		for i := range uint64(clients / 2) {
+			if i%2 == 0 {
+				a.Progress(i, now)
+			} else {
+				a.Run(i, now)
+			}
+		}
+		for i := range uint64(waiting) {
+			_, l := a.Grow(i, 500, now)
+			for _, v := range l {
+				is.True((v >= clients/2 || v%2 == 0) && !evicted[v])
+				evicted[v] = true
+				if p%2 == 0 {
+					a.Close(v)
+				}
+			}
+		}
+	}
+	t.Logf("%d clients ranked, %d evicted", a.Ranked, len(evicted))
+	is.True(len(evicted) > waiting)
+	is.True(a.Ranked <= 100_000+clients)
+}
