--- a/internal/wire/ingress/hold.go
+++ b/internal/wire/ingress/hold.go
@@ -40,7 +40,6 @@
 // holder is a connection that is on the account of what callers hold.
 type holder interface {
 	Reserve(n int64) bool
-	ReserveSpare(n int64) bool
 	Release(n int64)
 	Complete()
 }
@@ -62,11 +61,21 @@
 }
 
 // Memory returns the account of what the caller of a request holds, nil if there is none.
-func Memory(x *fasthttp.RequestCtx) holder {
-	h, _ := x.Conn().(holder)
+func Memory(x *fasthttp.RequestCtx) interface {
+	Reserve(n int64) bool
+	ReserveSpare(n int64) bool
+	Release(n int64)
+} {
+	h, _ := x.Conn().(spareHolder)
 	return h
 }
 
+// spareHolder is a connection of a caller. Those of operators pass no answers on.
+type spareHolder interface {
+	holder
+	ReserveSpare(n int64) bool
+}
+
 func release(x *fasthttp.RequestCtx, n int64) {
 	if h, ok := x.Conn().(holder); ok {
 		h.Release(n)
