Let one submitted job of the largest length fit into every memory

Cause: a job takes its body and three times its length more; below 91 MB of memory-bytes that never fits into three quarters of the account.

Change: where the account is too small, one job at a time may hold three times its body beyond it until it is answered. check rejects a memory-bytes with which account, job and the host exceed the runtime's limit, and names the least one (61,360,128 with bodies of 4 MB). Larger accounts are as before.

No job of 4 MB was sent to a running host of 64 MB.

--- a/internal/base/clientguard/guard.go
+++ b/internal/base/clientguard/guard.go
@@ -94,6 +94,19 @@
 	return ok
 }
 
+// GrowLarge is Grow, and lets one client at a time hold n bytes beyond the bounds. beyond reports that it does so, until its request
+// ends.
+func (g *Guard) GrowLarge(id uint64, n int64) (ok, beyond bool) {
+	if g == nil {
+		return true, false
+	}
+	g.do(func(a *clientmemory.Account, _ time.Time) { beyond = a.Large > 0 && a.GrowLarge(id, n) })
+	if beyond {
+		return true, true
+	}
+	return g.Grow(id, n), false
+}
+
 // Shrink records that a client holds n bytes less.
 func (g *Guard) Shrink(id uint64, n int64) {
 	g.do(func(a *clientmemory.Account, _ time.Time) { a.Shrink(id, n) })
--- a/internal/base/clientmemory/account.go
+++ b/internal/base/clientmemory/account.go
@@ -42,10 +42,14 @@
 	Bytes int64
 	// Connections bounds the open connections of callers, zero for no bound. Reserved ones get a quarter more.
 	Connections int
+	// Large is what one client at a time may hold beyond the bounds, where they are too small for the largest request.
+	Large int64
 	// Ranked counts the clients that were ranked to find those that are evicted.
 	Ranked int
 
 	ranking *ranking
+	// large is the client that may hold Large bytes more until its request ends.
+	large   *client
 	clients map[uint64]*client
 	// held and leaving count the bytes of all clients, and of those that were evicted and are still open.
 	held, leaving int64
@@ -101,6 +105,16 @@
 	return true
 }
 
+// GrowLarge lets one client at a time hold n bytes beyond the bounds until its request ends, and returns whether it may.
+func (a *Account) GrowLarge(id uint64, n int64) bool {
+	c := a.clients[id]
+	if c == nil || c.evicted || a.large != nil || n > a.Large {
+		return false
+	}
+	a.large = c
+	return true
+}
+
 // Shrink records that a client holds n bytes less.
 func (a *Account) Shrink(id uint64, n int64) {
 	if c := a.clients[id]; c != nil {
@@ -120,6 +134,14 @@
 	a.enter(id, receiving, now)
 	if c := a.clients[id]; c != nil {
 		c.since = now
+		a.endLarge(c)
+	}
+}
+
+// endLarge ends what a client holds beyond the bounds.
+func (a *Account) endLarge(c *client) {
+	if a.large == c {
+		a.large = nil
 	}
 }
 
@@ -149,6 +171,7 @@
 		a.open[c.reserved]--
 	}
 	c.closed = true
+	a.endLarge(c)
 	delete(a.clients, id)
 }
 
--- a/internal/base/clientmemory/account_test.go
+++ b/internal/base/clientmemory/account_test.go
@@ -210,3 +210,22 @@
 	is.True(len(evicted) > waiting)
 	is.True(a.Ranked <= 100_000+clients)
 }
+
+// TestOneLargeRequestFits guards against a largest request that never fits into a small account, and against several at a time
+// beyond the bounds.
+func TestOneLargeRequestFits(t *testing.T) {
+	is := is.New(t)
+	a := clientmemory.Account{Bytes: 800, Large: 2000}
+	for i := range uint64(2) {
+		ok, _ := a.Open(i, fmt.Sprint(i), false, 100, start)
+		is.True(ok)
+	}
+	is.True(!a.GrowLarge(0, 2001))
+	is.True(a.GrowLarge(0, 2000))
+	is.True(!a.GrowLarge(1, 1))
+	a.Receive(0, start) // the request has ended
+	is.True(a.GrowLarge(1, 2000))
+	a.Close(1)
+	is.True(a.GrowLarge(0, 1))
+	is.Equal(a.Held(), int64(100))
+}
--- a/internal/product/server/clients.go
+++ b/internal/product/server/clients.go
@@ -17,7 +17,7 @@
 		debug.SetMemoryLimit(m)
 	}
 	s.clients = &clientguard.Guard{
-		Account: clientmemory.Account{Bytes: l.ClientBytes(), Connections: l.ClientConnections()},
+		Account: clientmemory.Account{Bytes: l.ClientBytes(), Connections: l.ClientConnections(), Large: l.LargeBytes()},
 		Timer:   s.timer,
 		Metrics: s.metrics,
 		Log:     s.Log,
--- a/internal/product/settings/check.go
+++ b/internal/product/settings/check.go
@@ -226,6 +226,9 @@
 	s.checkInt(f, "limits.body-bytes", int64(l.BodyBytes), 1, maxBodyBytes)
 	s.checkInt(f, "limits.file-bytes", l.FileBytes, 1, maxUploadBytes)
 	s.checkInt(f, "limits.memory-bytes", l.MemoryBytes, 0, maxMemoryBytes)
+	if m := l.MemoryBytes; m > 0 && l.RuntimeBytes() < l.ClientBytes()+l.LargeBytes()+hostBytes {
+		s.addDiagnostic(f, "limits.memory-bytes", "is %d, too little for a request with body-bytes %d: at least %d", m, l.BodyBytes, l.minMemory())
+	}
 	if l.ClientMemoryBytes != 0 {
 		s.checkInt(f, "limits.client-memory-bytes", l.ClientMemoryBytes, minBodies*int64(l.BodyBytes), maxMemoryBytes)
 	}
--- a/internal/product/settings/clients.go
+++ b/internal/product/settings/clients.go
@@ -12,6 +12,13 @@
 	// minBodies is how many of the largest bodies the clients' memory must hold: one that grows is held one and a half times,
 	// and three quarters of the memory are for one address.
 	minBodies = 4
+	// addressShare is the part of the clients' memory for one address, in quarters.
+	addressShare = 3
+	// jobBodies is how many of the largest bodies a submitted job takes beside its own, and wholeJob with it while it grows.
+	jobBodies = 3
+	wholeJob  = 5
+	// hostBytes is what the host itself takes of the runtime's memory.
+	hostBytes = 8_000_000
 )
 
 // RuntimeBytes returns the memory limit of the Go runtime, zero for none.
@@ -36,3 +43,22 @@
 	}
 	return (l.Descriptors - fileDescriptors) / 2
 }
+
+// LargeBytes returns what one submitted job at a time may hold beyond ClientBytes, zero where it fits.
+func (l Limits) LargeBytes() int64 {
+	b := int64(l.BodyBytes)
+	if n := l.ClientBytes(); n <= 0 || n*addressShare/4 >= wholeJob*b {
+		return 0
+	}
+	return jobBodies * b
+}
+
+// minMemory returns the least memory of a machine in which the largest request fits, by the lengths that are permitted.
+func (l Limits) minMemory() int64 {
+	n := l.ClientMemoryBytes
+	if n <= 0 {
+		n = minBodies * int64(l.BodyBytes)
+	}
+	n += hostBytes + jobBodies*int64(l.BodyBytes)
+	return max(n+programBytes, n/3*4)
+}
--- a/internal/wire/ingress/hold.go
+++ b/internal/wire/ingress/hold.go
@@ -53,6 +53,15 @@
 	return nil
 }
 
+// ReserveLarge is Reserve for the largest requests, of which one at a time has room in any account.
+func ReserveLarge(x *fasthttp.RequestCtx, n int64) error {
+	if h, ok := x.Conn().(interface{ ReserveLarge(n int64) bool }); ok && !h.ReserveLarge(n) {
+		x.SetConnectionClose()
+		return Overloaded()
+	}
+	return nil
+}
+
 // Complete records that a request has arrived, so that its connection is not closed before it is answered.
 func Complete(x *fasthttp.RequestCtx) {
 	if h, ok := x.Conn().(holder); ok {
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -96,6 +96,15 @@
 	return true
 }
 
+// ReserveLarge is Reserve for the largest requests, of which one at a time has room in any account.
+func (c *conn) ReserveLarge(n int64) bool {
+	ok, beyond := c.listener.Guard.GrowLarge(c.id, n)
+	if ok && !beyond {
+		c.reserved(n)
+	}
+	return ok
+}
+
 // ReserveSpare is Reserve for an answer that could also be passed on as it arrives. Nobody is evicted for it.
 func (c *conn) ReserveSpare(n int64) bool {
 	if !c.listener.Guard.GrowSpare(c.id, n) {
