End connections whose request was answered before its body was read

Cause: the HTTP library reads the rest of such a body to go on with the connection, after the scanner had begun the next header section, so that the rest counted as header lines.

Change: the connection ends after the response, which discards the rest unscanned. Requests without a body and those read whole keep theirs.

--- a/internal/wire/ingress/hold.go
+++ b/internal/wire/ingress/hold.go
@@ -85,6 +85,12 @@
 	ReserveSpare(n int64) bool
 }
 
+// arrived reports whether the body of a request was read whole, or whether that is not known.
+func arrived(x *fasthttp.RequestCtx) bool {
+	h, ok := x.Conn().(interface{ Arrived() bool })
+	return !ok || h.Arrived()
+}
+
 func release(x *fasthttp.RequestCtx, n int64) {
 	if h, ok := x.Conn().(holder); ok {
 		h.Release(n)
--- a/internal/wire/ingress/ingress.go
+++ b/internal/wire/ingress/ingress.go
@@ -153,6 +153,9 @@
 	}
 	x.SetUserValue(markIdleKey, done)
 	s.checkHeader(x)
+	if x.RequestBodyStream() != nil && x.Request.Header.ContentLength() != 0 && !arrived(x) {
+		x.SetConnectionClose() // the rest of the body is not read, which would count as header lines
+	}
 	switch {
 	case x.Response.IsBodyStream():
 	case len(x.Response.Body()) > largeResponse:
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -129,6 +129,13 @@
 	c.listener.Guard.Shrink(c.id, n)
 }
 
+// Arrived reports whether the request has arrived whole.
+func (c *conn) Arrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.complete
+}
+
 // Complete records that the request has arrived, so that the connection is not closed before it is answered.
 func (c *conn) Complete() {
 	c.mu.Lock()
