--- a/internal/base/clientguard/guard.go
+++ b/internal/base/clientguard/guard.go
@@ -61,15 +61,17 @@
 	return id, ok
 }
 
-// Grow lets a client hold n bytes more. It waits a little for evicted clients to leave, and returns false if there is no room.
+// Grow lets a client hold n bytes more. It waits a little for evicted clients to leave and for clients to be ranked, and returns
+// false if there is no room.
 func (g *Guard) Grow(id uint64, n int64) bool {
 	if g == nil || n <= 0 {
 		return true
 	}
+	start := g.Timer.Now()
 	for waited := time.Duration(0); ; waited += leavePoll {
 		g.mu.Lock()
 		ok, l := g.Account.Grow(id, n, g.Timer.Now())
-		again := !ok && waited < leaveTime && g.Account.Leaving() > 0 && !g.Account.Evicted(id)
+		again := !ok && waited < leaveTime && (g.Account.Leaving() > 0 || g.Account.RankedBefore(start)) && !g.Account.Evicted(id)
 		q := g.note(ok || again, "clients-rejected-bytes", l)
 		g.mu.Unlock()
 		closeAll(q)
@@ -79,6 +81,32 @@
 	}
 }
 
+// GrowSpare lets a client hold n bytes more if half of the bound stays free, and returns false otherwise. Nobody is evicted.
+func (g *Guard) GrowSpare(id uint64, n int64) (ok bool) {
+	if g == nil {
+		return true
+	}
+	g.do(func(a *clientmemory.Account, _ time.Time) {
+		if ok = a.GrowSpare(id, n); !ok {
+			g.count("clients-unbuffered-answers", 1)
+		}
+	})
+	return ok
+}
+
+// GrowLarge is Grow, and lets one client at a time hold n bytes beyond the bounds. beyond reports that it does so, until its request
+// ends.
+func (g *Guard) GrowLarge(id uint64, n int64) (ok, beyond bool) {
+	if g == nil {
+		return true, false
+	}
+	g.do(func(a *clientmemory.Account, _ time.Time) { beyond = a.Large > 0 && a.GrowLarge(id, n) })
+	if beyond {
+		return true, true
+	}
+	return g.Grow(id, n), false
+}
+
 // Shrink records that a client holds n bytes less.
 func (g *Guard) Shrink(id uint64, n int64) {
 	g.do(func(a *clientmemory.Account, _ time.Time) { a.Shrink(id, n) })
--- a/internal/base/clientmemory/account_test.go
+++ b/internal/base/clientmemory/account_test.go
@@ -155,3 +155,77 @@
 		}
 	})
 }
+
+// TestBuffersLeaveRoomForRequests guards against answers that are held for callers that do not read, for which others are evicted
+// or after which requests find no room.
+func TestBuffersLeaveRoomForRequests(t *testing.T) {
+	is := is.New(t)
+	a := clientmemory.Account{Bytes: 800}
+	for i := range uint64(2) {
+		ok, _ := a.Open(i, fmt.Sprint(i), false, 100, start)
+		is.True(ok)
+	}
+	is.True(a.GrowSpare(0, 150))
+	is.True(!a.GrowSpare(1, 1)) // 350 of the 700 for callers are held
+	is.True(!a.GrowSpare(7, 1)) // no connection
+	ok, l := a.Open(2, "2", false, 350, start.Add(time.Hour))
+	is.True(ok)
+	is.Equal(len(l), 0)
+	a.Shrink(0, 150)
+	is.Equal(a.Held(), int64(550))
+}
+
+// TestEvictionIsCheapWithManyClients guards against a scan of all clients at each decision for each client that waits, and against
+// the eviction of clients that have completed their request since the last scan.
+func TestEvictionIsCheapWithManyClients(t *testing.T) {
+	const clients, waiting, polls = 5000, 100, 200
+	is := is.New(t)
+	a := clientmemory.Account{Bytes: clients*100*8/7 + 8}
+	for i := range uint64(clients) {
+		ok, _ := a.Open(i, fmt.Sprint(i%100), false, 100, start)
+		is.True(ok)
+	}
+	now, evicted := start, map[uint64]bool{}
+	for p := range polls { // 1 s
+		now = now.Add(5 * time.Millisecond)
+		for i := range uint64(clients / 2) {
+			if i%2 == 0 {
+				a.Progress(i, now)
+			} else {
+				a.Run(i, now)
+			}
+		}
+		for i := range uint64(waiting) {
+			_, l := a.Grow(i, 500, now)
+			for _, v := range l {
+				is.True((v >= clients/2 || v%2 == 0) && !evicted[v])
+				evicted[v] = true
+				if p%2 == 0 {
+					a.Close(v)
+				}
+			}
+		}
+	}
+	t.Logf("%d clients ranked, %d evicted", a.Ranked, len(evicted))
+	is.True(len(evicted) > waiting)
+	is.True(a.Ranked <= 100_000+clients)
+}
+
+// TestOneLargeRequestFits guards against a largest request that never fits into a small account, and against several at a time
+// beyond the bounds.
+func TestOneLargeRequestFits(t *testing.T) {
+	is := is.New(t)
+	a := clientmemory.Account{Bytes: 800, Large: 2000}
+	for i := range uint64(2) {
+		ok, _ := a.Open(i, fmt.Sprint(i), false, 100, start)
+		is.True(ok)
+	}
+	is.True(!a.GrowLarge(0, 2001))
+	is.True(a.GrowLarge(0, 2000))
+	is.True(!a.GrowLarge(1, 1))
+	a.Receive(0, start) // the request has ended
+	is.True(a.GrowLarge(1, 2000))
+	a.Close(1)
+	is.True(a.GrowLarge(0, 1))
+	is.Equal(a.Held(), int64(100))
+}
--- a/internal/wire/ingress/hold.go
+++ b/internal/wire/ingress/hold.go
@@ -53,6 +53,15 @@
 	return nil
 }
 
+// ReserveLarge is Reserve for the largest requests, of which one at a time has room in any account.
+func ReserveLarge(x *fasthttp.RequestCtx, n int64) error {
+	if h, ok := x.Conn().(interface{ ReserveLarge(n int64) bool }); ok && !h.ReserveLarge(n) {
+		x.SetConnectionClose()
+		return Overloaded()
+	}
+	return nil
+}
+
 // Complete records that a request has arrived, so that its connection is not closed before it is answered.
 func Complete(x *fasthttp.RequestCtx) {
 	if h, ok := x.Conn().(holder); ok {
@@ -60,6 +69,28 @@
 	}
 }
 
+// Memory returns the account of what the caller of a request holds, nil if there is none.
+func Memory(x *fasthttp.RequestCtx) interface {
+	Reserve(n int64) bool
+	ReserveSpare(n int64) bool
+	Release(n int64)
+} {
+	h, _ := x.Conn().(spareHolder)
+	return h
+}
+
+// spareHolder is a connection of a caller. Those of operators pass no answers on.
+type spareHolder interface {
+	holder
+	ReserveSpare(n int64) bool
+}
+
+// arrived reports whether the body of a request was read whole, or whether that is not known.
+func arrived(x *fasthttp.RequestCtx) bool {
+	h, ok := x.Conn().(interface{ Arrived() bool })
+	return !ok || h.Arrived()
+}
+
 func release(x *fasthttp.RequestCtx, n int64) {
 	if h, ok := x.Conn().(holder); ok {
 		h.Release(n)
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -92,10 +92,32 @@
 	if !c.listener.Guard.Grow(c.id, n) {
 		return false
 	}
+	c.reserved(n)
+	return true
+}
+
+// ReserveLarge is Reserve for the largest requests, of which one at a time has room in any account.
+func (c *conn) ReserveLarge(n int64) bool {
+	ok, beyond := c.listener.Guard.GrowLarge(c.id, n)
+	if ok && !beyond {
+		c.reserved(n)
+	}
+	return ok
+}
+
+// ReserveSpare is Reserve for an answer that could also be passed on as it arrives. Nobody is evicted for it.
+func (c *conn) ReserveSpare(n int64) bool {
+	if !c.listener.Guard.GrowSpare(c.id, n) {
+		return false
+	}
+	c.reserved(n)
+	return true
+}
+
+func (c *conn) reserved(n int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodyBytes += n
-	return true
 }
 
 // Release releases n bytes of those reserved.
@@ -107,6 +129,13 @@
 	c.listener.Guard.Shrink(c.id, n)
 }
 
+// Arrived reports whether the request has arrived whole.
+func (c *conn) Arrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.complete
+}
+
 // Complete records that the request has arrived, so that the connection is not closed before it is answered.
 func (c *conn) Complete() {
 	c.mu.Lock()
