Mend what the reviews of rates, claims, connections and clients found

Cause: an owner could release a domain's share while a host that it did not know had the promise; units of a request that had drawn on an expired grant were given back from another; a share was withheld without end where replies were lost; two hosts could hold one claim after a change of leader; the wait for deputies delayed a new owner; preferred upstreams that came later never led; a connection counted as proved though its answer had come long before; a connection's field was read after another call could have it; hosts that restarted on the smaller side of a cut lowered the count that tells a minority; IDs of uploads could be chosen to collide; peers of a large fleet could push each other out of their handshakes. Change: deputies are members of the group; each at its place, with tests of promises, units given back and restarts in a cut.

--- a/internal/jobs/batch/batch.go
+++ b/internal/jobs/batch/batch.go
@@ -83,8 +83,8 @@
 	// ClaimHosts, if set, returns the hosts that may hold claims. A new leader asks them which they hold and so need not wait for
 	// leases of former leaders to end.
 	ClaimHosts func() []string
-	// Held, if set, returns the name under which this host claims, and the names that it has claimed or is about to claim.
-	Held func() (holder string, names []string)
+	// Held, if set, returns the name under which this host claims, the names that it has claimed, and those that it has asked for.
+	Held func() (holder string, names, asked []string)
 	// Log receives the failures of background work.
 	Log zerolog.Logger
 
--- a/internal/jobs/batch/held.go
+++ b/internal/jobs/batch/held.go
@@ -17,6 +17,8 @@
 	heldTimeout = 300 * time.Millisecond
 	// heldInterval is the time between two rounds of questions.
 	heldInterval = 300 * time.Millisecond
+	// nobody is the holder of a name that several hosts have asked for: which one got it is not known.
+	nobody = ""
 )
 
 // runHeldClaims asks all hosts which names they hold each time a claim is refused since leases of former leaders may still be
@@ -80,6 +82,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	holders, all = map[string]string{}, true
+	asked := map[string]string{}
 	g := group.NewGroup(ctx)
 	hosts := b.ClaimHosts()
 	for _, h := range hosts {
@@ -95,10 +98,22 @@
 			for _, n := range a.Names {
 				holders[n] = a.Holder
 			}
+			for _, n := range a.Asked {
+				if _, ok := asked[n]; ok {
+					asked[n] = nobody
+					continue
+				}
+				asked[n] = a.Holder
+			}
 			return nil
 		})
 	}
 	_ = g.Wait()
+	for n, h := range asked {
+		if _, ok := holders[n]; !ok {
+			holders[n] = h
+		}
+	}
 	return holders, all && len(hosts) > 0
 }
 
@@ -106,7 +121,7 @@
 func (b *Service) handleHeld(context.Context, string, []byte) ([]byte, error) {
 	a := &entry.HeldClaims{}
 	if b.Held != nil {
-		a.Holder, a.Names = b.Held()
+		a.Holder, a.Names, a.Asked = b.Held()
 	}
 	return proto.Marshal(a)
 }
--- a/internal/jobs/batch/upload.go
+++ b/internal/jobs/batch/upload.go
@@ -7,9 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"hash"
+	"hash/maphash"
 	"io"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/base/hashset"
@@ -37,15 +37,18 @@
 	id      string
 	hash    hash.Hash
 
-	chunk     []byte
-	offset    int64
-	lines     int
+	chunk  []byte
+	offset int64
+	lines  int
+	// seed keeps callers from choosing IDs whose hashes collide.
+	seed      maphash.Seed
 	customIDs hashset.Set
 	endpoint  string
 	model     string
 }
 
 func (u *upload) run(ctx context.Context, r io.Reader) (*entry.File, error) {
+	u.seed = maphash.MakeSeed()
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 64<<10), MaxLineBytes)
 	n := 0
@@ -116,7 +119,7 @@
 	if i.URL != u.endpoint || m.Model != u.model {
 		return badLine(400, n, "has another url or model than the first line")
 	}
-	if !u.customIDs.Add(xxhash.Sum64String(i.CustomID)) {
+	if !u.customIDs.Add(maphash.String(u.seed, i.CustomID)) {
 		return badLine(400, n, "repeats the custom_id of an earlier line")
 	}
 	return nil
--- a/internal/jobs/executor/exchange.go
+++ b/internal/jobs/executor/exchange.go
@@ -280,22 +280,23 @@
 	delete(d.claiming, name)
 }
 
-// Held returns the name under which this host claims upstreams, and the claimed names that it relies on or has asked for.
-func (d *Executor) Held() (holder string, names []string) {
+// Held returns the name under which this host claims upstreams, the claimed names that it relies on, and those that it has asked for
+// without an answer yet.
+func (d *Executor) Held() (holder string, names, asked []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := d.Timer.Now()
 	for u, until := range d.claims {
-		if n.Before(until) || d.claiming[u] {
+		if n.Before(until) {
 			names = append(names, claimPrefix+u)
 		}
 	}
 	for u := range d.claiming {
-		if _, ok := d.claims[u]; !ok {
-			names = append(names, claimPrefix+u)
+		if !n.Before(d.claims[u]) {
+			asked = append(asked, claimPrefix+u)
 		}
 	}
-	return d.holder(), names
+	return d.holder(), names, asked
 }
 
 // releaseOthers expires the claims on upstreams that are no longer assigned to this host and releases those
--- a/internal/limits/allowance/allowance.go
+++ b/internal/limits/allowance/allowance.go
@@ -99,6 +99,16 @@
 	return true
 }
 
+// StartReports sets the number that Reports returns first.
+func (a *Allowance) StartReports(n uint64) {
+	a.reports = n
+}
+
+// Forfeit lets nothing that was spent so far be taken back.
+func (a *Allowance) Forfeit() {
+	a.report()
+}
+
 // Reports returns the number of requests so far. Return takes it to tell whether the owner has heard of a spending.
 func (a *Allowance) Reports() uint64 {
 	return a.reports
@@ -375,12 +385,18 @@
 
 func (a *Allowance) dropExpired(now time.Time) {
 	k := a.grants[:0]
+	drawn := false
 	for _, g := range a.grants {
 		if g.expires.After(now) {
 			k = append(k, g)
+			continue
 		}
+		drawn = drawn || g.drawn > 0
 	}
 	a.grants = k
+	if drawn {
+		a.Forfeit() // it is not known which call drew on which grant
+	}
 }
 
 func (a *Allowance) balance() int64 {
--- a/internal/limits/allowance/allowance_test.go
+++ b/internal/limits/allowance/allowance_test.go
@@ -128,3 +128,29 @@
 	}
 	is.True(a.Balance(now) >= 130 && a.Balance(now) <= 190)
 }
+
+// TestUnitsOfExpiredGrantsStaySpent guards against a unit that is given back from a grant which another request drew on, after the
+// grant of the request that gives it back has expired.
+func TestUnitsOfExpiredGrantsStaySpent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := &allowance.Allowance{Team: "kea", Host: "h"}
+	grant := func(n uint64, ttl time.Duration) {
+		a.RecordDemand(now, 1)
+		q, ok := a.NextRequest(now, a.Balance(now)+40, 1)
+		is.True(ok)
+		a.ApplyReply(now, grantreply.Reply{Sequence: q.Sequence, Term: 1, Grant: n, Units: 40, TTL: ttl, Rate: 100, Burst: 100})
+	}
+	grant(1, 100*time.Millisecond)
+	is.True(a.Spend(now, 40))
+	grant(2, 2*time.Second)
+	reports := a.Reports()
+	is.Equal(a.Return(now, 40, reports-1), int64(0)) // the owner has heard of it
+	is.True(a.Spend(now, 10))
+	is.Equal(a.Return(now, 10, reports), int64(10))
+	grant(3, 300*time.Millisecond)
+	reports = a.Reports()
+	is.True(a.Spend(now, 50)) // draws on two grants
+	now = now.Add(time.Second)
+	is.Equal(a.Return(now, 50, reports), int64(0))
+}
--- a/internal/limits/deputy/deputy.go
+++ b/internal/limits/deputy/deputy.go
@@ -31,6 +31,8 @@
 	sent  time.Time
 	// adopted says that the promise is one of an earlier term, and that no reply of this one was applied.
 	adopted bool
+	// granted is when the deputy granted last. Its grants count until TTL after that, so later buckets begin to accrue then.
+	granted time.Time
 	// buckets are those since the owner was lost, by team.
 	buckets map[string]*rate.Bucket
 }
@@ -40,7 +42,7 @@
 	if term < d.term || now.Sub(sent) > AnswerTime || !sent.After(d.sent) {
 		return
 	}
-	*d = Deputy{held: promised, term: term, stamp: stamp, sent: sent}
+	*d = Deputy{held: promised, term: term, stamp: stamp, sent: sent, granted: d.granted}
 }
 
 // Fence ends the promises of terms before the given one and reports whether there was one. If the new owner adopts the promise, it
@@ -57,13 +59,13 @@
 		d.term, d.stamp, d.adopted = term, 0, true
 		return true
 	}
-	*d = Deputy{term: term}
+	*d = Deputy{term: term, granted: d.granted}
 	return held
 }
 
 // Resign ends the promise for good: replies that come later for requests that were sent earlier are ignored.
 func (d *Deputy) Resign(now time.Time) {
-	*d = Deputy{term: d.term, sent: now}
+	*d = Deputy{term: d.term, sent: now, granted: d.granted}
 }
 
 // Confirmed returns the term and the stamp of the last reply that was applied, zero if there is no promise.
@@ -97,7 +99,7 @@
 	}
 	b := d.buckets[a.Team]
 	if b == nil {
-		b = rate.NewBucket(d.Epoch(), unitsPerSecond, burst, d.start())
+		b = rate.NewBucket(d.Epoch(), unitsPerSecond, burst, d.accrues())
 		b.TTL, b.ShortTTL = TTL, shortTTL
 		if d.buckets == nil {
 			d.buckets = map[string]*rate.Bucket{}
@@ -105,7 +107,20 @@
 		d.buckets[a.Team] = b
 	}
 	b.SetLimits(now, unitsPerSecond, burst)
-	return b.Handle(now, a), true
+	w := b.Handle(now, a)
+	if w.Units > 0 {
+		d.granted = now
+	}
+	return w, true
+}
+
+// accrues returns when a bucket of this loss begins to accrue: once the grants of an earlier one have ended.
+func (d *Deputy) accrues() time.Time {
+	s := d.start()
+	if e := rate.ExpiredEverywhere(d.granted, TTL); d.granted.Before(s) && e.After(s) {
+		return e
+	}
+	return s
 }
 
 // Epoch fences the grants of one loss of the owner from those of the next.
--- a/internal/limits/grant/limiter.go
+++ b/internal/limits/grant/limiter.go
@@ -34,8 +34,10 @@
 	overrunShare = 0.7
 	// idleGroupTicks is the number of ticks between checks of a group of which this host limits no team.
 	idleGroupTicks = 2
-	methodRequest  = "grant/ask"
-	methodFence    = "grant/fence"
+	// reportBits is the number of bits for the reports of one team limiter.
+	reportBits    = 40
+	methodRequest = "grant/ask"
+	methodFence   = "grant/fence"
 )
 
 // Limiter spends the units that this host holds and, for the groups that this host leads, grants units to all hosts.
@@ -63,8 +65,9 @@
 	Domains []string
 	// FailureDomain is that of this host.
 	FailureDomain string
-	// Candidates, if set, returns the hosts that may be deputies, dead ones included.
-	Candidates func() []host.Host
+	// Candidates, if set, returns the hosts that may be deputies of a group, dead ones included. The owner must know all of them; one
+	// whose failure domain is not known counts for each domain.
+	Candidates func(group uint64) []host.Host
 	// Alive reports whether a host is believed to be alive. It is needed with Candidates, as is MayPromise.
 	Alive func(name string) bool
 	// MayPromise reports whether all hosts that may own a group know of deputies.
@@ -90,10 +93,12 @@
 	terms []uint64
 	// lastSequence is the highest sequence number of a request of a forgotten team limiter.
 	lastSequence uint64
-	ticks        int
-	owners       []*owner
-	wakes        []chan struct{}
-	deputies     []*groupDeputy
+	// created counts the team limiters, so that none takes a call of a forgotten one for its own.
+	created  uint64
+	ticks    int
+	owners   []*owner
+	wakes    []chan struct{}
+	deputies []*groupDeputy
 }
 
 // peers calls other hosts.
@@ -305,6 +310,8 @@
 	if c := g.Configuration.View(); c != nil {
 		t.deputyBurst = g.deputyBurst(g.overrun(c.Teams[team]))
 	}
+	g.created++
+	t.allowance.StartReports(g.created << reportBits)
 	t.allowance.Fence(g.Timer.Now(), g.terms[o-1])
 	g.teams[team] = t
 	g.byGroup[o-1][t] = struct{}{}
--- a/internal/limits/grant/owner.go
+++ b/internal/limits/grant/owner.go
@@ -175,7 +175,7 @@
 		if o.promises != nil {
 			b.Withhold(now, o.withheld, o.promises.Domains())
 		}
-		o.addOutstanding(n, burst, b)
+		o.addOutstanding(n, burst+g.olderOwnersBurst(t), b)
 		o.buckets[n] = b
 	}
 }
--- a/internal/limits/grant/share.go
+++ b/internal/limits/grant/share.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"siskinrun/internal/base/host"
 	"siskinrun/internal/data/team"
 	"siskinrun/internal/limits/deputy"
 	"siskinrun/internal/limits/refill"
@@ -20,15 +21,18 @@
 const (
 	methodDeputy = "grant/ask-deputy"
 	// confirmInterval is the least time between two messages that a deputy sends to the owner for its promise alone. The owner hears
-	// of a reply with the next message, and promise.SilentAfter leaves room for two that are lost.
+	// of a reply with the next message. An exchange of a deputy ends after deputy.AnswerTime, so that promise.SilentAfter leaves room
+	// for one that is lost.
 	confirmInterval = 45 * time.Millisecond
+	// acquireInterval is the least time between two messages of a host that has no promise and may get one.
+	acquireInterval = time.Second
 	// rankingInterval is the time for which a ranking of candidates is kept.
 	rankingInterval = 500 * time.Millisecond
 	// minDeputyDomains is the least number of failure domains among which a rate is shared.
 	minDeputyDomains = 2
 	// deputyBurstShare is the part of the allowed overrun in a bucket's burst that the deputies get.
 	deputyBurstShare = 0.5
-	// maxDeputies is the number of hosts of a domain that are asked in turn.
+	// maxDeputies is the number of hosts of a domain of which one becomes the deputy, and which are asked in turn.
 	maxDeputies = 3
 )
 
@@ -42,6 +46,10 @@
 	// asked is when the owner was asked last, and resigned that this host stops.
 	asked    time.Time
 	resigned bool
+	// held says that the host had a promise when it resigned.
+	held bool
+	// to is the host that was asked last in place of the owner.
+	to string
 	// lost says that the last request to the owner had no answer.
 	lost bool
 	// failed counts the requests to deputies without a grant; it chooses which host is asked.
@@ -54,7 +62,7 @@
 
 // sharesRates reports whether deputies may stand in for owners that are lost.
 func (g *Limiter) sharesRates() bool {
-	return len(g.Domains) >= minDeputyDomains && g.Candidates != nil
+	return len(g.Domains) >= minDeputyDomains && g.Candidates != nil && (g.Overrun > 0 || g.Slack > 0)
 }
 
 // deputyDomains returns the failure domains among which the rates are divided, nil if they are not.
@@ -73,6 +81,15 @@
 	return int64(deputyBurstShare * overrun / float64(len(g.Domains)))
 }
 
+// olderOwnersBurst returns by how much the bucket of an owner of an older build, which leaves nothing to deputies, is larger than
+// that of this host. It is zero if no host is of such a build.
+func (g *Limiter) olderOwnersBurst(t team.Team) int64 {
+	if !g.sharesRates() || g.MayPromise() {
+		return 0
+	}
+	return int64(len(g.Domains)) * g.deputyBurst(g.overrun(t))
+}
+
 // deputyLimits returns the rate and the burst of a deputy's bucket for a team.
 func (g *Limiter) deputyLimits(t team.Team) (rate, burst int64) {
 	return t.Rate / int64(len(g.Domains)), g.deputyBurst(g.overrun(t))
@@ -86,7 +103,7 @@
 		return d.ranked
 	}
 	var l []string
-	for _, h := range g.Candidates() {
+	for _, h := range g.Candidates(group) {
 		if h.FailureDomain == g.FailureDomain && (h.Name == g.Name || g.Alive(h.Name)) {
 			l = append(l, h.Name)
 		}
@@ -97,6 +114,13 @@
 	return l
 }
 
+// deputiesOf returns the hosts of this host's failure domain that may be the deputy of a group, in order. The caller holds the lock of
+// the group's deputy.
+func (g *Limiter) deputiesOf(group uint64, now time.Time) []string {
+	l := g.ranking(group, now)
+	return l[:min(len(l), maxDeputies)]
+}
+
 // addDeputy adds to a request to the owner what concerns the deputy of this host's domain, and reports whether the owner has to hear
 // it even if no units are asked for.
 func (g *Limiter) addDeputy(q *refill.Request, now time.Time) (due bool) {
@@ -106,14 +130,17 @@
 	d := g.deputies[q.Group-1]
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	due = now.Sub(d.asked) >= confirmInterval
+	interval := confirmInterval
+	if !d.state.Held() {
+		interval = acquireInterval
+	}
+	due = now.Sub(d.asked) >= interval
 	if d.resigned {
-		q.FailureDomain, q.Resigned = g.FailureDomain, true
-		return due
+		q.FailureDomain, q.Resigned = g.FailureDomain, d.held
+		return due && d.held
 	}
 	q.ConfirmedTerm, q.Confirmed = d.state.Confirmed()
-	first := g.ranking(q.Group, now)
-	if !d.state.Held() && (len(first) == 0 || first[0] != g.Name) {
+	if !d.state.Held() && !slices.Contains(g.deputiesOf(q.Group, now), g.Name) {
 		return false
 	}
 	q.FailureDomain, q.Deputy = g.FailureDomain, true
@@ -138,8 +165,9 @@
 		o.promises.Resign(q.FailureDomain, q.Host, q.Boot)
 		return
 	}
-	if !q.Deputy || !g.MayPromise() {
-		return
+	known := func(h host.Host) bool { return h.Name == q.Host }
+	if !q.Deputy || !g.MayPromise() || !slices.ContainsFunc(g.Candidates(o.group), known) {
+		return // a later owner asks the candidates alone for their promises
 	}
 	if !o.opened || now.Before(o.start) {
 		p.Settling = true
@@ -174,47 +202,51 @@
 	if !g.sharesRates() {
 		return
 	}
-	l := g.Candidates()
+	l := g.Candidates(o.group)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.term != term || o.promises == nil {
 		return
 	}
 	o.fenced[host] = true
-	domain, all := "", true
-	for _, h := range l {
-		if h.Name == host {
-			domain = h.FailureDomain
-		}
-	}
-	for _, h := range l {
-		all = all && (h.FailureDomain != domain || o.fenced[h.Name])
-	}
 	switch {
-	case domain == "":
 	case p.Adopted:
-		o.promises.Adopt(now, domain, host, p.Boot)
-	case all || p.Deputy:
-		o.promises.Release(domain)
+		o.promises.Adopt(now, p.FailureDomain, host, p.Boot)
+	case p.Deputy:
+		o.promises.Release(p.FailureDomain)
 	}
+	g.releaseFenced(o, now, l)
 	o.withhold(now)
 }
 
+// releaseFenced releases the domains of which all candidates have answered, or which have none.
+func (g *Limiter) releaseFenced(o *owner, now time.Time, candidates []host.Host) {
+	for _, d := range o.promises.Unknown(now) {
+		open := func(h host.Host) bool {
+			return (h.FailureDomain == d || h.FailureDomain == "") && !o.fenced[h.Name]
+		}
+		if !slices.ContainsFunc(candidates, open) {
+			o.promises.Release(d)
+		}
+	}
+}
+
 // unfenced returns the candidates that may hold a promise of an earlier term.
 func (g *Limiter) unfenced(o *owner, now time.Time, term uint64) []string {
 	if !g.sharesRates() {
 		return nil
 	}
-	l := g.Candidates()
+	l := g.Candidates(o.group)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.term != term || o.promises == nil {
 		return nil
 	}
+	g.releaseFenced(o, now, l)
 	unknown := o.promises.Unknown(now)
 	var names []string
 	for _, h := range l {
-		if !o.fenced[h.Name] && slices.Contains(unknown, h.FailureDomain) {
+		if !o.fenced[h.Name] && len(unknown) > 0 && (h.FailureDomain == "" || slices.Contains(unknown, h.FailureDomain)) {
 			names = append(names, h.Name)
 		}
 	}
@@ -240,7 +272,7 @@
 	adopts := q.Adopts && g.sharesRates()
 	p.Deputy = d.state.Fence(g.Timer.Now(), q.Term, adopts)
 	p.Adopted = p.Deputy && adopts
-	p.Boot = g.Boot
+	p.Boot, p.FailureDomain = g.Boot, g.FailureDomain
 }
 
 // settling reports whether a reply says that the owner still counts what was granted in earlier terms.
@@ -252,6 +284,7 @@
 func (g *Limiter) resign() {
 	for _, d := range g.deputies {
 		d.mu.Lock()
+		d.held = d.state.Held()
 		d.state.Resign(g.Timer.Now())
 		d.resigned = true
 		d.mu.Unlock()
@@ -352,8 +385,7 @@
 	if !d.lost {
 		return "", false
 	}
-	l := g.ranking(group, g.Timer.Now())
-	l = l[:min(len(l), maxDeputies)]
+	l := g.deputiesOf(group, g.Timer.Now())
 	if len(l) == 0 {
 		return "", false
 	}
@@ -362,6 +394,7 @@
 
 // askDeputy sends the requests that are due to a host that may be the deputy.
 func (g *Limiter) askDeputy(ctx context.Context, group uint64, to string) {
+	g.changeDeputy(group, to)
 	q, l := g.collectDeputyRequests(group)
 	if len(q.Requests) == 0 {
 		return
@@ -373,6 +406,21 @@
 	g.endDeputyRequests(group, q, l, err)
 }
 
+// changeDeputy drops the grants of another host that stood in for the owner: grants of two hosts are not ordered.
+func (g *Limiter) changeDeputy(group uint64, to string) {
+	d := g.deputies[group-1]
+	d.mu.Lock()
+	same := d.to == to
+	d.to = to
+	d.mu.Unlock()
+	if same {
+		return
+	}
+	for _, t := range g.groupTeams(group) {
+		t.changeDeputy()
+	}
+}
+
 // collectDeputyRequests collects the requests to the deputy of a group that are due.
 func (g *Limiter) collectDeputyRequests(group uint64) (*refill.Request, []*teamLimiter) {
 	q := &refill.Request{Group: group, Host: g.Name, Boot: g.Boot}
--- a/internal/limits/grant/share_bound_test.go
+++ b/internal/limits/grant/share_bound_test.go
@@ -13,6 +13,7 @@
 func overload(seed uint64) *fleet {
 	f := newFleetOf(seed, 9, 3, 400, 100)
 	f.lossy = seed%2 == 0
+	f.refusedLater = float64(seed%3) / 5
 	r := f.random
 	var arrive func()
 	arrive = func() {
--- a/internal/limits/grant/takeover.go
+++ b/internal/limits/grant/takeover.go
@@ -25,16 +25,19 @@
 
 // runTakeovers takes over the buckets of a group each time this host becomes its leader.
 func (g *Limiter) runTakeovers(ctx context.Context, o *owner) error {
+	fences := group.NewGroup(ctx)
 	for {
 		select {
 		case <-ctx.Done():
+			_ = fences.Wait()
 			return ctx.Err()
 		case <-o.termStarted:
 		}
 		term := g.takeOver(ctx, o)
-		if err := g.fenceDeputies(ctx, o, term); err != nil {
-			return err
-		}
+		fences.Go("fence-deputies", func(ctx context.Context) error {
+			_ = g.fenceDeputies(ctx, o, term) // it ends with the context
+			return nil
+		})
 	}
 }
 
@@ -45,10 +48,10 @@
 		if len(l) == 0 {
 			return nil
 		}
+		g.fenceHosts(ctx, o, term, l)
 		if err := g.Timer.Sleep(ctx, fenceInterval); err != nil {
 			return err
 		}
-		g.fenceHosts(ctx, o, term, l)
 	}
 }
 
@@ -58,11 +61,6 @@
 	term := o.term
 	l := slices.Clone(o.hosts)
 	o.mu.Unlock()
-	for _, h := range g.unfenced(o, g.Timer.Now(), term) {
-		if !slices.Contains(l, h) {
-			l = append(l, h)
-		}
-	}
 	g.fenceHosts(ctx, o, term, l)
 	o.open(g.Timer.Now(), term)
 	return term
--- a/internal/limits/grant/team_limiter.go
+++ b/internal/limits/grant/team_limiter.go
@@ -81,8 +81,11 @@
 
 // spendAudited spends the cost and checks that this host by itself stays within the team's rate and burst.
 func (t *teamLimiter) spendAudited(now time.Time, cost int64) bool {
-	if !t.allowance.Spend(now, cost) && !t.deputy.Spend(now, cost) {
-		return false
+	if !t.allowance.Spend(now, cost) {
+		if !t.deputy.Spend(now, cost) {
+			return false
+		}
+		t.allowance.Forfeit() // what a deputy granted is not given back
 	}
 	if err := t.auditor.Admit(now, cost); err != nil {
 		t.violation = err
@@ -221,6 +224,14 @@
 	return t.deputy.NextRequest(now, max(t.waitingCost-held, 0), max(least-held, 0))
 }
 
+// changeDeputy drops the grants of the deputy that was asked before.
+func (t *teamLimiter) changeDeputy() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := &t.deputy
+	t.deputy = allowance.Allowance{Team: a.Team, Host: a.Host, Boot: a.Boot, Sequence: a.Sequence}
+}
+
 // applyDeputyReply applies a reply of the deputy and admits the waiting requests that it covers.
 func (t *teamLimiter) applyDeputyReply(now time.Time, a grantreply.Reply) {
 	t.mu.Lock()
--- a/internal/limits/grant/wire.go
+++ b/internal/limits/grant/wire.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"siskinrun/internal/limits/deputy"
 	"siskinrun/internal/limits/grantbalance"
 	"siskinrun/internal/limits/grantreply"
 	"siskinrun/internal/limits/grantrequest"
@@ -30,7 +31,11 @@
 		g.markLost(q, l)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if q.Deputy {
+		timeout = deputy.AnswerTime // a later reply would not count
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	b, err = g.Client.CallLeader(ctx, group, methodRequest, b)
 	p := &refill.Reply{}
--- a/internal/limits/hostcount/count.go
+++ b/internal/limits/hostcount/count.go
@@ -8,6 +8,8 @@
 	seen map[string]bool
 	// missing are the hosts that were seen and are not any more, until as many as before are seen again.
 	missing map[string]bool
+	// left are the hosts that were taken out of most since they left on purpose. They count again once they are back.
+	left map[string]bool
 }
 
 // Observe applies the hosts that are seen now. stopped returns the hosts that leave or have left on purpose.
@@ -26,9 +28,16 @@
 		}
 	}
 	c.seen = now
+	for n := range c.left {
+		if now[n] {
+			delete(c.left, n)
+			c.most++
+		}
+	}
 	if len(now) >= c.most {
 		c.most = len(now)
 		clear(c.missing)
+		clear(c.left)
 	}
 	if len(c.missing) == 0 {
 		return
@@ -37,11 +46,21 @@
 	for n := range c.missing {
 		if left[n] {
 			delete(c.missing, n)
-			c.most = max(c.most-1, len(now))
+			if c.most > len(now) {
+				c.most--
+				c.leave(n)
+			}
 		}
 	}
 }
 
+func (c *Count) leave(name string) {
+	if c.left == nil {
+		c.left = map[string]bool{}
+	}
+	c.left[name] = true
+}
+
 // Missing returns the number of hosts that were seen and are not any more.
 func (c *Count) Missing() int {
 	return len(c.missing)
--- a/internal/limits/hostcount/count_test.go
+++ b/internal/limits/hostcount/count_test.go
@@ -35,3 +35,29 @@
 	is.True(!see("a", "b"))
 	is.True(see("a"))
 }
+
+// TestRestartsDuringACutDoNotMakeAMajority guards against the smaller side of a partition that takes itself for the larger one
+// after its hosts have restarted one after the other.
+func TestRestartsDuringACutDoNotMakeAMajority(t *testing.T) {
+	is := is.New(t)
+	c := &hostcount.Count{}
+	stopped := map[string]bool{}
+	see := func(names ...string) bool {
+		c.Observe(names, func() map[string]bool { return stopped })
+		return c.Minority()
+	}
+	is.True(!see("a", "b", "c", "d", "e", "f", "g", "h", "i", "j"))
+	is.True(see("a", "b", "c", "d"))
+	for _, n := range []string{"b", "c", "d"} {
+		stopped[n] = true
+		rest := []string{"a"}
+		for _, o := range []string{"b", "c", "d"} {
+			if o != n {
+				rest = append(rest, o)
+			}
+		}
+		is.True(see(rest...))
+		delete(stopped, n)
+		is.True(see("a", "b", "c", "d"))
+	}
+}
--- a/internal/limits/promise/book.go
+++ b/internal/limits/promise/book.go
@@ -25,8 +25,8 @@
 	// host is the deputy, or empty if only a former owner knows it.
 	host string
 	boot uint64
-	// confirmed is the time of the last reply that the deputy is known to have applied.
-	confirmed time.Time
+	// since is when the promise was given, and confirmed the time of the last reply that the deputy is known to have applied.
+	since, confirmed time.Time
 	// ends is when the deputy has stopped at the latest.
 	ends time.Time
 	// withheld says that the last call of Withheld counted the domain.
@@ -53,7 +53,7 @@
 // Adopt records that the former owner's deputy of a domain goes on until it is answered in this term.
 func (b *Book) Adopt(now time.Time, domain, host string, boot uint64) {
 	if p := b.domains[domain]; p != nil && p.host == "" {
-		*p = promise{host: host, boot: boot, ends: rate.ExpiredEverywhere(now, Lapse), withheld: p.withheld}
+		*p = promise{host: host, boot: boot, since: now, ends: rate.ExpiredEverywhere(now, Lapse), withheld: p.withheld}
 	}
 }
 
@@ -66,15 +66,19 @@
 	}
 	// A host that has started anew holds no promise any more.
 	restarted := p.host == host && boot > p.boot
-	if p.host != host && now.Before(p.ends) {
+	ended := !now.Before(p.ends)
+	if p.host != host && !ended {
 		return false
 	}
-	if p.host != host || restarted {
-		*p = promise{host: host, boot: boot, confirmed: now, withheld: p.withheld}
+	if p.host != host || restarted || ended {
+		*p = promise{host: host, boot: boot, since: now, confirmed: now, withheld: p.withheld}
 	}
 	if confirmed.After(p.confirmed) {
 		p.confirmed = confirmed
 	}
+	if now.Sub(p.since) > Lapse && now.Sub(p.confirmed) > Lapse {
+		return false // the replies do not reach the host: the promise ends, and another host may have it
+	}
 	p.ends = rate.ExpiredEverywhere(now, Lapse)
 	return true
 }
--- a/internal/product/server/joining.go
+++ b/internal/product/server/joining.go
@@ -100,22 +100,29 @@
 	return l
 }
 
-// deputyCandidates returns the hosts that may stand in for the owners of rates in their failure domains, dead ones included: those
-// that keep ledgers, and all hosts of a domain without any.
-func (p *components) deputyCandidates() []host.Host {
-	l := p.gossip.Hosts()
-	ledgers := map[string]bool{}
-	for _, h := range l {
-		if h.Ledgers {
-			ledgers[h.FailureDomain] = true
-		}
-	}
+// deputyCandidates returns the hosts that may stand in for the owner of the rates of a group in their failure domains, dead ones
+// included: the members of the group, which its leader knows from its log. Other hosts go by what hosts say of themselves.
+func (p *components) deputyCandidates(group uint64) []host.Host {
+	domains := map[string]string{}
 	var c []host.Host
-	for _, h := range l {
-		if !h.Control && (h.Ledgers || !ledgers[h.FailureDomain]) || !p.server.Settings.UsesSeeds() {
+	for _, h := range p.gossip.Hosts() {
+		domains[h.Name] = h.FailureDomain
+		if h.Ledgers && (h.Replica || !p.server.Settings.UsesSeeds()) {
 			c = append(c, host.Host{Name: h.Name, FailureDomain: h.FailureDomain})
 		}
 	}
+	if p.control == nil {
+		return c
+	}
+	m := p.control.Status(uint32(group)).Members
+	if len(m) == 0 {
+		return c
+	}
+	c = c[:0]
+	for _, i := range m {
+		n := i.Identity.Host
+		c = append(c, host.Host{Name: n, FailureDomain: domains[n]})
+	}
 	return c
 }
 
@@ -153,7 +160,7 @@
 		return nil
 	}
 	var l []string
-	for _, h := range p.entryHosts(func(gossipmessage.Host) bool { return true }) {
+	for _, h := range p.gossip.Hosts() {
 		l = append(l, h.Name)
 	}
 	return l
--- a/internal/routing/picker/prefer.go
+++ b/internal/routing/picker/prefer.go
@@ -80,13 +80,12 @@
 	return n
 }
 
-// lead returns the lead of a candidate in the score; blocks are the most prompt blocks that any has cached. None have one that hold
-// less of the prompt, where the call would wait for a slot or may not lean to a cold or limited
-// upstream, or that have just begun or returned. The home of a prompt that nobody
-// holds keeps its bonus over the preferred ones.
+// lead returns the lead of a candidate in the score; blocks are the most prompt blocks that any has cached. An upstream has none if
+// it holds less of the prompt than another one, has no free slot, is cold or limited, or warms up. The home of a prompt that nobody
+// holds has it too, and so stays ahead of the preferred ones by its bonus.
 func (c *Picker) lead(p *pool, v candidate, blocks int, now time.Time) float64 {
 	m := v.member
-	if v.blocks < blocks || m.warming || !c.leads(p, m, now) {
+	if v.blocks < blocks || m.warming && now.Sub(m.added) < c.WarmUp || !c.leads(p, m, now) {
 		return 0
 	}
 	if i, ok := p.preferred.rank[m]; !v.home && (!ok || i >= p.preferred.size) {
--- a/internal/wire/pipeline/tracker.go
+++ b/internal/wire/pipeline/tracker.go
@@ -41,6 +41,9 @@
 	if err != nil {
 		f := t.toRefusal(ctx, err)
 		f = tellReturn(f, t.call, t.pipeline.Timer.Now())
+		if f.Verdict == verdict.NotRun && t.call.GiveBack != nil {
+			t.call.GiveBack()
+		}
 		t.finish(f)
 		return nil, f
 	}
@@ -72,9 +75,6 @@
 			e()
 		}
 		t.cancel(nil)
-		if f != nil && f.Verdict == verdict.NotRun && t.call.GiveBack != nil {
-			t.call.GiveBack()
-		}
 		t.observeAnswer(f)
 		r := &t.call.Record
 		r.ID = t.call.ID
--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -29,8 +29,8 @@
 	idleTTL   time.Duration
 	idleSince time.Time
 	stopAbort func() bool
-	// reused says that the connection was idle before its call, unused that it failed before a byte of the call was sent.
-	reused, unused bool
+	// reused says that the connection was idle before its call.
+	reused bool
 	// gateway is the host that carries the connection, empty for none.
 	gateway string
 	// repeatable says that the call may run again.
--- a/internal/wire/transport/idle.go
+++ b/internal/wire/transport/idle.go
@@ -121,7 +121,8 @@
 		if age < 0 || age >= min(provenTime, e.idleTTL(k)) {
 			return nil // those before it have been idle for longer
 		}
-		if k.answered == id {
+		// The end of an answer that its reader took late may have come long before.
+		if k.answered == id || k.silence() >= provenTime {
 			continue
 		}
 		e.idle[address] = slices.Delete(e.idle[address], i, i+1)
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -100,8 +100,8 @@
 // whether the call may have run.
 func (e *Transport) Do(ctx context.Context, address string, c *call.Call) (*answer.Answer, error) {
 	if k := e.reusableConn(address, c); k != nil {
-		a, err := e.send(ctx, k, c)
-		if !k.unused || c.RouteConfig.Repeatable || ctx.Err() != nil {
+		a, unused, err := e.send(ctx, k, c)
+		if !unused || c.RouteConfig.Repeatable || ctx.Err() != nil {
 			return a, err
 		}
 	}
@@ -109,31 +109,32 @@
 	if err != nil {
 		return nil, unreachable(err)
 	}
-	return e.send(ctx, k, c)
+	a, _, err := e.send(ctx, k, c)
+	return a, err
 }
 
-// send sends c on a connection and returns its answer.
-func (e *Transport) send(ctx context.Context, k *conn, c *call.Call) (*answer.Answer, error) {
+// send sends c on a connection and returns its answer; unused says that the connection failed before a byte of the call was sent.
+func (e *Transport) send(ctx context.Context, k *conn, c *call.Call) (a *answer.Answer, unused bool, err error) {
 	if e.Gate != nil && c.Upstream.Name != "" && !e.Gate.Open(c.Upstream) {
 		k.close()
-		return nil, refusal.UpstreamEvacuated.WithJitter()
+		return nil, false, refusal.UpstreamEvacuated.WithJitter()
 	}
 	k.stopAbort = context.AfterFunc(ctx, k.abort)
 	e.started(k, c)
-	a, err := e.roundTrip(k, c)
+	reused := k.reused // another call may have the connection once the answer was read
+	a, err = e.roundTrip(k, c)
 	var f *refusal.Refusal
 	if errors.As(err, &f) {
-		return nil, f
+		return nil, false, f
 	}
 	if err != nil {
 		k.close()
-		k.unused = k.sent.Load() == 0
-		if k.reused && ctx.Err() == nil && !isTimeout(err) {
+		if reused && ctx.Err() == nil && !isTimeout(err) {
 			e.distrust(k.address)
 		}
-		return nil, k.toRefusal(ctx, err)
+		return nil, k.sent.Load() == 0, k.toRefusal(ctx, err)
 	}
-	return a, nil
+	return a, false, nil
 }
 
 // Close closes the idle connections.
