Mend what the review of jobs by deadline and explain found

Cause: overdue jobs of a team with other jobs got no items while another team had overdue jobs (0 of 400 in a test); one overdue job had teams take turns in place of the order by deadline; the leader's log was asked for each lease command; explain did not know services that are closed, nor the lead of preferred upstreams. Change: the command's count chooses the team of an overdue item; only jobs before their deadlines tell an overload; the members of a group are looked at twice a second; explain asks the same checks. Result: TestOverdueJobsOfAllTeamsGetItems and TestAnOverdueJobLeavesTheOrderByDeadline, and the tests of the touched packages pass.

--- a/internal/jobs/ledger/deadline.go
+++ b/internal/jobs/ledger/deadline.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"siskinrun/internal/jobs/entry"
@@ -23,7 +24,7 @@
 	// punctual and overdue are the ready jobs of each team before and past their deadlines, the earliest deadline first.
 	punctual map[*teamQueue][]*job
 	overdue  map[*teamQueue][]*job
-	// overloaded says that the backlog cannot be done in time.
+	// overloaded says that the backlog of jobs before their deadlines cannot be done in time.
 	overloaded bool
 }
 
@@ -37,7 +38,8 @@
 	q.prune()
 	o := newDeadlineOrder(q, l.now, w.CompletionNanoseconds)
 	for i := range uint64(count) {
-		j := o.next((w.Starts+i)%overdueInterval == overdueInterval-1)
+		n := w.Starts + i
+		j := o.next(n%overdueInterval == overdueInterval-1, n/overdueInterval)
 		if j == nil {
 			break
 		}
@@ -67,9 +69,9 @@
 			age := now - w.info.Created
 			if age > completion {
 				o.overdue[n] = append(o.overdue[n], w)
-			} else {
-				o.punctual[n] = append(o.punctual[n], w)
+				continue
 			}
+			o.punctual[n] = append(o.punctual[n], w)
 			// Items that ran before and were preempted say nothing about the backlog.
 			o.overloaded = o.overloaded || w.info.Next < w.info.Total && age > completion/overloadDivisor
 		}
@@ -83,11 +85,12 @@
 	return cmp.Compare(a.info.Created, b.info.Created)
 }
 
-// next returns the job whose item is leased next, nil if there is none, and moves its team to the end of the queue.
-func (o *deadlineOrder) next(overdueFirst bool) *job {
+// next returns the job whose item is leased next, nil if there is none, and moves its team to the end of the queue. The turn chooses
+// the team of an overdue job that goes first: the order of the queue would pass over a team that has other jobs as well.
+func (o *deadlineOrder) next(overdueFirst bool, turn uint64) *job {
 	var w *job
 	if overdueFirst {
-		w = o.take(o.overdue, true)
+		w = o.takeOverdue(turn)
 	}
 	if w == nil {
 		w = o.take(o.punctual, o.overloaded)
@@ -98,6 +101,25 @@
 	return w
 }
 
+// takeOverdue returns the first overdue job of the team whose turn it is, in the order of the teams' names.
+func (o *deadlineOrder) takeOverdue(turn uint64) *job {
+	first := map[string]*job{}
+	for n, l := range o.overdue {
+		for len(l) > 0 && !l[0].ready() {
+			l = l[1:]
+		}
+		o.overdue[n] = l
+		if len(l) > 0 {
+			first[n.team] = l[0]
+		}
+	}
+	if len(first) == 0 {
+		return nil
+	}
+	teams := slices.Sorted(maps.Keys(first))
+	return first[teams[turn%uint64(len(teams))]]
+}
+
 // take returns the first of the jobs with the earliest deadline, or by turns the first job of the first team that has one.
 func (o *deadlineOrder) take(jobs map[*teamQueue][]*job, byTurns bool) *job {
 	best := -1
--- a/internal/jobs/ledger/deadline_test.go
+++ b/internal/jobs/ledger/deadline_test.go
@@ -72,6 +72,40 @@
 	is.Equal(m["a"], 60) // nothing else waits
 }
 
+// Guards against overdue jobs of a team that get nothing since the team has jobs that can meet their deadlines as well.
+func TestOverdueJobsOfAllTeamsGetItems(t *testing.T) {
+	is := is.New(t)
+	b := newHarness(t)
+	b.job("late-a", "a", 100, true)
+	b.job("late-b", "b", 100, true)
+	b.now += completion + time.Millisecond
+	b.job("due-a", "a", 2000, true)
+	jobs := map[string]int{}
+	for n := range uint64(100) {
+		for _, l := range b.apply(takeByDeadline("h", n+1, 8, 8*n)).GetTaken().GetLeases() {
+			jobs[l.Job]++
+		}
+	}
+	is.Equal(jobs["late-a"], 50)
+	is.Equal(jobs["late-b"], 50)
+}
+
+// Guards against one overdue job that has the teams take turns in place of the order by deadline.
+func TestAnOverdueJobLeavesTheOrderByDeadline(t *testing.T) {
+	is := is.New(t)
+	b := newHarness(t)
+	b.job("late", "z", 50, true)
+	b.now += completion + time.Millisecond
+	b.job("first", "a", 30, true)
+	b.now += time.Second
+	for i := range 9 {
+		b.job(fmt.Sprint("later-", i), fmt.Sprint("t", i), 30, true)
+	}
+	m, _ := b.takeDue(1, 40, 0)
+	is.Equal(m["a"], 30)
+	is.Equal(m["z"], 5)
+}
+
 func first(m map[string]int, _ string) map[string]int {
 	return m
 }
--- a/internal/limits/queue/explain.go
+++ b/internal/limits/queue/explain.go
@@ -21,6 +21,10 @@
 	defer q.mu.Unlock()
 	k := q.copyForDecision()
 	s := queuestate.State{Slots: q.slots.total, Usable: q.slots.usable, Busy: q.busy, Elsewhere: q.slots.taken, Waiting: q.waiting()}
+	if q.closed != nil {
+		s.Outcome, s.RetryAfter = q.closed.Code, duration.Duration(q.closed.RetryAfter)
+		return s
+	}
 	free, err := k.judge(now, r)
 	switch {
 	case err != nil:
--- a/internal/product/server/deadlines.go
+++ b/internal/product/server/deadlines.go
@@ -17,8 +17,18 @@
 	registry   metrics.Registry
 
 	mu sync.Mutex
-	// older is the member of each group for which the order was last withheld, empty if it is in force.
-	older map[uint32]string
+	// decided holds the last decision for each group.
+	decided map[uint32]deadlineDecision
+}
+
+// decisionInterval is the time between two looks at the members of a group.
+const decisionInterval = 500 * time.Millisecond
+
+// deadlineDecision says whether all members of a group know the order, and which one does not.
+type deadlineDecision struct {
+	older string
+	all   bool
+	at    time.Time
 }
 
 // completionTime returns the time from a job's creation to its deadline, 0 if the target has none or a member of the group does not
@@ -29,32 +39,51 @@
 	if t <= 0 || p.control == nil {
 		return 0
 	}
-	older, all := olderMember(p.control.Status(group).Members, p.gossip.Hosts(), feature.JobsByDeadline)
-	d.report(group, older, all)
-	if !all {
+	if !d.decide(group).all {
 		return 0
 	}
 	return t
 }
 
-// report counts a decision and logs it if it is another than before.
-func (d *deadlines) report(group uint32, older string, all bool) {
+// decide returns the last decision for a group, or a new one if that is old.
+func (d *deadlines) decide(group uint32) deadlineDecision {
+	p := d.components
+	now := p.server.timer.Now()
+	d.mu.Lock()
+	last, ok := d.decided[group]
+	d.mu.Unlock()
+	if ok && now.Sub(last.at) < decisionInterval {
+		d.count(last)
+		return last
+	}
+	older, all := olderMember(p.control.Status(group).Members, p.gossip.Hosts(), feature.JobsByDeadline)
+	n := deadlineDecision{older: older, all: all, at: now}
+	d.report(group, n)
+	return n
+}
+
+func (d *deadlines) count(n deadlineDecision) {
 	name := "requests"
-	if !all {
+	if !n.all {
 		name = "requests-in-turns-for-older-hosts"
 	}
 	metrics.GetOrRegisterCounter(name, d.registry).Inc(1)
+}
+
+// report counts and keeps a decision, and logs it if it is another than before.
+func (d *deadlines) report(group uint32, n deadlineDecision) {
+	d.count(n)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	last, ok := d.older[group]
-	if ok && last == older {
-		return
+	last, ok := d.decided[group]
+	if d.decided == nil {
+		d.decided = map[uint32]deadlineDecision{}
 	}
-	if d.older == nil {
-		d.older = map[uint32]string{}
+	d.decided[group] = n
+	if ok && last.all == n.all && last.older == n.older {
+		return
 	}
-	d.older[group] = older
-	d.components.server.Log.Info().Uint32("group", group).Bool("by-deadline", all).Str("older-host", older).
+	d.components.server.Log.Info().Uint32("group", group).Bool("by-deadline", n.all).Str("older-host", n.older).
 		Msg("order of batch items changed")
 }
 
--- a/internal/routing/picker/explain.go
+++ b/internal/routing/picker/explain.go
@@ -96,6 +96,9 @@
 			o = v.candidate
 		}
 		s := c.score(o, d, p, now)
+		if p.preferred.size > 0 {
+			s -= c.lead(p, o, longest(c.candidates[:]), now)
+		}
 		r.Score = &s
 	}
 	switch {
--- a/internal/wire/explainer/explainer.go
+++ b/internal/wire/explainer/explainer.go
@@ -64,6 +64,7 @@
 // lane tells what a request would get in the line for permits.
 type lane interface {
 	Explain(service string, rank int, latest time.Time) (waiting int, wait time.Duration, ok bool)
+	Closed(service string) error
 }
 
 // dispatcher turns calls into demands.
@@ -232,6 +233,9 @@
 			k.Reason = "cold"
 		}
 	}
+	if err := x.Lane.Closed(r.Service); before == "" && err != nil {
+		before = refusal.Of(err).Code
+	}
 	o.Outcome = outcome(o, before)
 	return o
 }
--- a/internal/wire/explainer/explainer_test.go
+++ b/internal/wire/explainer/explainer_test.go
@@ -59,6 +59,8 @@
 	return queuestate.State{Outcome: q.queue}, true
 }
 
+func (l lane) Closed(string) error { return nil }
+
 func (l lane) Explain(string, int, time.Time) (int, time.Duration, bool) {
 	return l.waiting, 0, !l.late
 }
