Ask for half of the refusals in every case of a cut, from the first start of the load

Cause: after figures were seen, the case of sixty hosts with the owner cut off had been let off half, the cut had been moved to another step of the load and the start of the calls to 10 s.

--- a/internal/limits/grant/cut_off_test.go
+++ b/internal/limits/grant/cut_off_test.go
@@ -11,7 +11,8 @@
 const (
 	// cutOffTime is how long a failure domain is cut off: as long as its hosts serve calls with a key.
 	cutOffTime = 3 * time.Second
-	cutOffAt   = 31400 * time.Millisecond
+	// stepTime is the time after which the steps of the load repeat: 3.4 s at 0.38 and 2.4 s at 1.87 of the mean.
+	stepTime = 5800 * time.Millisecond
 )
 
 // cutOffRun is what callers got while a failure domain was cut off.
@@ -21,7 +22,7 @@
 }
 
 // runCutOff runs teams of a rate at 62 % of it in steps over hosts in three failure domains, one of which is cut off for a while.
-func runCutOff(t *testing.T, seed uint64, hosts int, withOwner, deputies bool) cutOffRun {
+func runCutOff(t *testing.T, seed uint64, hosts int, cutOffAt time.Duration, withOwner, deputies bool) cutOffRun {
 	t.Helper()
 	f := newFleetOf(seed, hosts, 3, 1000, 1000)
 	f.cost = func() int64 { return 5 }
@@ -50,7 +51,7 @@
 			calmAsked++
 		}
 		step := 0.38
-		if f.now.Sub(begin)%(5800*time.Millisecond) >= 3400*time.Millisecond {
+		if f.now.Sub(begin)%stepTime >= 3400*time.Millisecond {
 			step = 1.87
 		}
 		f.after(time.Duration(r.ExpFloat64()/(124*step)*float64(time.Second)), arrive)
@@ -65,7 +66,7 @@
 			afterwards++
 		}
 	}
-	f.after(10*time.Second, arrive)
+	f.after(4*time.Second, arrive)
 	f.after(cutOffAt, func() { f.cutOff(cut, electionTime+600*time.Millisecond) })
 	f.run(cutOffAt + cutOffTime)
 	f.heal()
@@ -79,32 +80,33 @@
 }
 
 // TestCutOffDomainsGoOnWithTheirShare guards against hosts that refuse calls within a team's rate since its owner is on the other
-// side of a cut, or lost with it.
+// side of a cut, or lost with it. Half of what is refused without deputies is allowed, with the cut in a low step and across a rise.
 func TestCutOffDomainsGoOnWithTheirShare(t *testing.T) {
 	for _, hosts := range []int{9, 60} {
-		for _, withOwner := range []bool{false, true} {
-			t.Run(fmt.Sprint(hosts, "-", withOwner), func(t *testing.T) {
-				t.Parallel()
-				is := is.New(t)
-				var with, without [2]float64
-				for seed := range uint64(5) {
-					a, b := runCutOff(t, seed, hosts, withOwner, true), runCutOff(t, seed, hosts, withOwner, false)
-					for i := range with {
-						with[i] += float64(a.refused[i]) / float64(a.asked[i]) / 5
-						without[i] += float64(b.refused[i]) / float64(b.asked[i]) / 5
-					}
-					is.True(a.calm <= b.calm+0.001) // refused without a cut
-				}
-				t.Logf("refused in the domain that is cut off %.3f, %.3f without deputies; elsewhere %.3f and %.3f",
-					with[1], without[1], with[0], without[0])
-				if hosts > 9 && withOwner {
-					// The domain that is cut off misses half: hosts hold about a unit until its deputy grants.
-					is.True(with[0] <= without[0]/2 && with[1] < without[1])
-					return
-				}
-				is.True(with[1] <= without[1]/2)
-				is.True(with[0] <= without[0]/2)
-			})
+		for _, at := range []time.Duration{4 * stepTime, 4*stepTime + 2400*time.Millisecond} {
+			for _, withOwner := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d-%v-%v", hosts, at, withOwner), func(t *testing.T) {
+					t.Parallel()
+					checkCutOff(t, hosts, at, withOwner)
+				})
+			}
 		}
 	}
 }
+
+func checkCutOff(t *testing.T, hosts int, at time.Duration, withOwner bool) {
+	is := is.New(t)
+	var with, without [2]float64
+	for seed := range uint64(5) {
+		a, b := runCutOff(t, seed, hosts, at, withOwner, true), runCutOff(t, seed, hosts, at, withOwner, false)
+		for i := range with {
+			with[i] += float64(a.refused[i]) / float64(a.asked[i]) / 5
+			without[i] += float64(b.refused[i]) / float64(b.asked[i]) / 5
+		}
+		is.True(a.calm <= b.calm+0.001) // refused without a cut
+	}
+	t.Logf("refused in the domain that is cut off %.3f, %.3f without deputies; elsewhere %.3f and %.3f",
+		with[1], without[1], with[0], without[0])
+	is.True(with[1] <= without[1]/2)
+	is.True(with[0] <= without[0]/2)
+}
