--- a/review/stage-2/fleet/worker.go
+++ b/review/stage-2/fleet/worker.go
@@ -13,8 +13,12 @@
 	"time"
 )
 
-// heartbeatInterval is heartbeat_ms of the deployment.
-const heartbeatInterval = 1200 * time.Millisecond
+const (
+	// heartbeatInterval is heartbeat_ms of the deployment.
+	heartbeatInterval = 1200 * time.Millisecond
+	// idleTimeout is how long a worker keeps an idle connection open.
+	idleTimeout = 5 * time.Second
+)
 
 // Worker is a stand-in of a worker. Its zero value behaves like a sound one.
 type Worker struct {
@@ -114,10 +118,12 @@
 	}()
 	r := bufio.NewReader(c)
 	for {
+		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
 		h, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
+		_ = c.SetReadDeadline(time.Time{})
 		b, err := io.ReadAll(h.Body)
 		if err != nil {
 			return
@@ -159,6 +165,7 @@
 		"X-Attempt-Id: " + q.AttemptID(),
 		"X-Response-Signature: " + w.ID + "." + q.AttemptID(),
 		"X-Server-Load: 1,0," + strconv.Itoa(w.Slots),
+		"Keep-Alive: timeout=" + strconv.Itoa(int(idleTimeout/time.Second)),
 	}
 }
 
