--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -27,6 +27,7 @@
 	"11": playRolledStores,
 	"12": playLargeParts,
 	"13": playForgottenPart,
+	"14": playForgottenLeave,
 }
 
 func main() {
--- a/review/stage-3/worker.go
+++ b/review/stage-3/worker.go
@@ -38,10 +38,12 @@
 	conns    map[net.Conn]bool
 	stop     context.CancelFunc
 	sequence int
-	state    string
-	running  map[string]int
-	waiting  int
-	slots    chan struct{}
+	// silent says that the worker sends no heartbeats any more.
+	silent  bool
+	state   string
+	running map[string]int
+	waiting int
+	slots   chan struct{}
 }
 
 // startWorker starts a worker and tells the deployment of it until it crashes.
@@ -76,34 +78,21 @@
 // tell sends a heartbeat and reports whether it was acknowledged.
 func (w *worker) tell(ctx context.Context) bool {
 	w.mu.Lock()
+	if w.silent {
+		w.mu.Unlock()
+		return false
+	}
 	w.sequence++
-	n, state := w.sequence, w.state
+	b := w.beatBody()
 	w.mu.Unlock()
-	return w.stage.postControl(ctx, "/siskinrun/Instances.Heartbeat/"+w.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1",`+
-		`"slots":%d,"state":%q,"cold_remaining_ms":0,"stage":"dual","models":[{"name":"m","version":1,"adapters":[]}],`+
-		`"sequence":%d,"born":%d}`, engineService, w.address, w.zone, workerSlots, state, n, w.born))
+	return w.stage.postControl(ctx, "/siskinrun/Instances.Heartbeat/"+w.id, b)
 }
 
-const (
-	// drainTime is drain_ms of the bounds, and lingerTime a little longer for which a worker that leaves serves on.
-	drainTime  = 2 * time.Second
-	lingerTime = 1500 * time.Millisecond
-)
-
-// retire reports that the worker drains, serves on for as long as it must, deregisters and ends.
-func (w *worker) retire(ctx context.Context) {
-	w.mu.Lock()
-	w.state = "draining"
-	w.mu.Unlock()
-	for !w.tell(ctx) && sleep(ctx, pollInterval) == nil {
-	}
-	w.stage.note("worker %s drains, acknowledged", w.id)
-	if sleep(ctx, drainTime+lingerTime) != nil {
-		return
-	}
-	w.stage.postControl(ctx, "/siskinrun/Instances.Deregister/"+w.id, fmt.Sprintf(`{"born":%d}`, w.born))
-	w.crash()
-	w.stage.note("worker %s has left", w.id)
+// beatBody returns the body of a heartbeat. The caller holds the lock.
+func (w *worker) beatBody() string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"stage":"dual",`+
+		`"models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%d}`,
+		engineService, w.address, w.zone, workerSlots, w.state, w.sequence, w.born)
 }
 
 func (w *worker) accept(ctx context.Context) {
