--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -25,9 +25,10 @@
 // cases are the plays by the names of their folders.
 var cases = map[string]play{
 	"11": playRolledStores,
-	"12": playLargeParts,
-	"13": playForgottenPart,
-	"14": playForgottenLeave,
+	"12": playOtherVersion,
+	"13": playHeavyItems,
+	"14": playLargeParts,
+	"15": playForgottenPart,
 }
 
 func main() {
--- a/review/stage-3/operator.go
+++ b/review/stage-3/operator.go
@@ -128,13 +128,11 @@
 	return a.StatusCode, b
 }
 
-// ask sends a request for a stream with a prompt and returns the status and whether the answer came whole.
-func (s *stage) ask(ctx context.Context, m *machine, id, prompt string) (int, bool) {
-	ctx, cancel := context.WithTimeout(ctx, streamPatience*time.Millisecond)
-	defer cancel()
+// streamRequest returns a request for a stream with a prompt.
+func (s *stage) streamRequest(ctx context.Context, m *machine, id, prompt string) (*http.Request, error) {
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.address(m, portCallers)+streamPrefix+id, strings.NewReader(id))
 	if err != nil {
-		return 0, false
+		return nil, err
 	}
 	q.Host = clientHost
 	q.Header.Set("Authorization", "Token "+clientKey)
@@ -143,6 +141,17 @@
 	q.Header.Set("X-Token-Count", "450,100")
 	q.Header.Set("X-Prompt-Prefix", prompt)
 	q.Header.Set("X-Deadline-Ms", fmt.Sprint(streamPatience))
+	return q, nil
+}
+
+// ask sends a request for a stream with a prompt and returns the status and whether the answer came whole.
+func (s *stage) ask(ctx context.Context, m *machine, id, prompt string) (int, bool) {
+	ctx, cancel := context.WithTimeout(ctx, streamPatience*time.Millisecond)
+	defer cancel()
+	q, err := s.streamRequest(ctx, m, id, prompt)
+	if err != nil {
+		return 0, false
+	}
 	a, err := s.http.Do(q)
 	if err != nil {
 		return 0, false
@@ -154,18 +163,11 @@
 
 // submit submits a batch job to the front machines in turn until one accepts it.
 func (s *stage) submit(ctx context.Context, job string, items []batchItem) error {
-	b, err := json.Marshal(map[string]any{"requests": items})
-	if err != nil {
-		return err
-	}
 	n := 0
-	err = await(ctx, func() bool {
+	err := await(ctx, func() bool {
 		fronts := s.of(classFrontend)
-		m := fronts[n%len(fronts)]
 		n++
-		status, _ := s.clientCall(ctx, m, http.MethodPost, batchPrefix+job, job, string(b))
-		s.note("job %s with %d items sent to %s: %d", job, len(items), m.name, status)
-		return status == http.StatusAccepted
+		return s.submitOnce(ctx, fronts[(n-1)%len(fronts)], job, items)
 	})
 	if err != nil {
 		return fmt.Errorf("the job isn't accepted: %w", err)
@@ -173,6 +175,17 @@
 	return nil
 }
 
+// submitOnce submits a batch job to a front machine and reports whether it was accepted.
+func (s *stage) submitOnce(ctx context.Context, m *machine, job string, items []batchItem) bool {
+	b, err := json.Marshal(map[string]any{"requests": items})
+	if err != nil {
+		return false
+	}
+	status, _ := s.clientCall(ctx, m, http.MethodPost, batchPrefix+job, job, string(b))
+	s.note("job %s with %d items sent to %s: %d", job, len(items), m.name, status)
+	return status == http.StatusAccepted
+}
+
 // results returns the results of a job from a position on, and reports whether they could be read.
 func (s *stage) results(ctx context.Context, m *machine, job string, after int) ([]listed, bool) {
 	status, b := s.clientCall(ctx, m, http.MethodGet, fmt.Sprintf("/siskinrun/lots/%s?after=%d", job, after), "", "")
--- a/review/stage-3/worker.go
+++ b/review/stage-3/worker.go
@@ -19,6 +19,8 @@
 	// workerQueue is the number of requests that a worker queues beyond its slots.
 	workerQueue = 24
 	idleSeconds = 5
+	// firstVersion is the version of the software of workers.
+	firstVersion = "v1"
 )
 
 // answerer streams the events of a request after the given one. It returns an error if the connection broke or the run has ended.
@@ -30,6 +32,8 @@
 	id      string
 	zone    string
 	address string
+	// version is that of the worker's software.
+	version string
 	born    int64
 	answer  answerer
 
@@ -38,32 +42,35 @@
 	conns    map[net.Conn]bool
 	stop     context.CancelFunc
 	sequence int
-	// silent says that the worker sends no heartbeats any more.
-	silent  bool
-	state   string
-	running map[string]int
-	waiting int
-	slots   chan struct{}
+	state    string
+	running  map[string]int
+	waiting  int
+	slots    chan struct{}
 }
 
 // startWorker starts a worker and tells the deployment of it until it crashes.
 func (s *stage) startWorker(id, zone string, f answerer) (*worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return s.startVersion(id, zone, "127.0.0.1:0", firstVersion, 0, f)
+}
+
+// startVersion starts a worker of a software version at an address. Its first heartbeat arrives that late.
+func (s *stage) startVersion(id, zone, address, version string, late time.Duration, f answerer) (*worker, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	w := &worker{
-		stage: s, id: id, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), answer: f,
+		stage: s, id: id, zone: zone, address: l.Addr().String(), version: version, born: time.Now().UnixMilli(), answer: f,
 		listener: l, conns: map[net.Conn]bool{}, stop: stop, running: map[string]int{}, slots: make(chan struct{}, workerSlots),
 		state: "ready",
 	}
 	s.mu.Lock()
 	s.workers = append(s.workers, w)
 	s.mu.Unlock()
-	s.note("worker %s starts", id)
+	s.note("worker %s of version %s starts", id, version)
 	go w.accept(ctx)
-	go w.beat(ctx)
+	time.AfterFunc(late, func() { w.beat(ctx) })
 	return w, nil
 }
 
@@ -78,10 +85,6 @@
 // tell sends a heartbeat and reports whether it was acknowledged.
 func (w *worker) tell(ctx context.Context) bool {
 	w.mu.Lock()
-	if w.silent {
-		w.mu.Unlock()
-		return false
-	}
 	w.sequence++
 	b := w.beatBody()
 	w.mu.Unlock()
@@ -90,9 +93,9 @@
 
 // beatBody returns the body of a heartbeat. The caller holds the lock.
 func (w *worker) beatBody() string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"stage":"dual",`+
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"stage":"dual",`+
 		`"models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%d}`,
-		engineService, w.address, w.zone, workerSlots, w.state, w.sequence, w.born)
+		engineService, w.address, w.zone, w.version, workerSlots, w.state, w.sequence, w.born)
 }
 
 func (w *worker) accept(ctx context.Context) {
@@ -186,10 +189,14 @@
 		return false
 	}
 	defer func() { <-w.slots }()
+	w.stage.ran.Store(id, true)
 	w.count(id, 1)
 	defer w.count(id, -1)
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.stage.note("worker %s runs %s after event %d", w.id, id, after)
+	if strings.HasPrefix(q.URL.Path, streamPrefix) && sleep(ctx, w.stage.firstTime) != nil {
+		return false
+	}
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s." + w.id + "." + id +
 		"\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
 	if _, err := io.WriteString(c, head); err != nil {
