--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Plays the case and writes record.txt; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-stage-3 review/15
