--- a/review/stage-3/forgotten_part.go
+++ b/review/stage-3/forgotten_part.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Sizes of case 15: requests with a part of a prompt that crashes workers come a few at a time, and all front machines are killed.
+// Sizes of case 14: requests with a part of a prompt that crashes workers come a few at a time, and all front machines are killed.
 const (
 	partWorkers = 8
 	// deadlyPart is the part, and deadlyAtOnce the number of requests with it that come at once.
--- a/review/stage-3/heavy_items.go
+++ b/review/stage-3/heavy_items.go
@@ -1,214 +1,154 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"os"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// Sizes of case 13: batch jobs whose items have large bodies, beside streams on kept connections.
+// Times of case 15: a worker says that it leaves, and right after the acknowledgement all processes are killed.
 const (
-	heavyWorkers = 6
-	// heavyItems is the number of items of a job, and heavyBody the size of the body of an item, the largest of the site; usualBody is
-	// the site's mean.
-	heavyItems = 1
-	heavyBody  = 3000000
-	// heavyTokens is the number of tokens of an item.
-	heavyTokens = 360
-	// heavyEvents is the number of events of an item, and heavyPace the time between two.
-	heavyEvents = 66
-	heavyPace   = 200 * time.Millisecond
-	// heavyTime is the time for which jobs come, and heavyRate their usual number a second. In each of hotStarts, for hotTime, it is
-	// hotFactor times as many.
-	heavyTime = 35 * time.Second
-	heavyRate = 0.686
-	hotFactor = 7.5
-	hotTime   = 6500 * time.Millisecond
-	// firstTime is the time to the first event of a stream, of keptEvents.
-	// heavyFirst is the time that workers take before they begin to answer a stream, of keptEvents.
-	heavyFirst = 150 * time.Millisecond
-	keptEvents = 5
-	keptPace   = 20 * time.Millisecond
-	// keptClients is the number of clients of each front machine with a kept connection, which ask once every keptInterval.
-	keptClients  = 12
-	keptInterval = 500 * time.Millisecond
-	// memoryInterval is the time between two looks at the memory of processes.
-	memoryInterval = 100 * time.Millisecond
-	// maxCut is the most requests from kept connections that may be passed on and end without an answer.
-	maxCut = 3
+	leaveWorkers = 4
+	// killAfter is the time from the acknowledgement to the kill.
+	killAfter = 100 * time.Millisecond
+	// lateBy is the time by which the last heartbeat of the worker is late.
+	lateBy = 3 * time.Second
+	// inTouchAfter is the time from the start of the processes until machines are in touch: twice contact_ms, since most of the core
+	// was lost.
+	inTouchAfter = 2*contactTime + 300*time.Millisecond
+	// askTime is the time in which requests are sent then, and askInterval the time between two.
+	askTime     = 2500 * time.Millisecond
+	askInterval = 50 * time.Millisecond
+	// serveTime is the time from the acknowledgement for which the worker serves on.
+	serveTime = 10 * time.Second
+	// leaveEvents is the number of events of an answer, and leavePace the time between two.
+	leaveEvents = 20
+	leavePace   = 50 * time.Millisecond
 )
 
-// hotStarts are the times at which the tenant begins to send many times its usual, from the first job.
-var hotStarts = []time.Duration{4 * time.Second, 11 * time.Second, 22 * time.Second}
-
-// heavyMemory is the memory in MB that the site gives to a process of each class.
-var heavyMemory = map[string]int{classFrontend: 134, classCore: 280, classStorage: 154}
-
-// heavyRuns counts the requests from kept connections that were passed on to a worker and had no answer.
-type heavyRuns struct {
-	mu  sync.Mutex
-	cut int
+// leaveRuns records when requests reach each worker.
+type leaveRuns struct {
+	mu   sync.Mutex
+	runs map[string][]time.Time
 }
 
-// streamHeavy streams the events of an item, or those of a stream.
-func streamHeavy(ctx context.Context, _ *worker, q *http.Request, out io.Writer, after int) error {
-	last, pace := heavyEvents, heavyPace
-	if strings.HasPrefix(q.URL.Path, streamPrefix) {
-		last, pace = keptEvents, keptPace
-	}
-	for n := after + 1; n <= last; n++ {
-		if err := sleep(ctx, pace); err != nil {
+func (r *leaveRuns) stream(ctx context.Context, w *worker, _ *http.Request, out io.Writer, _ int) error {
+	r.mu.Lock()
+	r.runs[w.id] = append(r.runs[w.id], time.Now())
+	r.mu.Unlock()
+	for n := 1; n <= leaveEvents; n++ {
+		if err := sleep(ctx, leavePace); err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: piece %d of %s;\n\n", n, n, q.Header.Get("X-Attempt-Id")); err != nil {
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: piece %d\n\n", n, n); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// playHeavyItems submits jobs with large bodies, ends processes over their memory as the platform does, and counts the streams on kept
-// connections that were passed on and had no answer.
-func playHeavyItems(ctx context.Context, s *stage) (bool, error) {
-	s.memory, s.firstTime = heavyMemory, heavyFirst
-	r := &heavyRuns{}
-	if err := s.open(ctx, heavyWorkers, batchLimits{60, 1000000}, streamHeavy); err != nil {
-		return false, err
-	}
-	go s.limitMemory(ctx)
-	asking, stop := context.WithCancel(ctx)
-	defer stop()
-	var wait sync.WaitGroup
-	for _, m := range s.of(classFrontend) {
-		for n := range keptClients {
-			wait.Go(func() { r.askKept(asking, s, m, n) })
+// since returns the number of requests that have reached a worker since a time.
+func (r *leaveRuns) since(id string, t time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, at := range r.runs[id] {
+		if at.After(t) {
+			n++
 		}
 	}
-	if err := s.submitHeavy(ctx); err != nil {
+	return n
+}
+
+// playForgottenLeave has a worker leave, kills all processes after the acknowledgement, and counts the requests that reach the worker
+// when all machines are in touch again.
+func playForgottenLeave(ctx context.Context, s *stage) (bool, error) {
+	r := &leaveRuns{runs: map[string][]time.Time{}}
+	if err := s.open(ctx, leaveWorkers, siteLimits, r.stream); err != nil {
 		return false, err
 	}
-	stop()
-	wait.Wait()
-	for _, m := range s.machines {
-		if n := s.ends(m); n > 0 {
-			s.note("processes of %s have ended by themselves %d times", m.name, n)
-		}
+	w := s.workers[leaveWorkers-1]
+	late := w.lastBeat()
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	if !s.postControl(ctx, "/siskinrun/Instances.Deregister/"+w.id, fmt.Sprintf(`{"born":%d}`, w.born)) {
+		return false, fmt.Errorf("the leave isn't acknowledged")
 	}
-	s.note("%d requests from kept connections were passed on to a worker and had no answer", r.cut)
-	return r.cut <= maxCut, nil
-}
-
-// askKept asks for streams on one kept connection, and opens another one when that has ended.
-func (r *heavyRuns) askKept(ctx context.Context, s *stage, m *machine, client int) {
-	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-	for n := 0; sleep(ctx, keptInterval) == nil; n++ {
-		id := fmt.Sprintf("%s-%d-%d", m.zone, client, n)
-		kept, answered := s.askOn(c, m, id)
-		if _, ran := s.ran.Load(id); kept && !answered && ran {
-			r.mu.Lock()
-			r.cut++
-			r.mu.Unlock()
-			s.note("request %s from a kept connection to %s was passed on to a worker and had no answer", id, m.name)
+	acknowledged := time.Now()
+	s.note("worker %s says that it leaves, acknowledged; it serves on for %v", w.id, serveTime)
+	time.AfterFunc(serveTime, func() {
+		w.crash()
+		s.note("worker %s has ended", w.id)
+	})
+	time.AfterFunc(lateBy, func() {
+		s.note("a heartbeat that worker %s sent before it left arrives: %v", w.id, s.postControl(ctx, "/siskinrun/Instances.Heartbeat/"+w.id, late))
+	})
+	if err := sleep(ctx, killAfter); err != nil {
+		return false, err
+	}
+	if s.trouble {
+		if err := s.killAll(ctx); err != nil {
+			return false, err
 		}
 	}
-}
-
-// askOn asks for a stream and reports whether the connection was a kept one and whether an answer began.
-func (s *stage) askOn(c *http.Client, m *machine, id string) (kept, answered bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), streamPatience*time.Millisecond)
-	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused }})
-	q, err := s.streamRequest(ctx, m, id, fmt.Sprintf("5c1e07a2:200,%s:190", strings.ReplaceAll(id, "-", "")))
-	if err != nil {
-		return kept, false
+	if err := s.awaitReady(ctx); err != nil {
+		return false, err
 	}
-	a, err := c.Do(q)
-	if err != nil {
-		return kept, ctx.Err() != nil
+	if err := sleep(ctx, time.Until(acknowledged.Add(killAfter+downTime+inTouchAfter))); err != nil {
+		return false, err
 	}
-	defer func() { _ = a.Body.Close() }()
-	_, _ = io.Copy(io.Discard, a.Body)
-	return kept, true
-}
-
-// submitHeavy submits jobs for heavyTime.
-func (s *stage) submitHeavy(ctx context.Context) error {
 	begun := time.Now()
-	next := begun
-	for n := 0; time.Since(begun) < heavyTime; n++ {
-		s.submitOnce(ctx, s.of(classFrontend)[n%hostsPerClass], fmt.Sprintf("%016x", 0x40c2e19a00000000+n), heavyJob(n))
-		rate := heavyRate
-		if s.trouble && hot(time.Since(begun)) {
-			rate *= hotFactor
-		}
-		next = next.Add(time.Duration(float64(time.Second) / rate))
-		if err := sleep(ctx, time.Until(next)); err != nil {
-			return err
-		}
-	}
-	return nil
+	s.note("requests are sent, %.1f s after the acknowledgement", begun.Sub(acknowledged).Seconds())
+	s.askFor(ctx, askTime)
+	n := r.since(w.id, begun)
+	s.note("%d of these requests have reached the worker that has left", n)
+	return n == 0, nil
 }
 
-// hot reports whether the tenant sends many times its usual at a time from the first job.
-func hot(t time.Duration) bool {
-	return slices.ContainsFunc(hotStarts, func(h time.Duration) bool { return t >= h && t < h+hotTime })
-}
-
-// heavyJob returns the items of a job.
-func heavyJob(n int) []batchItem {
-	var items []batchItem
-	for i := range heavyItems {
-		id := fmt.Sprintf("item-%03d-%d", n, i)
-		items = append(items, batchItem{
-			ID: id, Path: batchPrefix + "draft", Body: bytes.Repeat([]byte(id), heavyBody/len(id)), Tokens: heavyTokens,
-			Headers: map[string]string{"X-Model": "m", "X-Token-Count": "300,60", "X-Prompt-Prefix": fmt.Sprintf("9c2e41:100,%d%d:200", n, i)},
-		})
-	}
-	return items
+// lastBeat returns the body of a heartbeat that the worker sends before it leaves, and which is late; it sends no more after it.
+func (w *worker) lastBeat() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = true
+	w.sequence++
+	return w.beatBody()
 }
 
-// limitMemory ends processes that use more than their memory, as the platform does.
-func (s *stage) limitMemory(ctx context.Context) {
-	for sleep(ctx, memoryInterval) == nil {
-		for _, m := range s.machines {
-			s.mu.Lock()
-			p := m.process
-			s.mu.Unlock()
-			if kb := residentKB(p.Process.Pid); kb > s.memory[m.class]<<10 {
-				s.note("the process of %s uses %d kB and is killed", m.name, kb)
-				_ = p.Process.Kill()
-			}
-		}
+// killAll kills the processes of all machines and starts them again.
+func (s *stage) killAll(ctx context.Context) error {
+	s.note("all processes are killed")
+	for _, m := range s.machines {
+		s.signal(m, syscall.SIGKILL, time.Second)
 	}
-}
-
-// residentKB returns the memory that a process uses, zero if it has ended.
-func residentKB(pid int) int {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
+	if err := sleep(ctx, downTime); err != nil {
+		return err
 	}
-	for l := range strings.Lines(string(b)) {
-		if v, ok := strings.CutPrefix(l, "VmRSS:"); ok {
-			n, _ := strconv.Atoi(strings.Fields(v)[0])
-			return n
-		}
+	if err := s.startAll(); err != nil {
+		return err
 	}
-	return 0
+	s.note("all processes are started again")
+	return nil
 }
 
-// ends returns how often processes of a machine have ended by themselves.
-func (s *stage) ends(m *machine) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return m.ownEnds
+// askFor sends requests to the front machines in turn for a time, and waits for their answers.
+func (s *stage) askFor(ctx context.Context, d time.Duration) {
+	fronts := s.of(classFrontend)
+	var wait sync.WaitGroup
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			m := fronts[n%len(fronts)]
+			status, whole := s.ask(ctx, m, fmt.Sprintf("50d%013x", n), fmt.Sprintf("5c1e07a2:200,%x:190", n))
+			s.note("request %d at %s: %d, whole %v", n, m.name, status, whole)
+		}()
+		_ = sleep(ctx, askInterval)
+	}
+	wait.Wait()
 }
--- a/review/stage-3/large_parts.go
+++ b/review/stage-3/large_parts.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Sizes of case 14: items with long outputs, of which one worker of six has its slots full when it crashes.
+// Sizes of case 13: items with long outputs, of which one worker of six has its slots full when it crashes.
 const (
 	largeWorkers   = 6
 	largeItems     = 24
--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -26,9 +26,9 @@
 var cases = map[string]play{
 	"11": playRolledStores,
 	"12": playOtherVersion,
-	"13": playHeavyItems,
-	"14": playLargeParts,
-	"15": playForgottenPart,
+	"13": playLargeParts,
+	"14": playForgottenPart,
+	"15": playForgottenLeave,
 }
 
 func main() {
--- a/review/stage-3/stage.go
+++ b/review/stage-3/stage.go
@@ -63,13 +63,6 @@
 	ports    [portsPerHost]int
 	machines []*machine
 
-	// memory is the memory in MB of a process of each class.
-	memory map[string]int
-	// firstTime is the time that workers take before they begin to answer a stream.
-	firstTime time.Duration
-	// ran holds the requests that workers have begun to run.
-	ran sync.Map
-
 	folder  string
 	begun   time.Time
 	http    *http.Client
@@ -82,7 +75,7 @@
 
 // newStage prepares a deployment that writes its record into the folder of a case.
 func newStage(caseFolder string, trouble bool) (*stage, error) {
-	s := &stage{trouble: trouble, begun: time.Now(), memory: siteMemory}
+	s := &stage{trouble: trouble, begun: time.Now()}
 	s.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}
@@ -189,7 +182,7 @@
 	return map[string]any{
 		"node_name": m.name, "ip": m.ip, "zone": m.zone, "zones": regions, "listen": listen, "seeds": seeds, "bootstrap": bootstrap,
 		"port_range": []any{s.ports[portPeers], s.ports[portOperators]}, "data_dir": data, "heartbeat_ms": heartbeat.Milliseconds(),
-		"limits":          map[string]any{"memory_mb": s.memory[m.class], "max_fds": 4100},
+		"limits":          map[string]any{"memory_mb": siteMemory[m.class], "max_fds": 4100},
 		"fault_tolerance": map[string]any{"machines": 1, "zones": 1},
 		"bounds":          map[string]any{"quota_overrun": 0.1, "quota_window_s": 5, "quota_slack": 20, "grace_s": 8},
 	}
--- a/review/stage-3/worker.go
+++ b/review/stage-3/worker.go
@@ -42,10 +42,14 @@
 	conns    map[net.Conn]bool
 	stop     context.CancelFunc
 	sequence int
-	state    string
-	running  map[string]int
-	waiting  int
-	slots    chan struct{}
+	// silent says that the worker sends no heartbeats any more.
+	silent bool
+	// leaving says that the worker has said that it leaves, which all its answers say too.
+	leaving bool
+	state   string
+	running map[string]int
+	waiting int
+	slots   chan struct{}
 }
 
 // startWorker starts a worker and tells the deployment of it until it crashes.
@@ -85,6 +89,10 @@
 // tell sends a heartbeat and reports whether it was acknowledged.
 func (w *worker) tell(ctx context.Context) bool {
 	w.mu.Lock()
+	if w.silent {
+		w.mu.Unlock()
+		return false
+	}
 	w.sequence++
 	b := w.beatBody()
 	w.mu.Unlock()
@@ -167,13 +175,13 @@
 	id := q.Header.Get("X-Attempt-Id")
 	switch {
 	case q.URL.Path == healthPath:
-		return plain(c, 200, "X-Instance-Id: "+w.id+"\r\n")
+		return w.plain(c, 200, "X-Instance-Id: "+w.id+"\r\n")
 	case q.Header.Get("X-Expected-Instance") != "" && q.Header.Get("X-Expected-Instance") != w.id:
-		return plain(c, 421, "X-Attempt-Id: "+id+"\r\n")
+		return w.plain(c, 421, "X-Attempt-Id: "+id+"\r\n")
 	case id == "":
-		return plain(c, 400, "X-Not-Executed: 1\r\n")
+		return w.plain(c, 400, "X-Not-Executed: 1\r\n")
 	case !w.enter():
-		return plain(c, 503, "X-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\n")
+		return w.plain(c, 503, "X-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\n")
 	}
 	defer w.leave()
 	ctx, cancel := context.WithCancel(ctx)
@@ -189,16 +197,12 @@
 		return false
 	}
 	defer func() { <-w.slots }()
-	w.stage.ran.Store(id, true)
 	w.count(id, 1)
 	defer w.count(id, -1)
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.stage.note("worker %s runs %s after event %d", w.id, id, after)
-	if strings.HasPrefix(q.URL.Path, streamPrefix) && sleep(ctx, w.stage.firstTime) != nil {
-		return false
-	}
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s." + w.id + "." + id +
-		"\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+		"\r\n" + w.leavingHeader() + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
 	if _, err := io.WriteString(c, head); err != nil {
 		return false
 	}
@@ -223,12 +227,23 @@
 }
 
 // plain writes an answer without a body and reports whether the connection stays open.
-func plain(c io.Writer, status int, headers string) bool {
+func (w *worker) plain(c io.Writer, status int, headers string) bool {
+	headers += w.leavingHeader()
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sKeep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n",
 		status, strings.ReplaceAll(http.StatusText(status), "\r", ""), headers, idleSeconds)
 	return err == nil
 }
 
+// leavingHeader returns the header of a worker that leaves, or nothing.
+func (w *worker) leavingHeader() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leaving {
+		return "Server-Leaving: 1\r\n"
+	}
+	return ""
+}
+
 // enter takes a place in the queue of the worker, if there is one.
 func (w *worker) enter() bool {
 	w.mu.Lock()
