--- a/cmd/siskinrun/cut_answers_test.go
+++ b/cmd/siskinrun/cut_answers_test.go
@@ -27,11 +27,13 @@
 	// first and last are the numbers of the first and last event, and complete says that the framing reached its end.
 	first, last int
 	complete    bool
-	err         error
+	// foreign is the text of an event that no sound worker sends, empty if there was none.
+	foreign string
+	err     error
 }
 
 func (s seen) whole() bool {
-	return s.status == http.StatusOK && s.complete && s.last == workerEvents
+	return s.status == http.StatusOK && s.complete && s.last == workerEvents && s.foreign == ""
 }
 
 // broken says that the caller knows that the answer is not whole.
@@ -54,9 +56,20 @@
 	}
 	s.complete = s.err == io.EOF
 	s.last = c.last
+	s.foreign = foreignText(s.first, c.data)
 	return s
 }
 
+// foreignText returns the first text of events that is not that of the workers of a cutFleet, where the first event has a number.
+func foreignText(first int, texts []string) string {
+	for i, text := range texts {
+		if text != fmt.Sprint("e", first+i) {
+			return text
+		}
+	}
+	return ""
+}
+
 // askEach plays cuts on requests to hosts in turn, and calls check with what each caller got.
 func (f *cutFleet) askEach(ctx context.Context, t *testing.T, path string, cuts []cut, check func(t *testing.T, id string, s seen)) {
 	t.Helper()
@@ -91,14 +104,14 @@
 func wantWhole(t *testing.T, id string, s seen) {
 	t.Helper()
 	if !s.whole() {
-		t.Errorf("%s: status %d, events to %d, complete %v: %v", id, s.status, s.last, s.complete, s.err)
+		t.Errorf("%s: status %d, events to %d, complete %v, foreign text %q: %v", id, s.status, s.last, s.complete, s.foreign, s.err)
 	}
 }
 
 func wantBroken(t *testing.T, id string, s seen) {
 	t.Helper()
-	if !s.broken() {
-		t.Errorf("%s: complete after event %d", id, s.last)
+	if !s.broken() || s.foreign != "" {
+		t.Errorf("%s: complete %v after event %d, foreign text %q", id, s.complete, s.last, s.foreign)
 	}
 }
 
--- a/cmd/siskinrun/odd_answers_test.go
+++ b/cmd/siskinrun/odd_answers_test.go
@@ -95,8 +95,8 @@
 // wantSound says that a caller either has the whole stream or knows that it has not.
 func wantSound(t *testing.T, id string, s seen) {
 	t.Helper()
-	if !s.whole() && !s.broken() {
-		t.Errorf("%s: complete after event %d", id, s.last)
+	if !s.whole() && !s.broken() || s.foreign != "" {
+		t.Errorf("%s: complete %v after event %d, foreign text %q", id, s.complete, s.last, s.foreign)
 	}
 }
 
--- a/internal/product/server/work.go
+++ b/internal/product/server/work.go
@@ -74,6 +74,7 @@
 		ConnectTimeout:  m.ConnectTimeout.Duration(),
 		RateLimit:       p.permits.Observe,
 		Gate:            p.evacuation,
+		Log:             s.Log,
 		Opened:          metrics.GetOrRegisterCounter("opened", p.childMetrics("upstream-connections")),
 		Reused:          metrics.GetOrRegisterCounter("reused", p.childMetrics("upstream-connections")),
 		ReuseProven:     s.Settings.Fleet.PreferredUpstreams,
--- /dev/null
+++ b/internal/wire/answerhead/doc.go
@@ -0,0 +1,2 @@
+// Package answerhead looks at the heads of HTTP/1.1 answers that stand in a buffer, before they are read.
+package answerhead
--- a/internal/wire/answerhead/status_test.go
+++ b/internal/wire/answerhead/status_test.go
@@ -1,4 +1,4 @@
-package transport
+package answerhead
 
 import (
 	"bufio"
@@ -8,6 +8,9 @@
 	"github.com/matryer/is"
 )
 
+// bufferSize is the size of the buffer in which a head must stand.
+const bufferSize = 16 << 10
+
 // TestPeekStatus says which status a head has, and that nothing of it is read.
 func TestPeekStatus(t *testing.T) {
 	for _, c := range []struct {
@@ -25,11 +28,11 @@
 		{"HTTP/1.1 abc OK\r\n\r\n", 0, false},
 		{"HTTP/1.1\r\n\r\n", 0, false},
 		{"HTTP/1.1 200", 0, false},
-		{strings.Repeat("x", readBufferSize+1), 0, false},
+		{strings.Repeat("x", bufferSize+1), 0, false},
 		{"", 0, false},
 	} {
 		is := is.New(t)
-		r := bufio.NewReaderSize(strings.NewReader(c.head), readBufferSize)
+		r := bufio.NewReaderSize(strings.NewReader(c.head), bufferSize)
 		s, err := peekStatus(r)
 		is.Equal(err == nil, c.ok)
 		is.Equal(s, c.status)
--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -127,9 +127,12 @@
 		return unreachable(err)
 	}
 	var s spuriousError
+	var m malformedError
 	switch {
 	case errors.As(err, &s):
 		return refusal.NewMayHaveRun(502, refusal.CodeSpuriousAnswer, s.Error())
+	case errors.As(err, &m):
+		return refusal.NewMayHaveRun(502, refusal.CodeSpuriousAnswer, m.Error())
 	case ctx.Err() != nil:
 		return refusal.NewMayHaveRun(504, "cancelled", "the call was cancelled while it ran")
 	case k.pathLost(err):
--- /dev/null
+++ b/internal/wire/transport/malformed.go
@@ -0,0 +1,40 @@
+package transport
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"siskinrun/internal/data/call"
+	"siskinrun/internal/data/headgrammar"
+)
+
+// malformedError is an answer whose head breaks the grammar of HTTP. Its text does not hold the byte, which is the
+// upstream's.
+type malformedError struct {
+	fault *headgrammar.Fault
+}
+
+// Error implements error.Error.
+func (m malformedError) Error() string {
+	return "the head of the answer is malformed: " + m.fault.Rule
+}
+
+// noteFault logs the fault of an answer's head, if that is what err is, and returns err as what it means to the call.
+func (e *Transport) noteFault(k *conn, c *call.Call, err error) error {
+	var f *headgrammar.Fault
+	if !errors.As(err, &f) {
+		return err
+	}
+	e.Log.Warn().
+		Str("request-id", c.ID).
+		Str("upstream", c.Upstream.Name).
+		Str("address", k.address).
+		Str("gateway", k.gateway).
+		Str("rule", f.Rule).
+		Str("byte", fmt.Sprintf("0x%02x", f.Byte)).
+		Int("offset", f.Offset).
+		Int("line", f.Line).
+		Msg("answer malformed")
+	return malformedError{f}
+}
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/base/timer"
@@ -72,6 +73,8 @@
 	Gate gate
 	// Connector opens connections, nil for the dialer of the standard library.
 	Connector connector
+	// Log receives a line for each answer whose head is malformed.
+	Log zerolog.Logger
 
 	// Opened and Reused, if set, count the connections that are opened, and the calls that are sent on one that was used before.
 	Opened, Reused metrics.Counter
