--- a/cmd/siskinrun/malformed_heads_test.go
+++ b/cmd/siskinrun/malformed_heads_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -151,6 +152,72 @@
 	}
 }
 
+// malformedTrailers are answers whose chunks end after a number of events with a trailer that breaks the grammar of HTTP.
+func malformedTrailers(events int) []spurious {
+	var l []spurious
+	for _, line := range malformedLines() {
+		chunks := strings.TrimSuffix(chunksOf(eventsOf(1, events)), "\r\n") + line + "\r\n\r\n"
+		l = append(l, spurious{fmt.Sprintf("%q after %d", line, events), plain(head(http.StatusOK, eventStream) + chunks)})
+	}
+	return l
+}
+
+// spoilTrailer spoils the trailer of the first answer to a request, and checks what its caller got.
+func (f *cutFleet) spoilTrailer(ctx context.Context, t *testing.T, a spurious, path string, check func(t *testing.T, id string, s seen)) {
+	t.Helper()
+	t.Run(a.name+path, func(t *testing.T) {
+		id := t.Name()
+		f.reply(id, a.reply)
+		f.cases++
+		h := f.entries[f.cases%len(f.entries)]
+		check(t, id, f.ask(ctx, h, streamRequest{id: id, path: path + "1"}))
+		f.askSound(ctx, t, h)
+	})
+}
+
+// TestAnswersWithAMalformedTrailerAreNotWhole guards against an answer that counts as whole though a line behind its last chunk breaks
+// the grammar of HTTP.
+func TestAnswersWithAMalformedTrailerAreNotWhole(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	for _, a := range slices.Concat(malformedTrailers(reachedEvent), malformedTrailers(workerEvents)) {
+		f.spoilTrailer(ctx, t, a, streamPath, wantWhole)
+		f.spoilTrailer(ctx, t, a, lookPath, wantWhole)
+		f.spoilTrailer(ctx, t, a, oncePath, wantBroken)
+		f.spoilTrailer(ctx, t, a, buyPath, wantBroken)
+	}
+}
+
+// TestAnswersToCarriedCallsWithAMalformedTrailerAreNotWhole guards against the same where another host carries the call.
+func TestAnswersToCarriedCallsWithAMalformedTrailerAreNotWhole(t *testing.T) {
+	f, ctx := startLinkHosts(t, linkSetup{hosts: carriedHosts})
+	c := f.newCuts(ctx)
+	f.cut(refuse, f.entries[:carried]...)
+	c.entries = f.entries[:carried]
+	for _, a := range malformedTrailers(reachedEvent) {
+		c.spoilTrailer(ctx, t, a, streamPath, wantWhole)
+		c.spoilTrailer(ctx, t, a, oncePath, wantBroken)
+	}
+}
+
+// TestItemsAreNotCompletedByAMalformedTrailer guards against the same for the items of a batch job.
+func TestItemsAreNotCompletedByAMalformedTrailer(t *testing.T) {
+	f, ctx := newCutFleet(t)
+	names := map[string]string{}
+	var ids []string
+	for i, a := range malformedTrailers(reachedEvent) {
+		id := fmt.Sprint("trailer-", i)
+		f.reply(id, a.reply)
+		names[id] = a.name
+		ids = append(ids, id)
+	}
+	f.submit(ctx, "trailer", ids)
+	for _, r := range f.results(ctx, "trailer", len(ids)) {
+		if r.State != "completed" || r.Output != itemText() {
+			t.Errorf("%s: %s with %q after %d runs", names[r.ID], r.State, r.Output, f.ran(r.ID))
+		}
+	}
+}
+
 // TestUnusualHeadsAreServed guards against sound answers that are refused for names and values that HTTP permits.
 func TestUnusualHeadsAreServed(t *testing.T) {
 	f, ctx := newCutFleet(t)
--- a/internal/wire/answerhead/head.go
+++ b/internal/wire/answerhead/head.go
@@ -50,7 +50,7 @@
 	if s < minStatus || s > maxStatus {
 		return Head{}, ErrInvalidStatus
 	}
-	b, err := peekHead(in)
+	b, err := peekSection(in, headLength)
 	if err != nil {
 		return Head{}, err
 	}
@@ -60,8 +60,21 @@
 	return Head{Status: s, Length: len(b)}, nil
 }
 
-// peekHead returns the head that follows, once it has come whole.
-func peekHead(in *bufio.Reader) ([]byte, error) {
+// PeekTrailer waits for the whole trailer that follows the last chunk of a body and reads nothing of it. The error is a
+// *headgrammar.Fault if the trailer breaks the grammar of HTTP, or that of the connection.
+func PeekTrailer(in *bufio.Reader) error {
+	b, err := peekSection(in, linesLength)
+	if err != nil {
+		return err
+	}
+	if f := headgrammar.CheckFields(b); f != nil {
+		return f
+	}
+	return nil
+}
+
+// peekSection returns the lines that follow up to the first empty one, whose length the given function finds once they have come.
+func peekSection(in *bufio.Reader, length func(b []byte) int) ([]byte, error) {
 	for n := 1; ; n = in.Buffered() + 1 {
 		if _, err := in.Peek(n); err != nil {
 			return nil, err
@@ -70,7 +83,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l := headLength(b); l > 0 {
+		if l := length(b); l > 0 {
 			return b[:l], nil
 		}
 	}
--- a/internal/wire/transport/body.go
+++ b/internal/wire/transport/body.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/base/tcpend"
+	"siskinrun/internal/data/call"
 )
 
 // errDisorderly is the end of an answer with its connection, which was reset, or ended before the upstream had received the request.
@@ -16,6 +17,7 @@
 type body struct {
 	transport *Transport
 	conn      *conn
+	call      *call.Call
 	response  *fasthttp.Response
 	reader    io.Reader
 	deadline  time.Time
@@ -39,6 +41,7 @@
 	if err == io.EOF && b.endsWithConnection() && !tcpend.Orderly(b.conn.Conn) {
 		err = errDisorderly
 	}
+	err = b.transport.noteFault(b.conn, b.call, err)
 	if err != io.EOF && b.conn.pathLost(err) {
 		err = newPathLost()
 	} else {
--- a/internal/wire/transport/malformed.go
+++ b/internal/wire/transport/malformed.go
@@ -9,7 +9,7 @@
 	"siskinrun/internal/data/headgrammar"
 )
 
-// malformedError is an answer whose head breaks the grammar of HTTP. Its text does not hold the byte, which is the
+// malformedError is an answer whose head or trailer breaks the grammar of HTTP. Its text does not hold the byte, which is the
 // upstream's.
 type malformedError struct {
 	fault *headgrammar.Fault
@@ -17,10 +17,10 @@
 
 // Error implements error.Error.
 func (m malformedError) Error() string {
-	return "the head of the answer is malformed: " + m.fault.Rule
+	return "the head or trailer of the answer is malformed: " + m.fault.Rule
 }
 
-// noteFault logs the fault of an answer's head, if that is what err is, and returns err as what it means to the call.
+// noteFault logs the fault of an answer's head or trailer, if that is what err is, and returns err as what it means to the call.
 func (e *Transport) noteFault(k *conn, c *call.Call, err error) error {
 	var f *headgrammar.Fault
 	if !errors.As(err, &f) {
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -23,6 +23,7 @@
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/data/upstreamlimit"
+	"siskinrun/internal/wire/chunkedbody"
 	"siskinrun/pkg/refusal"
 )
 
@@ -73,7 +74,7 @@
 	Gate gate
 	// Connector opens connections, nil for the dialer of the standard library.
 	Connector connector
-	// Log receives a line for each answer whose head is malformed.
+	// Log receives a line for each answer whose head or trailer is malformed.
 	Log zerolog.Logger
 
 	// Opened and Reused, if set, count the connections that are opened, and the calls that are sent on one that was used before.
@@ -268,10 +269,13 @@
 			a.Headers = append(a.Headers, [2]string{s, string(v)})
 		}
 	}
-	b := &body{transport: e, conn: k, response: p, reader: p.BodyStream(), deadline: c.Deadline}
-	if b.reader == nil {
+	b := &body{transport: e, conn: k, call: c, response: p, reader: p.BodyStream(), deadline: c.Deadline}
+	switch {
+	case b.reader == nil:
 		b.reader = emptyReader{}
 		a.Length, a.Framing = 0, framing.Length
+	case a.Framing == framing.Chunks:
+		b.reader = &chunkedbody.Reader{In: k.in, Trailer: p.Header.ReadTrailer}
 	}
 	a.Body = b
 	return a
