--- a/internal/wire/answerhead/head.go
+++ b/internal/base/answerhead/head.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"siskinrun/internal/data/headgrammar"
+	"siskinrun/internal/base/headgrammar"
 )
 
 const (
@@ -54,12 +54,18 @@
 	if err != nil {
 		return Head{}, err
 	}
-	if f := headgrammar.CheckHead(b); f != nil {
-		return Head{}, f
+	if err := headgrammar.CheckHead(b); err != nil {
+		return Head{}, err
 	}
 	return Head{Status: s, Length: len(b)}, nil
 }
 
+// Rejects reports whether an error of Peek or PeekTrailer is that of a message that breaks the grammar of HTTP.
+func Rejects(err error) bool {
+	var f *headgrammar.Fault
+	return errors.As(err, &f) || errors.IsAny(err, ErrNoStatusLine, ErrMalformedStatus, ErrInvalidStatus)
+}
+
 // PeekTrailer waits for the whole trailer that follows the last chunk of a body and reads nothing of it. The error is a
 // *headgrammar.Fault if the trailer breaks the grammar of HTTP, or that of the connection.
 func PeekTrailer(in *bufio.Reader) error {
@@ -67,10 +73,7 @@
 	if err != nil {
 		return err
 	}
-	if f := headgrammar.CheckFields(b); f != nil {
-		return f
-	}
-	return nil
+	return headgrammar.CheckFields(b)
 }
 
 // peekSection returns the lines that follow up to the first empty one, whose length the given function finds once they have come.
--- a/internal/data/headgrammar/check.go
+++ b/internal/base/headgrammar/check.go
@@ -19,8 +19,8 @@
 	line   int
 }
 
-// CheckHead returns the first fault of the head of an answer, which may have empty lines before it, or nil.
-func CheckHead(head []byte) *Fault {
+// CheckHead returns the first fault of the head of an answer, which may have empty lines before it, as a *Fault, or nil.
+func CheckHead(head []byte) error {
 	s := &section{text: head}
 	for {
 		l, ok := s.next()
@@ -37,26 +37,26 @@
 	}
 }
 
-// CheckFields returns the first fault of lines with one field each, up to the empty line behind them, or nil.
-func CheckFields(lines []byte) *Fault {
+// CheckFields returns the first fault of lines with one field each, up to the empty line behind them, as a *Fault, or nil.
+func CheckFields(lines []byte) error {
 	return (&section{text: lines}).checkFields()
 }
 
-func (s *section) checkFields() *Fault {
+func (s *section) checkFields() error {
 	for {
 		l, ok := s.next()
 		if !ok || len(l) == 0 {
 			return nil
 		}
-		if f := s.checkField(l); f != nil {
-			return f
+		if err := s.checkField(l); err != nil {
+			return err
 		}
 	}
 }
 
 // checkField returns the first fault of a line with a field, or nil. RFC 9112, 5.2 lets a recipient reject a line that continues the
 // one before.
-func (s *section) checkField(l []byte) *Fault {
+func (s *section) checkField(l []byte) error {
 	if l[0] == ' ' || l[0] == '\t' {
 		return s.fault(0, ruleFold)
 	}
@@ -90,7 +90,7 @@
 }
 
 // fault returns the fault at an index of the current line.
-func (s *section) fault(i int, rule string) *Fault {
+func (s *section) fault(i int, rule string) error {
 	return &Fault{Byte: s.text[s.offset+i], Offset: s.offset + i, Line: s.line, Rule: rule}
 }
 
--- a/internal/data/headgrammar/check_test.go
+++ b/internal/base/headgrammar/check_test.go
@@ -5,9 +5,10 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"siskinrun/internal/data/headgrammar"
+	"siskinrun/internal/base/headgrammar"
 )
 
 const statusLine = "HTTP/1.1 200 OK\r\n"
@@ -42,9 +43,11 @@
 	} {
 		t.Run(fmt.Sprintf("%q", c.head), func(t *testing.T) {
 			is := is.New(t)
-			f := headgrammar.CheckHead([]byte(c.head))
-			is.Equal(f != nil, c.offset >= 0)
-			if f != nil {
+			err := headgrammar.CheckHead([]byte(c.head))
+			is.Equal(err != nil, c.offset >= 0)
+			if err != nil {
+				var f *headgrammar.Fault
+				is.True(errors.As(err, &f))
 				is.Equal(f.Offset, c.offset)
 				is.Equal(f.Line, c.line)
 				is.Equal(f.Byte, c.head[c.offset])
@@ -61,8 +64,8 @@
 		if b == '\n' || b == '\r' || b == ':' {
 			continue // these end a line or the name
 		}
-		f := headgrammar.CheckFields([]byte{'a', b, 'a', ':', '\r', '\n', '\r', '\n'})
-		is.New(t).Equal(f == nil, strings.IndexByte(token, b) >= 0)
+		err := headgrammar.CheckFields([]byte{'a', b, 'a', ':', '\r', '\n', '\r', '\n'})
+		is.New(t).Equal(err == nil, strings.IndexByte(token, b) >= 0)
 	}
 }
 
@@ -71,8 +74,9 @@
 	f.Add([]byte(statusLine + "X-Odd: 1\r\n b\r\n\r\n"))
 	f.Add([]byte("\n\n\nX"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if e := headgrammar.CheckHead(b); e != nil && b[e.Offset] != e.Byte {
-			t.Fatalf("%q: %v", b, e)
+		var f *headgrammar.Fault
+		if errors.As(headgrammar.CheckHead(b), &f) && b[f.Offset] != f.Byte {
+			t.Fatalf("%q: %v", b, f)
 		}
 	})
 }
--- a/internal/config/operatorclient/operatorclient.go
+++ b/internal/config/operatorclient/operatorclient.go
@@ -1,14 +1,17 @@
 package operatorclient
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"siskinrun/internal/base/answerdialer"
 	"siskinrun/internal/base/secret"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/config/change"
@@ -18,6 +21,7 @@
 
 const (
 	attemptTimeout   = 5 * time.Second
+	connectTimeout   = 3 * time.Second
 	minBackoff       = 100 * time.Millisecond
 	maxBackoff       = 2 * time.Second
 	maxResponseBytes = 64 << 20
@@ -37,8 +41,10 @@
 	// Timeout limits how long a request is retried.
 	Timeout time.Duration
 
-	client  fasthttp.Client
-	current int // index of the host in use, modulo the number of addresses
+	client fasthttp.Client
+	// rejected is the error in place of the last answer, if its head broke the grammar of HTTP.
+	rejected error
+	current  int // index of the host in use, modulo the number of addresses
 }
 
 // response is the HTTP response of a host.
@@ -123,7 +129,8 @@
 	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(q)
 	defer fasthttp.ReleaseResponse(p)
-	c.client.TLSConfig = c.TLS
+	c.client.Dial = c.dial
+	c.rejected = nil
 	c.client.MaxIdemponentCallAttempts = 1
 	c.client.MaxResponseBodySize = maxResponseBytes
 	q.Header.SetMethod(method)
@@ -131,11 +138,17 @@
 	q.Header.Set(fasthttp.HeaderAuthorization, bearerPrefix+string(c.Secret))
 	q.SetBody(body)
 	if err := c.client.DoTimeout(q, p, attemptTimeout); err != nil {
-		return nil, errors.Wrapf(err, "send request to %s", c.Addresses[c.current%len(c.Addresses)])
+		return nil, errors.Wrapf(cmp.Or(c.rejected, err), "send request to %s", c.Addresses[c.current%len(c.Addresses)])
 	}
 	return &response{p.StatusCode(), append([]byte(nil), p.Body()...)}, nil
 }
 
+// dial opens a connection to a host.
+func (c *Client) dial(address string) (net.Conn, error) {
+	d := &answerdialer.Dialer{TLS: c.TLS, Timeout: connectTimeout, Rejected: func(err error) { c.rejected = err }}
+	return d.Dial(context.Background(), address)
+}
+
 func (c *Client) scheme() string {
 	if c.TLS != nil {
 		return "https://"
--- a/internal/config/operatorclient/operatorclient_test.go
+++ b/internal/config/operatorclient/operatorclient_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"siskinrun/internal/base/answerhead"
 	"siskinrun/internal/base/group"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/config/change"
@@ -155,3 +156,51 @@
 		is.True(!strings.Contains(string(s), operatorSecret))
 	}
 }
+
+// malformedHeads are answers of status 200 whose heads break the grammar of HTTP.
+var malformedHeads = []string{
+	"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n 2\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+}
+
+// TestAnswerWithAMalformedHeadIsNotTheHosts guards against a listing or outcome that is read from an answer with a malformed head.
+func TestAnswerWithAMalformedHeadIsNotTheHosts(t *testing.T) {
+	for _, answer := range malformedHeads {
+		t.Run(answer, func(t *testing.T) {
+			is := is.New(t)
+			c, r, _ := start(t, 0)
+			bad := answerWith(t, answer)
+			_, err := (&operatorclient.Client{Addresses: []string{bad}, Timer: c.Timer, Timeout: time.Millisecond}).Do(t.Context(), "GET", "/v1/hosts", nil)
+			is.True(answerhead.Rejects(err)) // the error says why
+			c.Addresses = []string{bad, c.Addresses[1]}
+			o, err := c.SendChange(t.Context(), setTeam("one", 0))
+			is.NoErr(err)
+			is.Equal(o.Status, changeoutcome.Applied)
+			is.Equal(len(r.sent), 1) // by the other host
+		})
+	}
+}
+
+// answerWith starts a host that gives each request the same answer, and returns its address.
+func answerWith(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	g := group.NewGroup(t.Context())
+	g.Go("host", func(context.Context) error {
+		for {
+			k, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			_, _ = k.Read(make([]byte, 4<<10))
+			_, _ = k.Write([]byte(answer))
+			_ = k.Close()
+		}
+	})
+	return l.Addr().String()
+}
--- a/internal/jobs/batchclient/client.go
+++ b/internal/jobs/batchclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"siskinrun/internal/base/answerdialer"
 	"siskinrun/internal/base/secret"
 	"siskinrun/internal/data/submission"
 	"siskinrun/pkg/refusal"
@@ -23,6 +25,8 @@
 const (
 	pathFiles   = "/v1/files"
 	pathBatches = "/v1/batches"
+	// schemeTLS is the begin of addresses whose connections use TLS.
+	schemeTLS = "https://"
 
 	// maxRefusalBytes bounds the bytes that are read of a refusal.
 	maxRefusalBytes = 64 << 10
@@ -145,11 +149,12 @@
 		return err
 	}
 	var connected atomic.Bool
+	var rejected error
 	h := &fasthttp.Client{
 		StreamResponseBody:        true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:                      dialer(ctx, &connected),
+		Dial:                      c.dialer(ctx, &connected, &rejected),
 	}
 	defer h.CloseIdleConnections()
 	p := fasthttp.AcquireResponse()
@@ -158,6 +163,9 @@
 	if err != nil && !connected.Load() {
 		return refusal.NewNotRun(fasthttp.StatusServiceUnavailable, "unreachable", err.Error())
 	}
+	if rejected != nil {
+		return refusal.NewMayHaveRun(fasthttp.StatusBadGateway, refusal.CodeSpuriousAnswer, rejected.Error())
+	}
 	if err != nil {
 		return refusal.NewMayHaveRun(fasthttp.StatusGatewayTimeout, "no-answer", err.Error())
 	}
@@ -168,11 +176,15 @@
 	return errors.Wrap(err, "read answer")
 }
 
-// dialer returns a dialer that sets connected on success and closes its connections when ctx ends.
-func dialer(ctx context.Context, connected *atomic.Bool) fasthttp.DialFunc {
+// dialer returns a dialer that sets connected on success and closes its connections when ctx ends. They set rejected if they reject
+// the answer.
+func (c *Client) dialer(ctx context.Context, connected *atomic.Bool, rejected *error) fasthttp.DialFunc {
+	d := &answerdialer.Dialer{Timeout: c.Timeout, Rejected: func(err error) { *rejected = err }}
+	if strings.HasPrefix(c.Address, schemeTLS) {
+		d.TLS = &tls.Config{}
+	}
 	return func(address string) (net.Conn, error) {
-		var d net.Dialer
-		n, err := d.DialContext(ctx, "tcp", address)
+		n, err := d.Dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/jobs/batchclient/client_test.go
+++ b/internal/jobs/batchclient/client_test.go
@@ -112,3 +112,29 @@
 	})
 	is.True(c.Results(t.Context(), "batch-1-a", false, &bytes.Buffer{}) != nil)
 }
+
+// TestAnswerWithAMalformedHeadIsAnError guards against results that are read from an answer whose head breaks the grammar of HTTP.
+func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n 2\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 O\x01K\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 000 OK\r\nContent-Length: 3\r\n\r\nabc",
+	} {
+		t.Run(answer, func(t *testing.T) {
+			is := is.New(t)
+			c := serve(t, func(x *fasthttp.RequestCtx) {
+				x.HijackSetNoResponse(true)
+				x.Hijack(func(n net.Conn) { _, _ = n.Write([]byte(answer)) })
+			})
+			var w bytes.Buffer
+			err := c.Results(t.Context(), "batch-1-a", false, &w)
+			is.True(err != nil)
+			is.Equal(refusal.Of(err).Code, refusal.CodeSpuriousAnswer)
+			is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
+			is.Equal(w.Len(), 0)
+		})
+	}
+}
--- a/internal/standin/announcer/announcer.go
+++ b/internal/standin/announcer/announcer.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"siskinrun/internal/base/answerdialer"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
@@ -32,6 +35,7 @@
 	// Timer provides the time.
 	Timer *timer.Service
 
+	once     sync.Once
 	client   fasthttp.Client
 	nextHost int
 }
@@ -83,6 +87,7 @@
 	q.Header.Set("Authorization", "Bearer "+a.Secret)
 	q.Header.SetContentType("application/json")
 	q.SetBodyRaw(body)
+	a.once.Do(func() { a.client.Dial = a.dial })
 	if err := a.client.DoTimeout(q, p, postTimeout); err != nil {
 		return err
 	}
@@ -91,3 +96,9 @@
 	}
 	return nil
 }
+
+// dial opens a connection to a host.
+func (a *Announcer) dial(address string) (net.Conn, error) {
+	d := &answerdialer.Dialer{Timeout: postTimeout}
+	return d.Dial(context.Background(), address)
+}
--- a/internal/wire/chunkedbody/reader.go
+++ b/internal/wire/chunkedbody/reader.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http/httputil"
 
-	"siskinrun/internal/wire/answerhead"
+	"siskinrun/internal/base/answerhead"
 )
 
 // Reader reads a body in chunks and the trailer behind it.
--- a/internal/wire/chunkedbody/reader_test.go
+++ b/internal/wire/chunkedbody/reader_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"siskinrun/internal/data/headgrammar"
+	"siskinrun/internal/base/headgrammar"
 	"siskinrun/internal/wire/chunkedbody"
 )
 
--- a/internal/wire/transport/head.go
+++ b/internal/wire/transport/head.go
@@ -6,10 +6,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"siskinrun/internal/base/answerhead"
 	"siskinrun/internal/data/answerheaders"
 	"siskinrun/internal/data/answerproof"
 	"siskinrun/internal/data/call"
-	"siskinrun/internal/wire/answerhead"
 	"siskinrun/internal/wire/provenance"
 )
 
--- a/internal/wire/transport/malformed.go
+++ b/internal/wire/transport/malformed.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"siskinrun/internal/base/headgrammar"
 	"siskinrun/internal/data/call"
-	"siskinrun/internal/data/headgrammar"
 )
 
 // malformedError is an answer whose head or trailer breaks the grammar of HTTP. Its text does not hold the byte, which is the
