A request with a blank in a header's name is refused (400)

What workers saw: of the malformed heads that a caller may send one form passed, "X-Odd Name: 1", and reached the worker as it came.

Change: the entry of calls asks of each name whether it is a token, by the table of headgrammar. The other addresses (operators, announcements, configuration) pass no headers on and are as they were.

--- a/internal/base/headgrammar/check.go
+++ b/internal/base/headgrammar/check.go
@@ -105,6 +105,11 @@
 	return -1
 }
 
+// IsName reports whether b may be the name of a field.
+func IsName(b []byte) bool {
+	return len(b) > 0 && bytes.IndexFunc(b, func(r rune) bool { return !isToken(r) }) < 0
+}
+
 // isToken reports whether the name of a field may hold a character.
 func isToken(r rune) bool {
 	switch {
--- a/internal/base/headgrammar/check_test.go
+++ b/internal/base/headgrammar/check_test.go
@@ -66,7 +66,9 @@
 		}
 		err := headgrammar.CheckFields([]byte{'a', b, 'a', ':', '\r', '\n', '\r', '\n'})
 		is.New(t).Equal(err == nil, strings.IndexByte(token, b) >= 0)
+		is.New(t).Equal(headgrammar.IsName([]byte{'a', b, 'a'}), strings.IndexByte(token, b) >= 0)
 	}
+	is.New(t).True(!headgrammar.IsName(nil))
 }
 
 // FuzzCheckHead guards against heads that end the process, and against faults outside the head.
--- a/internal/wire/ingress/ingress.go
+++ b/internal/wire/ingress/ingress.go
@@ -7,11 +7,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/base/clientguard"
 	"siskinrun/internal/base/group"
+	"siskinrun/internal/base/headgrammar"
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/wire/listener"
 )
@@ -165,8 +167,8 @@
 	}
 }
 
-// checkHeader hands a request to the dialect unless its header section has too many lines. The listener counts those of a
-// section that it sees begin; this one may have come behind a body.
+// checkHeader hands a request to the dialect unless its header section has too many lines or a malformed name. The listener counts
+// the lines of a section that it sees begin; this one may have come behind a body.
 func (s *Server) checkHeader(x *fasthttp.RequestCtx) {
 	h := &x.Request.Header
 	if n := len(h.RawHeaders()); s.Guard.Bounded() && n > s.MaxHeaderBytes/largeHeaderShare {
@@ -177,12 +179,29 @@
 			return
 		}
 	}
+	if !hasNames(h) {
+		s.Dialect.HandleReadError(x, errMalformedName)
+		return
+	}
 	if x.RequestBodyStream() == nil {
 		Complete(x)
 	}
 	s.Dialect.Handle(x)
 }
 
+// errMalformedName is the fault of a request in which the name of a header is no token.
+var errMalformedName = errors.New("the name of a header is malformed")
+
+// hasNames reports whether the names of all headers are tokens. The HTTP library lets blanks inside them pass.
+func hasNames(h *fasthttp.RequestHeader) bool {
+	for name := range h.All() {
+		if !headgrammar.IsName(name) {
+			return false
+		}
+	}
+	return true
+}
+
 // markIdleKey is the user value with the function that marks the connection of a request as idle.
 const markIdleKey = "ingress-release"
 
