A short write that a full disk does not let cut off damages no file (Acks)

What callers would see: changes that were acknowledged are gone after a restart.

Cause: a full disk may take a part of a write. What it took was cut off at once; where the full disk refused that too, the part stayed, and the next try wrote the whole frame behind it. At the next start all behind the part counts as a torn end and is cut off; with the disks of all hosts full in turn that is so at each of them.

Change: an append knows where the file ended at its first try, and cuts what a refused try has left before the next one. The files of groups go through filesystem, which tests replace. Nothing that is stored changes.

Refused renames, removals and syncs end the process, which is started again and serves; that stays, as it isn't known what a refused sync has left.

--- a/internal/jobs/filestore/filestore.go
+++ b/internal/jobs/filestore/filestore.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/state/diskspace"
+	"siskinrun/internal/state/filesystem"
 )
 
 const (
@@ -64,7 +65,7 @@
 
 // Append adds bytes to the end of a file.
 func (f *Store) Append(name string, b []byte) error {
-	return f.Space.Do(func() error {
+	return f.Space.Append(b, func(use func(h filesystem.File) error) error {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		h, err := f.handle(name)
@@ -72,7 +73,7 @@
 			return err
 		}
 		f.dirty[name] = struct{}{}
-		return diskspace.Append(h, b)
+		return use(h)
 	})
 }
 
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -20,6 +20,7 @@
 	"siskinrun/internal/base/timer"
 	"siskinrun/internal/state/disk"
 	"siskinrun/internal/state/diskspace"
+	"siskinrun/internal/state/filesystem"
 	"siskinrun/internal/state/formation"
 	"siskinrun/internal/state/groupstatus"
 	"siskinrun/internal/state/identity"
@@ -69,6 +70,8 @@
 	Metrics metrics.Registry
 	// Space, if set, waits while the disk is full.
 	Space *diskspace.Waiter
+	// System, if set, replaces the file system of the operating system for the files of the groups.
+	System system
 	// Seed seeds the random election timeouts.
 	Seed uint64
 	// SnapshotBytes, if set, replaces the default log size that triggers a snapshot.
@@ -84,6 +87,15 @@
 	group       *group.Group
 }
 
+// system holds the files of the groups.
+type system interface {
+	Open(path string) (filesystem.File, error)
+	Truncate(path string, size int64) error
+	Rename(from, to string) error
+	Remove(path string) error
+	SyncFolder(path string) error
+}
+
 // Register registers the handlers for calls of other hosts; it must be called before the link runs.
 func (c *Service) Register() {
 	c.Link.Handle(methodAppend, c.onPacket)
@@ -223,6 +235,7 @@
 			return nil, err
 		}
 		f.Space = c.Space
+		f.System = c.System
 		d, err := newDriver(g.Context(), c, n, m, f)
 		if err != nil {
 			return nil, errors.Wrapf(err, "group %d", n)
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -9,11 +9,11 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinrun/internal/state/diskspace"
+	"siskinrun/internal/state/filesystem"
 )
 
 const (
 	folderMode = 0o700
-	fileMode   = 0o600
 	// unfinishedSuffix marks files that Replace has not finished.
 	unfinishedSuffix = ".unfinished"
 )
@@ -22,10 +22,21 @@
 type Disk struct {
 	// Space, if set, waits while the disk is full.
 	Space *diskspace.Waiter
+	// System, if set, replaces the file system of the operating system.
+	System system
 
 	folder string
 	mu     sync.Mutex
-	open   map[string]*os.File
+	open   map[string]filesystem.File
+}
+
+// system holds the files.
+type system interface {
+	Open(path string) (filesystem.File, error)
+	Truncate(path string, size int64) error
+	Rename(from, to string) error
+	Remove(path string) error
+	SyncFolder(path string) error
 }
 
 // NewDisk opens a folder and creates it if it does not exist.
@@ -33,8 +44,8 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Wrap(err, "create the data folder")
 	}
-	d := &Disk{folder: folder, open: map[string]*os.File{}}
-	if err := syncFolder(filepath.Dir(folder)); err != nil {
+	d := &Disk{folder: folder, open: map[string]filesystem.File{}}
+	if err := d.system().SyncFolder(filepath.Dir(folder)); err != nil {
 		return nil, err
 	}
 	return d, d.SyncFolder()
@@ -85,12 +96,12 @@
 
 // Append appends b to a file and creates it if it does not exist.
 func (d *Disk) Append(name string, b []byte) error {
-	return d.Space.Do(func() error {
+	return d.Space.Append(b, func(use func(f filesystem.File) error) error {
 		f, err := d.openFile(name)
 		if err != nil {
 			return err
 		}
-		return diskspace.Append(f, b)
+		return use(f)
 	})
 }
 
@@ -106,25 +117,25 @@
 // Truncate changes the size of a file.
 func (d *Disk) Truncate(name string, size int64) error {
 	d.closeFile(name)
-	return os.Truncate(d.path(name), size)
+	return d.system().Truncate(d.path(name), size)
 }
 
 // Rename renames a file.
 func (d *Disk) Rename(from, to string) error {
 	d.closeFile(from)
 	d.closeFile(to)
-	return os.Rename(d.path(from), d.path(to))
+	return d.system().Rename(d.path(from), d.path(to))
 }
 
 // Remove deletes a file.
 func (d *Disk) Remove(name string) error {
 	d.closeFile(name)
-	return os.Remove(d.path(name))
+	return d.system().Remove(d.path(name))
 }
 
 // SyncFolder makes created, renamed and removed names durable.
 func (d *Disk) SyncFolder() error {
-	return syncFolder(d.folder)
+	return d.system().SyncFolder(d.folder)
 }
 
 // Replace atomically and durably replaces the content of a file by b.
@@ -157,17 +168,24 @@
 	return all
 }
 
+func (d *Disk) system() system {
+	if d.System == nil {
+		return filesystem.OS{}
+	}
+	return d.System
+}
+
 func (d *Disk) path(name string) string {
 	return filepath.Join(d.folder, name)
 }
 
-func (d *Disk) openFile(name string) (*os.File, error) {
+func (d *Disk) openFile(name string) (filesystem.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if f := d.open[name]; f != nil {
 		return f, nil
 	}
-	f, err := os.OpenFile(d.path(name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	f, err := d.system().Open(d.path(name))
 	if err != nil {
 		return nil, err
 	}
@@ -183,12 +201,3 @@
 		delete(d.open, name)
 	}
 }
-
-func syncFolder(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "open a folder to sync it")
-	}
-	defer func() { _ = f.Close() }()
-	return errors.Wrap(f.Sync(), "sync a folder")
-}
--- a/internal/state/diskspace/waiter.go
+++ b/internal/state/diskspace/waiter.go
@@ -1,7 +1,6 @@
 package diskspace
 
 import (
-	"os"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -25,16 +24,3 @@
 		}
 	}
 }
-
-// Append appends b to a file that is open for appending, as a whole: what a refused write has left of it is removed.
-func Append(f *os.File, b []byte) error {
-	i, err := f.Stat()
-	if err != nil {
-		return err
-	}
-	n, err := f.Write(b)
-	if err == nil || n == 0 {
-		return err
-	}
-	return errors.CombineErrors(err, f.Truncate(i.Size()))
-}
--- a/internal/state/diskspace/waiter_test.go
+++ b/internal/state/diskspace/waiter_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"siskinrun/internal/state/diskspace"
+	"siskinrun/internal/state/filesystem"
 )
 
 func TestAppendWaitsWhileTheDiskIsFull(t *testing.T) {
@@ -26,11 +27,11 @@
 	is.NoErr(err)
 	defer func() { _ = f.Close() }()
 	write := func(b string) error {
-		return w.Do(func() error {
+		return w.Append([]byte(b), func(use func(filesystem.File) error) error {
 			if full > 0 {
 				return &os.PathError{Op: "write", Path: p, Err: syscall.ENOSPC}
 			}
-			return diskspace.Append(f, []byte(b))
+			return use(f)
 		})
 	}
 	is.NoErr(write("abc"))
--- /dev/null
+++ b/internal/state/filesystem/doc.go
@@ -0,0 +1,2 @@
+// Package filesystem gives access to files that are appended to.
+package filesystem
