--- a/internal/state/control/full_disk_test.go
+++ b/internal/state/control/full_disk_test.go
@@ -147,8 +147,10 @@
 // fullHost is a control host on a fullDisk that is started again when it ends by itself.
 type fullHost struct {
 	name, folder string
-	disk         *fullDisk
-	ends         atomic.Int64
+	// socket keeps the address of the host while it does not run.
+	socket *os.File
+	disk   *fullDisk
+	ends   atomic.Int64
 
 	mu      sync.Mutex
 	client  *proposal.Client
@@ -190,12 +192,15 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.New(t).NoErr(err)
 		f.ports[n] = l.Addr().String()
+		k, err := l.(*net.TCPListener).File()
+		is.New(t).NoErr(err)
+		t.Cleanup(func() { _ = k.Close() })
 		_ = l.Close()
 		d := &fullDisk{refuses: map[operation]bool{}}
 		for _, o := range refuses {
 			d.refuses[o] = true
 		}
-		f.hosts = append(f.hosts, &fullHost{name: n, folder: filepath.Join(folder, n), disk: d})
+		f.hosts = append(f.hosts, &fullHost{name: n, folder: filepath.Join(folder, n), socket: k, disk: d})
 	}
 	for _, h := range f.hosts {
 		f.group.Go("host", func(ctx context.Context) error { return f.supervise(ctx, h) })
@@ -219,7 +224,7 @@
 
 // run runs a host until it ends.
 func (f *fullFleet) run(ctx context.Context, h *fullHost) error {
-	x, err := net.Listen("tcp", f.ports[h.name])
+	x, err := net.FileListener(h.socket)
 	if err != nil {
 		return err
 	}
