The text of an error is no event of a stream that goes on (ORDER, MIXED)

What callers saw: a stream broke off, the next worker answered with a 200 and text/event-stream, signed and with the ID, whose body was the text of an error or a whole head; the caller found it in the middle of the stream.

Cause: the relay looks at the number of each event, but what came without one in a numbered stream was passed on as the next event, and counted as one. Items refuse such events already.

Change: once a stream has numbers, what comes without one ends the answer as spurious: the stream goes on elsewhere, or breaks off where no attempt is left. The marker of the product's own streams needs none. Sound numbered streams lose nothing: an event without a number took the next one's place, which was then left out.

Not changed: an answer that begins a stream with such a text; no event tells there whether the worker numbers its events.

--- a/internal/wire/relay/end_test.go
+++ b/internal/wire/relay/end_test.go
@@ -86,3 +86,31 @@
 		},
 	}
 }
+
+// TestTextWithoutANumberIsNoRest guards against the text of an error that comes in place of the rest of a numbered stream, and is
+// passed on as an event of it.
+func TestTextWithoutANumberIsNoRest(t *testing.T) {
+	const begun, rest = "id: 0\ndata: a\n\n", "id: 1\ndata: b\n\n"
+	for _, text := range []string{"{\"error\": \"overloaded\"}\n\n", "HTTP/1.1 503 Service Unavailable\r\nX-A: b\r\n\r\n", "event: error\ndata: overloaded\n\n"} {
+		is := is.New(t)
+		answers := []string{text, ": comment\n\n" + rest}
+		r := &relay.Reader{
+			Context: t.Context(), Answer: open(begun + text), EndsWithBody: true,
+			Resume: func(_ context.Context, offset int, _ error) (*answer.Answer, error) {
+				is.Equal(offset, 1)
+				a := open(answers[0])
+				answers = answers[1:]
+				return a, nil
+			},
+		}
+		b, err := io.ReadAll(r)
+		is.NoErr(err)
+		is.Equal(string(b), begun+": comment\n\n"+rest)
+		is.Equal(len(answers), 0)
+	}
+}
+
+// open returns an answer in chunks that holds a text.
+func open(text string) *answer.Answer {
+	return &answer.Answer{Body: io.NopCloser(strings.NewReader(text)), Framing: framing.Chunks}
+}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -32,6 +32,9 @@
 // errNoMemory ends a stream of which the host can't hold the next event. The upstream was not lost.
 var errNoMemory = refusal.NewMayHaveRun(502, "no-memory", "this host has no memory for the next event of the stream")
 
+// errNoNumber is the failure of an upstream in whose numbered stream something comes that has no number, such as the text of an error.
+var errNoNumber = refusal.NewMayHaveRun(502, refusal.CodeSpuriousAnswer, "the upstream's stream holds an event without a number")
+
 // memory is the account of what the caller of a stream holds.
 type memory interface {
 	Reserve(n int64) bool
@@ -134,6 +137,10 @@
 		return
 	}
 	n, ok := int(e.ID), e.Numbered
+	if !ok && r.numbered && !r.endsWith(e) {
+		r.reject(errNoNumber)
+		return
+	}
 	if ok && !r.numbered && r.EndsWithBody {
 		r.next = n
 	}
@@ -155,12 +162,26 @@
 	if r.Event != nil {
 		r.Event(r.next - 1)
 	}
-	if !r.EndsWithBody && bytes.Equal(e.Data(), doneMarker) {
+	if r.endsWith(e) {
 		r.drain()
 		r.finish(nil)
 	}
 }
 
+// endsWith reports whether an event ends the stream.
+func (r *Reader) endsWith(e sse.Event) bool {
+	return !r.EndsWithBody && bytes.Equal(e.Data(), doneMarker)
+}
+
+// reject gives the open answer up, which is not the rest of the stream.
+func (r *Reader) reject(cause error) {
+	if r.confirming {
+		r.confirmed(cause)
+		return
+	}
+	r.resume(cause)
+}
+
 // reserve reserves memory for the event that is read.
 func (r *Reader) reserve(n int) bool {
 	if r.Memory == nil {
