--- a/cmd/siskinrun/carried_mixed_test.go
+++ b/cmd/siskinrun/carried_mixed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 		c.frame(framing)
 		c.askSound(ctx, t, f.entries[0])
 	}
-	for _, a := range spuriousAnswers() {
+	for _, a := range slices.Concat(spuriousAnswers(), malformedHeads()) {
 		c.spoil(ctx, t, a, streamPath, 2, wantWhole)
 		c.spoil(ctx, t, a, oncePath, 1, wantRefused)
 	}
--- a/cmd/siskinrun/cut_heads_test.go
+++ b/cmd/siskinrun/cut_heads_test.go
@@ -62,7 +62,7 @@
 	f, ctx := newCutFleet(t)
 	var l []oddAnswer
 	for _, a := range cutHeads() {
-		l = append(l, oddAnswer{a.name, a.reply})
+		l = append(l, oddAnswer(a))
 	}
 	f.runItemReplies(ctx, t, "heads", l, beforeOdd[:1])
 }
