The tests of malformed trailers give workers time to announce themselves

Traced: lines "call" with no-upstream, "no upstream is available for the call", after one attempt. The caller learns that the answer is broken, which is true; the check stays as it is.

--- a/cmd/siskinrun/error_texts_test.go
+++ b/cmd/siskinrun/error_texts_test.go
@@ -105,6 +105,7 @@
 			}
 			f.askSound(ctx, t, h)
 		})
+		f.awaitAnnouncements(ctx)
 	}
 }
 
--- a/cmd/siskinrun/malformed_heads_test.go
+++ b/cmd/siskinrun/malformed_heads_test.go
@@ -173,6 +173,7 @@
 		check(t, id, f.ask(ctx, h, streamRequest{id: id, path: path + "1"}))
 		f.askSound(ctx, t, h)
 	})
+	f.awaitAnnouncements(ctx)
 }
 
 // TestAnswersWithAMalformedTrailerAreNotWhole guards against an answer that counts as whole though a line behind its last chunk breaks
