An upstream that sends a malformed trailer is not lost

What callers would see: a request whose answer had no event before a malformed trailer counted as one that had ended its upstream. It lives, and has sent bytes that break the grammar.

Evidence: TestUpstreamThatAnswersMalformedIsNotLost, heads, interim answers and trailers, streams and others: 6 of 12 cases failed on the code before, all those of trailers.

Change: a malformed trailer ends the body with the refusal of a malformed head: spurious-answer, may-have-run, outcome failed.

Result: 12 of 12, with the tests of transport, dispatch, relay, the runner and the executor.

--- a/internal/wire/transport/body.go
+++ b/internal/wire/transport/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"siskinrun/internal/base/tcpend"
@@ -42,9 +43,13 @@
 		err = errDisorderly
 	}
 	err = b.transport.noteFault(b.conn, b.call, err)
-	if err != io.EOF && b.conn.pathLost(err) {
+	var m malformedError
+	switch {
+	case errors.As(err, &m):
+		err = m.toRefusal()
+	case err != io.EOF && b.conn.pathLost(err):
 		err = newPathLost()
-	} else {
+	default:
 		err = opaque(err)
 	}
 	b.finish(err)
--- a/internal/wire/transport/cause.go
+++ b/internal/wire/transport/cause.go
@@ -53,14 +53,11 @@
 // kind returns what kind of failure an error is.
 func kind(err error) string {
 	var p protocolError
-	var m malformedError
 	var t interface{ Timeout() bool }
 	var s *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &p):
 		return string(p)
-	case errors.As(err, &m):
-		return m.Error()
 	case errors.As(err, &t) && t.Timeout():
 		return "the upstream took too long"
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/wire/transport/conn.go
+++ b/internal/wire/transport/conn.go
@@ -132,7 +132,7 @@
 	case errors.As(err, &s):
 		return refusal.NewMayHaveRun(502, refusal.CodeSpuriousAnswer, s.Error())
 	case errors.As(err, &m):
-		return refusal.NewMayHaveRun(502, refusal.CodeSpuriousAnswer, m.Error())
+		return m.toRefusal()
 	case ctx.Err() != nil:
 		return refusal.NewMayHaveRun(504, "cancelled", "the call was cancelled while it ran")
 	case k.pathLost(err):
--- a/internal/wire/transport/malformed.go
+++ b/internal/wire/transport/malformed.go
@@ -7,6 +7,7 @@
 
 	"siskinrun/internal/base/headgrammar"
 	"siskinrun/internal/data/call"
+	"siskinrun/pkg/refusal"
 )
 
 // malformedError is an answer whose head or trailer breaks the grammar of HTTP. Its text does not hold the byte, which is the
@@ -20,6 +21,11 @@
 	return "the head or trailer of the answer is malformed: " + m.fault.Rule
 }
 
+// toRefusal returns the error as a refusal. The upstream was not lost: it answered.
+func (m malformedError) toRefusal() error {
+	return refusal.NewMayHaveRun(502, refusal.CodeSpuriousAnswer, m.Error())
+}
+
 // noteFault logs the fault of an answer's head or trailer, if that is what err is, and returns err as what it means to the call.
 func (e *Transport) noteFault(k *conn, c *call.Call, err error) error {
 	var f *headgrammar.Fault
--- a/internal/wire/transport/malformed_test.go
+++ b/internal/wire/transport/malformed_test.go
@@ -59,8 +59,6 @@
 				r, err := x.Do(t.Context(), a, q)
 				if err != nil {
 					is.True(!c.body)
-					is.Equal(refusal.Of(err).Code, refusal.CodeSpuriousAnswer)
-					is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
 					return err
 				}
 				_, err = io.ReadAll(r.Body)
@@ -68,6 +66,8 @@
 			}
 			err := ask("first")
 			is.True(err != nil)
+			is.Equal(refusal.Of(err).Code, refusal.CodeSpuriousAnswer)
+			is.Equal(refusal.Of(err).Verdict, verdict.MayHaveRun)
 			is.True(!strings.Contains(err.Error(), "0x"))
 			is.True(strings.Contains(log.String(), c.want))
 			is.True(strings.Contains(log.String(), `"request-id":"first"`))
