--- a/cmd/siskinrun/cut_items_test.go
+++ b/cmd/siskinrun/cut_items_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -84,6 +85,17 @@
 	return page.Results
 }
 
+// wantItems runs the named items in one batch job, whose answers are set, and checks that each result holds the whole text.
+func (f *cutFleet) wantItems(ctx context.Context, t *testing.T, job string, names map[string]string) {
+	t.Helper()
+	f.submit(ctx, job, slices.Sorted(maps.Keys(names)))
+	for _, r := range f.results(ctx, job, len(names)) {
+		if r.State != "completed" || r.Output != itemText() {
+			t.Errorf("%s: %s with %q after %d runs", names[r.ID], r.State, r.Output, f.ran(r.ID))
+		}
+	}
+}
+
 // runItems plays plans on the items of one batch job and checks that each result holds the whole text.
 func (f *cutFleet) runItems(ctx context.Context, t *testing.T, job string, plans [][]cut) {
 	t.Helper()
--- a/internal/base/answerhead/status.go
+++ b/internal/base/answerhead/status.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		return 0, err
 	}
-	_, rest, ok := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(" "))
+	_, rest, ok := bytes.Cut(line, []byte(" "))
 	if !ok {
 		return 0, ErrNoStatusLine
 	}
@@ -27,17 +27,16 @@
 
 // peekLine returns the first line that follows and is not empty, and reads nothing of it.
 func peekLine(in *bufio.Reader) ([]byte, error) {
-	for n := 1; ; n = in.Buffered() + 1 {
-		if _, err := in.Peek(n); err != nil {
-			return nil, err
-		}
-		b, err := in.Peek(in.Buffered())
-		if err != nil {
-			return nil, err
-		}
-		b = bytes.TrimLeft(b, "\r\n")
-		if i := bytes.IndexByte(b, '\n'); i >= 0 {
-			return b[:i], nil
-		}
+	b, err := peekSection(in, lineLength)
+	return bytes.Trim(b, "\r\n"), err
+}
+
+// lineLength returns the length of the first line that is not empty, with the empty ones before it, zero if it is not whole.
+func lineLength(b []byte) int {
+	n := len(b) - len(bytes.TrimLeft(b, "\r\n"))
+	i := bytes.IndexByte(b[n:], '\n')
+	if i < 0 {
+		return 0
 	}
+	return n + i + 1
 }
--- a/internal/state/control/control.go
+++ b/internal/state/control/control.go
@@ -71,7 +71,7 @@
 	// Space, if set, waits while the disk is full.
 	Space *diskspace.Waiter
 	// System, if set, replaces the file system of the operating system for the files of the groups.
-	System system
+	System filesystem.System
 	// Seed seeds the random election timeouts.
 	Seed uint64
 	// SnapshotBytes, if set, replaces the default log size that triggers a snapshot.
@@ -87,15 +87,6 @@
 	group       *group.Group
 }
 
-// system holds the files of the groups.
-type system interface {
-	Open(path string) (filesystem.File, error)
-	Truncate(path string, size int64) error
-	Rename(from, to string) error
-	Remove(path string) error
-	SyncFolder(path string) error
-}
-
 // Register registers the handlers for calls of other hosts; it must be called before the link runs.
 func (c *Service) Register() {
 	c.Link.Handle(methodAppend, c.onPacket)
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -23,22 +23,13 @@
 	// Space, if set, waits while the disk is full.
 	Space *diskspace.Waiter
 	// System, if set, replaces the file system of the operating system.
-	System system
+	System filesystem.System
 
 	folder string
 	mu     sync.Mutex
 	open   map[string]filesystem.File
 }
 
-// system holds the files.
-type system interface {
-	Open(path string) (filesystem.File, error)
-	Truncate(path string, size int64) error
-	Rename(from, to string) error
-	Remove(path string) error
-	SyncFolder(path string) error
-}
-
 // NewDisk opens a folder and creates it if it does not exist.
 func NewDisk(folder string) (*Disk, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
@@ -168,7 +159,7 @@
 	return all
 }
 
-func (d *Disk) system() system {
+func (d *Disk) system() filesystem.System {
 	if d.System == nil {
 		return filesystem.OS{}
 	}
--- a/internal/state/filesystem/os.go
+++ b/internal/state/filesystem/os.go
@@ -11,7 +11,7 @@
 // OS is the file system of the operating system.
 type OS struct{}
 
-// Open opens a file for appending and creates it if it does not exist.
+// Open implements System.Open.
 func (OS) Open(path string) (File, error) {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
@@ -20,22 +20,22 @@
 	return f, nil
 }
 
-// Truncate changes the size of a file.
+// Truncate implements System.Truncate.
 func (OS) Truncate(path string, size int64) error {
 	return os.Truncate(path, size)
 }
 
-// Rename renames a file.
+// Rename implements System.Rename.
 func (OS) Rename(from, to string) error {
 	return os.Rename(from, to)
 }
 
-// Remove deletes a file.
+// Remove implements System.Remove.
 func (OS) Remove(path string) error {
 	return os.Remove(path)
 }
 
-// SyncFolder makes created, renamed and removed names durable.
+// SyncFolder implements System.SyncFolder.
 func (OS) SyncFolder(path string) error {
 	f, err := os.Open(path)
 	if err != nil {
--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"io"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,11 +18,9 @@
 	"siskinrun/internal/data/answerheaders"
 	"siskinrun/internal/data/answerproof"
 	"siskinrun/internal/data/call"
-	"siskinrun/internal/data/framing"
 	"siskinrun/internal/data/loadreport"
 	"siskinrun/internal/data/upstream"
 	"siskinrun/internal/data/upstreamlimit"
-	"siskinrun/internal/wire/chunkedbody"
 	"siskinrun/pkg/refusal"
 )
 
@@ -253,49 +250,3 @@
 	}
 	return e.Dialect
 }
-
-// lengthIdentity is fasthttp's content length for a body that ends with its connection.
-const lengthIdentity = -2
-
-func (e *Transport) answer(k *conn, c *call.Call, p *fasthttp.Response) *answer.Answer {
-	a := &answer.Answer{
-		Status:      p.StatusCode(),
-		ContentType: string(p.Header.ContentType()),
-		Length:      max(p.Header.ContentLength(), -1),
-		Framing:     framingOf(p.Header.ContentLength()),
-	}
-	for n, v := range p.Header.All() {
-		if s := string(n); EndToEnd(s) && !strings.EqualFold(s, "content-type") && !e.dialect().Private(s) {
-			a.Headers = append(a.Headers, [2]string{s, string(v)})
-		}
-	}
-	b := &body{transport: e, conn: k, call: c, response: p, reader: p.BodyStream(), deadline: c.Deadline}
-	switch {
-	case b.reader == nil:
-		b.reader = emptyReader{}
-		a.Length, a.Framing = 0, framing.Length
-	case a.Framing == framing.Chunks:
-		b.reader = &chunkedbody.Reader{In: k.in, Trailer: p.Header.ReadTrailer}
-	}
-	a.Body = b
-	return a
-}
-
-// framingOf returns the framing of an answer with the given content length, as fasthttp states it.
-func framingOf(length int) framing.Framing {
-	switch {
-	case length >= 0:
-		return framing.Length
-	case length == lengthIdentity:
-		return framing.None
-	default:
-		return framing.Chunks
-	}
-}
-
-type emptyReader struct{}
-
-// Read implements io.Reader.Read.
-func (emptyReader) Read([]byte) (int, error) {
-	return 0, io.EOF
-}
